Lay out the workspace, the wire messages and the coordination types

Cause: nothing exists yet; the packages need fixed interfaces before work in parallel starts. The messages are generated from one .proto file and committed; ids, configuration and records are types of coord, so that the library can be embedded without the daemons. Ruled out: one message per customer or program at the platform, which grows with the load.

--- /dev/null
+++ b/crates/wire/examples/generate.rs
@@ -0,0 +1,11 @@
+//! Regenerates `src/generated` from the `.proto` file; the build itself needs no generator.
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let files = protox::compile(["teasellever.proto"], [root.join("proto")])?;
+    tonic_prost_build::configure()
+        .out_dir(root.join("src/generated"))
+        .bytes(".")
+        .compile_fds(files)?;
+    Ok(())
+}
