Add leases, shard map, buckets, tickets, keys and the replicated shard state

Cause: the daemons need the coordination parts as state machines without I/O. Record::Level gains the block's size and what the bucket held, so that a new primary can go on from it without comparing clocks. Ruled out: restarting the bucket from a time stamp of the former primary, which trusts the clocks of two hosts to agree.

--- /dev/null
+++ b/crates/coord/src/ledger.rs
@@ -0,0 +1,244 @@
+//! The ledger of single requests: each name is dispatched at most once, or is idempotent.
+//!
+//! Memory is bounded. Idempotent requests are forgotten soon, the others only after a time in which
+//! no caller repeats a request any more. A full ledger refuses new names rather than forget.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Map;
+use crate::decision::Begin;
+use crate::decision::Decision;
+use crate::decision::Flight;
+use crate::id::Attempt;
+use crate::id::Customer;
+use crate::id::Request;
+use crate::id::Target;
+use crate::record::Answer;
+use crate::record::Call;
+use crate::record::Outcome;
+use crate::record::Record;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+use crate::replica::Limits;
+use crate::time::Millis;
+
+const FULL_WAIT: Millis = Millis(1000);
+
+/// What is known of one dispatched request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Entry {
+    pub attempt: Attempt,
+    pub target: Target,
+    pub content: u64,
+    pub idempotent: bool,
+    pub state: State,
+    pub at_ms: u64,
+}
+
+/// How far a request has come.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum State {
+    InFlight,
+    Answered(Arc<Answer>),
+    NotRun,
+    Unknown,
+}
+
+impl State {
+    /// The state after an outcome.
+    pub fn after(outcome: &Outcome) -> State {
+        match outcome {
+            Outcome::Answered(answer) => State::Answered(Arc::new(answer.clone())),
+            Outcome::NotRun => State::NotRun,
+            Outcome::Unknown => State::Unknown,
+        }
+    }
+}
+
+impl Entry {
+    /// What becomes of the same call; none: it may be dispatched again.
+    pub fn repeat(&self, content: u64) -> Option<Decision> {
+        match &self.state {
+            State::NotRun => None,
+            _ if self.content != content => Some(Decision::Refuse(conflict())),
+            State::InFlight => Some(Decision::Attach),
+            State::Answered(answer) => Some(Decision::Replay(answer.clone())),
+            State::Unknown if self.idempotent => None,
+            State::Unknown => Some(Decision::Refuse(Refusal::outcome_unknown())),
+        }
+    }
+
+    /// Whether an outcome of this attempt is still awaited.
+    pub fn awaits(&self, attempt: &Attempt) -> bool {
+        matches!(self.state, State::InFlight) && self.attempt == *attempt
+    }
+
+    /// The entry as a dispatched call without an outcome, if it is one.
+    pub fn flight(&self, call: impl FnOnce() -> Call) -> Option<Flight> {
+        match self.state {
+            State::InFlight => Some(Flight {
+                call: call(),
+                attempt: self.attempt.clone(),
+                target: self.target.clone(),
+                idempotent: self.idempotent,
+                content: self.content,
+            }),
+            _ => None,
+        }
+    }
+
+    fn bytes(&self) -> usize {
+        match &self.state {
+            State::Answered(answer) => answer.body.len(),
+            _ => 0,
+        }
+    }
+}
+
+pub(crate) fn conflict() -> Refusal {
+    Refusal::new(Code::Conflict, "the name belongs to another request")
+}
+
+type Name = (Customer, Request);
+
+/// All single requests of a shard.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Ledger {
+    entries: Map<Name, Entry>,
+    /// Names in order of dispatch; one may stand here more than once.
+    idempotent: VecDeque<(u64, Name)>,
+    others: VecDeque<(u64, Name)>,
+    bytes: usize,
+}
+
+impl Ledger {
+    /// What becomes of a request; none: it may be dispatched.
+    pub fn review(&self, name: &Name, ask: &Begin, limits: &Limits) -> Option<Decision> {
+        match self.entries.get(name) {
+            Some(entry) => entry.repeat(ask.content),
+            None if self.is_full(limits) => {
+                let refusal = Refusal::new(Code::Overloaded, "too many recorded requests");
+                Some(Decision::Refuse(refusal.after(FULL_WAIT)))
+            }
+            None => None,
+        }
+    }
+
+    /// Whether this name is known.
+    pub fn knows(&self, name: &Name) -> bool {
+        self.entries.contains_key(name)
+    }
+
+    /// Number of requests.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn is_full(&self, limits: &Limits) -> bool {
+        self.entries.len() >= limits.entries || self.bytes >= limits.bytes
+    }
+
+    pub(crate) fn dispatched(&mut self, name: &Name, entry: Entry) {
+        let queue = match entry.idempotent {
+            true => &mut self.idempotent,
+            false => &mut self.others,
+        };
+        queue.push_back((entry.at_ms, name.clone()));
+        if let Some(former) = self.entries.insert(name.clone(), entry) {
+            self.bytes -= former.bytes();
+        }
+    }
+
+    /// State may be missing: what was in flight or not run may have been dispatched anew.
+    pub(crate) fn mark_lost(&mut self) {
+        for entry in self.entries.values_mut().filter(|entry| !entry.idempotent) {
+            if matches!(entry.state, State::InFlight | State::NotRun) {
+                entry.state = State::Unknown;
+            }
+        }
+    }
+
+    pub(crate) fn entry(&self, name: &Name) -> Option<&Entry> {
+        self.entries.get(name)
+    }
+
+    pub(crate) fn settled(&mut self, name: &Name, attempt: &Attempt, outcome: &Outcome) {
+        let entry = self.entries.get_mut(name);
+        if let Some(entry) = entry.filter(|entry| entry.awaits(attempt)) {
+            entry.state = State::after(outcome);
+            self.bytes += entry.bytes();
+        }
+    }
+
+    pub(crate) fn forgotten(&mut self, name: &Name) {
+        if let Some(entry) = self.entries.remove(name) {
+            self.bytes -= entry.bytes();
+        }
+        let entries = &self.entries;
+        for queue in [&mut self.idempotent, &mut self.others] {
+            while queue
+                .front()
+                .is_some_and(|(at, n)| is_stale(entries, *at, n))
+            {
+                queue.pop_front();
+            }
+        }
+    }
+
+    /// Records that forget what is old enough, at most `limit` of them.
+    pub fn sweep(&self, at_ms: u64, limits: &Limits, limit: usize) -> Vec<Record> {
+        let crowded = self.is_full(limits);
+        let soon = limits.retention_ms * u64::from(!crowded);
+        let idempotent = self.old(&self.idempotent, at_ms.saturating_sub(soon));
+        let others = self.old(&self.others, at_ms.saturating_sub(limits.ledger_ms));
+        idempotent.chain(others).take(limit).collect()
+    }
+
+    fn old<'a>(
+        &'a self,
+        queue: &'a VecDeque<(u64, Name)>,
+        before_ms: u64,
+    ) -> impl Iterator<Item = Record> + 'a {
+        queue
+            .iter()
+            .take_while(move |(at_ms, _)| *at_ms < before_ms)
+            .filter(|(at_ms, name)| !is_stale(&self.entries, *at_ms, name))
+            .filter(|(_, name)| !self.is_in_flight(name))
+            .map(|(_, name)| forget(name))
+    }
+
+    fn is_in_flight(&self, name: &Name) -> bool {
+        let entry = self.entries.get(name);
+        entry.is_some_and(|entry| matches!(entry.state, State::InFlight))
+    }
+
+    /// Dispatched requests without an outcome.
+    pub fn in_flight(&self) -> impl Iterator<Item = Flight> {
+        self.entries
+            .iter()
+            .filter_map(|((customer, request), entry)| {
+                entry.flight(|| Call::Single(customer.clone(), request.clone()))
+            })
+    }
+}
+
+/// Whether a queued name was forgotten or dispatched again since.
+fn is_stale(entries: &Map<Name, Entry>, at_ms: u64, name: &Name) -> bool {
+    entries.get(name).is_none_or(|entry| entry.at_ms != at_ms)
+}
+
+fn forget((customer, request): &Name) -> Record {
+    Record::Forgotten {
+        call: Some(Call::Single(customer.clone(), request.clone())),
+        program: None,
+    }
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -3,9 +3,23 @@
 //! Everything here is a state machine without I/O: time and messages are passed in, records and
 //! actions come out. The daemons supply sockets and clocks; tests supply seeded schedules.
 
+mod apply;
+mod sweep;
+
+pub mod bucket;
 pub mod config;
+pub mod decision;
 pub mod id;
+pub mod key;
+pub mod lease;
+pub mod ledger;
+pub mod program;
 pub mod record;
+pub mod refusal;
+pub mod replica;
+pub mod segment;
+pub mod shard;
+pub mod ticket;
 pub mod time;
 
 /// Hash map with a fast hasher.
--- a/crates/coord/src/record.rs
+++ b/crates/coord/src/record.rs
@@ -117,6 +117,10 @@
     Level {
         customer: Customer,
         spent: u64,
+        /// Requests in the block that this level allows.
+        size: u64,
+        /// Requests that the bucket held when it asked for the block.
+        available: u64,
         at_ms: u64,
     },
     /// An old entry of the ledger or an ended program was dropped.
