--- /dev/null
+++ b/crates/coord/tests/common/mod.rs
@@ -0,0 +1,73 @@
+//! What the tests share.
+#![allow(dead_code)]
+
+use coord::id::Tokens;
+use coord::record::Answer;
+use coord::record::Budget;
+use coord::record::Call;
+use coord::replica::Begin;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+
+/// The same cases in every run.
+pub fn seeded(cases: u32) -> Config {
+    Config {
+        cases,
+        rng_seed: RngSeed::Fixed(0x7ea5_e11e),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+pub fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("valid name")
+}
+
+pub fn step(program: &str, step: u32) -> Call {
+    Call::Step(name(program), coord::id::Step(step))
+}
+
+pub fn single(customer: &str, request: &str) -> Call {
+    Call::Single(name(customer), name(request))
+}
+
+/// A call of customer `ana` with content 1, a prompt of 10 tokens and an answer of 10 at most.
+pub fn ask(call: Call, attempt: &str) -> Begin {
+    Begin {
+        call,
+        customer: name("ana"),
+        attempt: name(attempt),
+        target: name("gpu-1"),
+        content: 1,
+        input: br#"[{"role":"user","content":"hi"}]"#.to_vec(),
+        model: None,
+        estimate: Tokens(10),
+        max_tokens: Tokens(10),
+        idempotent: false,
+        fresh: false,
+        at_ms: 1000,
+    }
+}
+
+pub fn answer(text: &str, tokens: u64) -> Answer {
+    Answer {
+        status: 200,
+        content_type: "text/plain".into(),
+        body: text.as_bytes().to_vec(),
+        prompt_tokens: Tokens(tokens / 2),
+        cached_tokens: Tokens(0),
+        completion_tokens: Tokens(tokens - tokens / 2),
+        finish: "stop".into(),
+    }
+}
+
+pub fn budget(tokens: u64, calls: u64, wall_ms: u64) -> Budget {
+    Budget {
+        tokens: Tokens(tokens),
+        calls,
+        wall_ms,
+    }
+}
--- /dev/null
+++ b/crates/coord/tests/lease.rs
@@ -0,0 +1,178 @@
+//! A lease's holder never acts after it was fenced, whatever the network does.
+
+mod common;
+
+use coord::id::Version;
+use coord::lease::Holder;
+use coord::lease::Observer;
+use coord::time::Millis;
+use coord::time::Time;
+use proptest::prelude::*;
+
+const DURATION: Millis = Millis(1000);
+const MARGIN: Millis = Millis(50);
+
+#[derive(Debug, Clone)]
+enum Event {
+    Pass(u64),
+    Renew,
+    Land(usize),
+    LoseRequest(usize),
+    Confirm(usize),
+    LoseReply(usize),
+    HolderReads,
+    ObserverReads,
+    Fence,
+    FenceLands,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (1u64..400).prop_map(Event::Pass),
+        3 => Just(Event::Renew),
+        3 => (0usize..4).prop_map(Event::Land),
+        1 => (0usize..4).prop_map(Event::LoseRequest),
+        3 => (0usize..4).prop_map(Event::Confirm),
+        1 => (0usize..4).prop_map(Event::LoseReply),
+        1 => Just(Event::HolderReads),
+        3 => Just(Event::ObserverReads),
+        2 => Just(Event::Fence),
+        2 => Just(Event::FenceLands),
+    ]
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Value {
+    HeldSince(Time),
+    Revoked,
+}
+
+/// The versioned object, and everything under way to and from it.
+struct World {
+    clock: u64,
+    object: (Version, Value),
+    requests: Vec<(Time, Version)>,
+    replies: Vec<(Time, Version)>,
+    fences: Vec<Version>,
+    holder: Holder,
+    observer: Observer,
+    /// Thousandths by which the holder's clock is slow and the observer's fast.
+    drift: u64,
+}
+
+impl World {
+    fn new(drift: u64) -> World {
+        let mut holder = Holder::new(DURATION, MARGIN);
+        holder.renewed(Time(0), Version(1));
+        World {
+            clock: 0,
+            object: (Version(1), Value::HeldSince(Time(0))),
+            requests: Vec::new(),
+            replies: Vec::new(),
+            fences: Vec::new(),
+            holder,
+            observer: Observer::new(DURATION, MARGIN),
+            drift,
+        }
+    }
+
+    fn holder_time(&self) -> Time {
+        Time(self.clock * (1000 - self.drift) / 1000)
+    }
+
+    fn observer_time(&self) -> Time {
+        Time(self.clock * (1000 + self.drift) / 1000)
+    }
+
+    fn write(&mut self, base: Version, value: Value) -> Option<Version> {
+        let next = Version(base.0 + 1);
+        let lands = self.object.0 == base && self.object.1 != Value::Revoked;
+        lands.then(|| self.object = (next, value)).map(|()| next)
+    }
+
+    fn on(&mut self, event: Event) {
+        match event {
+            Event::Pass(ms) => self.clock += ms,
+            Event::Renew => {
+                let base = self.holder.version().unwrap();
+                self.requests.push((self.holder_time(), base));
+            }
+            Event::Land(i) if i < self.requests.len() => {
+                let (sent, base) = self.requests.remove(i);
+                if let Some(version) = self.write(base, Value::HeldSince(sent)) {
+                    self.replies.push((sent, version));
+                }
+            }
+            Event::LoseRequest(i) if i < self.requests.len() => drop(self.requests.remove(i)),
+            Event::Confirm(i) if i < self.replies.len() => {
+                let (sent, version) = self.replies.remove(i);
+                self.holder.renewed(sent, version);
+            }
+            Event::LoseReply(i) if i < self.replies.len() => drop(self.replies.remove(i)),
+            Event::HolderReads => match self.object {
+                (version, Value::HeldSince(sent)) => self.holder.renewed(sent, version),
+                (_, Value::Revoked) => (),
+            },
+            Event::ObserverReads => self.observer.saw(self.object.0, self.observer_time()),
+            Event::Fence => self
+                .fences
+                .extend(self.observer.expired(self.observer_time())),
+            Event::FenceLands => {
+                if let Some(base) = self.fences.pop() {
+                    self.write(base, Value::Revoked);
+                }
+            }
+            _ => (),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(common::seeded(1000))]
+
+    #[test]
+    fn never_valid_after_a_successful_fence(
+        drift in 0u64..10,
+        events in prop::collection::vec(event(), 1..120),
+    ) {
+        let mut world = World::new(drift);
+        for event in events {
+            world.on(event);
+            let fenced = world.object.1 == Value::Revoked;
+            prop_assert!(!(fenced && world.holder.valid(world.holder_time())));
+        }
+    }
+}
+
+#[test]
+fn a_lease_counts_from_before_the_renewal_was_sent() {
+    let mut holder = Holder::new(DURATION, MARGIN);
+    assert!(!holder.valid(Time(0)));
+    holder.renewed(Time(100), Version(1));
+    assert!(holder.valid(Time(1049)));
+    assert!(!holder.valid(Time(1050)));
+    assert!(!holder.renew_due(Time(432)));
+    assert!(holder.renew_due(Time(433)));
+}
+
+#[test]
+fn an_older_confirmation_changes_nothing_and_a_lost_lease_stays_lost() {
+    let mut holder = Holder::new(DURATION, MARGIN);
+    holder.renewed(Time(500), Version(3));
+    holder.renewed(Time(100), Version(2));
+    assert_eq!(holder.ends(), Time(1500));
+    holder.lost();
+    holder.renewed(Time(600), Version(4));
+    assert!(!holder.valid(Time(601)));
+}
+
+#[test]
+fn an_unrenewed_version_expires_once_and_a_renewed_one_starts_anew() {
+    let mut observer = Observer::new(DURATION, MARGIN);
+    observer.saw(Version(1), Time(0));
+    observer.saw(Version(1), Time(900));
+    assert_eq!(observer.expired(Time(1049)), None);
+    assert_eq!(observer.expired(Time(1050)), Some(Version(1)));
+    observer.saw(Version(2), Time(1050));
+    assert_eq!(observer.expired(Time(2000)), None);
+}
