--- a/crates/coord/src/apply.rs
+++ b/crates/coord/src/apply.rs
@@ -15,6 +15,7 @@
 use crate::record::Record;
 use crate::replica::Level;
 use crate::replica::Replica;
+use crate::tomb::Tomb;
 
 impl Replica {
     /// Applies one record; the same records in the same order give the same state everywhere.
@@ -26,6 +27,8 @@
                 budget,
                 at_ms,
             } => {
+                self.tombs
+                    .prune(at_ms.saturating_sub(self.limits.ledger_ms));
                 let opened = Program::new(customer.clone(), *budget, *at_ms);
                 self.programs.entry(program.clone()).or_insert(opened);
             }
@@ -60,7 +63,7 @@
                     self.ledger.forgotten(&(customer.clone(), request.clone()));
                 }
                 if let Some(program) = program {
-                    self.programs.remove(program);
+                    self.forgotten(program);
                 }
             }
         }
@@ -102,7 +105,7 @@
         match call {
             Call::Single(customer, request) => {
                 self.ledger
-                    .dispatched(&(customer.clone(), request.clone()), entry);
+                    .dispatched(&(customer.clone(), request.clone()), entry, &self.limits);
             }
             Call::Step(name, step) => {
                 let turn = Turn {
@@ -160,6 +163,14 @@
         }
     }
 
+    fn forgotten(&mut self, name: &id::Program) {
+        if let Some(program) = self.programs.remove(name) {
+            let ended_ms = program.ended.map_or(program.touched_ms, |(_, at_ms)| at_ms);
+            let tomb = Tomb::of_program(&program.customer, name);
+            self.tombs.insert(tomb, ended_ms);
+        }
+    }
+
     fn level(&mut self, customer: &Customer, block: Block) {
         let former = self.levels.get(customer).map(|level| level.block);
         let block = former.map_or(block, |former| former.join(block));
--- a/crates/coord/src/ledger.rs
+++ b/crates/coord/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The ledger of single requests: each name is dispatched at most once, or is idempotent.
 //!
-//! Memory is bounded. Idempotent requests are forgotten soon, the others only after a time in which
-//! no caller repeats a request any more. A full ledger refuses new names rather than forget.
+//! Memory is bounded: answers are kept for a while, and of requests that may not be repeated a hash
+//! of the name after that. When there is no room even for those, new names are refused.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -25,6 +25,8 @@
 use crate::refusal::Refusal;
 use crate::replica::Limits;
 use crate::time::Millis;
+use crate::tomb::Tomb;
+use crate::tomb::Tombs;
 
 const FULL_WAIT: Millis = Millis(1000);
 
@@ -91,6 +93,10 @@
         }
     }
 
+    fn may_have_run(&self) -> bool {
+        !matches!(self.state, State::NotRun)
+    }
+
     fn bytes(&self) -> usize {
         match &self.state {
             State::Answered(answer) => answer.body.len(),
@@ -110,8 +116,8 @@
 pub struct Ledger {
     entries: Map<Name, Entry>,
     /// Names in order of dispatch; one may stand here more than once.
-    idempotent: VecDeque<(u64, Name)>,
-    others: VecDeque<(u64, Name)>,
+    queue: VecDeque<(u64, Name)>,
+    tombs: Tombs,
     bytes: usize,
 }
 
@@ -120,6 +126,9 @@
     pub fn review(&self, name: &Name, ask: &Begin, limits: &Limits) -> Option<Decision> {
         match self.entries.get(name) {
             Some(entry) => entry.repeat(ask.content),
+            None if self.tombs.contains(tomb(name)) => {
+                Some(Decision::Refuse(Refusal::outcome_unknown()))
+            }
             None if self.is_full(limits) => {
                 let refusal = Refusal::new(Code::Overloaded, "too many recorded requests");
                 Some(Decision::Refuse(refusal.after(FULL_WAIT)))
@@ -133,7 +142,7 @@
         self.entries.contains_key(name)
     }
 
-    /// Number of requests.
+    /// Number of requests of which more than the name is kept.
     pub fn len(&self) -> usize {
         self.entries.len()
     }
@@ -144,15 +153,17 @@
     }
 
     fn is_full(&self, limits: &Limits) -> bool {
+        self.is_crowded(limits) || self.tombs.len() >= limits.tombs
+    }
+
+    fn is_crowded(&self, limits: &Limits) -> bool {
         self.entries.len() >= limits.entries || self.bytes >= limits.bytes
     }
 
-    pub(crate) fn dispatched(&mut self, name: &Name, entry: Entry) {
-        let queue = match entry.idempotent {
-            true => &mut self.idempotent,
-            false => &mut self.others,
-        };
-        queue.push_back((entry.at_ms, name.clone()));
+    pub(crate) fn dispatched(&mut self, name: &Name, entry: Entry, limits: &Limits) {
+        self.tombs
+            .prune(entry.at_ms.saturating_sub(limits.ledger_ms));
+        self.queue.push_back((entry.at_ms, name.clone()));
         if let Some(former) = self.entries.insert(name.clone(), entry) {
             self.bytes -= former.bytes();
         }
@@ -182,38 +193,30 @@
     pub(crate) fn forgotten(&mut self, name: &Name) {
         if let Some(entry) = self.entries.remove(name) {
             self.bytes -= entry.bytes();
-        }
-        let entries = &self.entries;
-        for queue in [&mut self.idempotent, &mut self.others] {
-            while queue
-                .front()
-                .is_some_and(|(at, n)| is_stale(entries, *at, n))
-            {
-                queue.pop_front();
+            if entry.may_have_run() && !entry.idempotent {
+                self.tombs.insert(tomb(name), entry.at_ms);
             }
         }
+        let entries = &self.entries;
+        let is_done = |(at_ms, name): &mut (u64, Name)| is_stale(entries, *at_ms, name);
+        while self.queue.pop_front_if(is_done).is_some() {}
     }
 
     /// Records that forget what is old enough, at most `limit` of them.
     pub fn sweep(&self, at_ms: u64, limits: &Limits, limit: usize) -> Vec<Record> {
-        let crowded = self.is_full(limits);
-        let soon = limits.retention_ms * u64::from(!crowded);
-        let idempotent = self.old(&self.idempotent, at_ms.saturating_sub(soon));
-        let others = self.old(&self.others, at_ms.saturating_sub(limits.ledger_ms));
-        idempotent.chain(others).take(limit).collect()
-    }
-
-    fn old<'a>(
-        &'a self,
-        queue: &'a VecDeque<(u64, Name)>,
-        before_ms: u64,
-    ) -> impl Iterator<Item = Record> + 'a {
-        queue
+        let kept_ms = match self.is_crowded(limits) {
+            true => 0,
+            false => limits.retention_ms,
+        };
+        let before_ms = at_ms.saturating_sub(kept_ms);
+        self.queue
             .iter()
-            .take_while(move |(at_ms, _)| *at_ms < before_ms)
+            .take_while(|(at_ms, _)| *at_ms < before_ms)
             .filter(|(at_ms, name)| !is_stale(&self.entries, *at_ms, name))
             .filter(|(_, name)| !self.is_in_flight(name))
             .map(|(_, name)| forget(name))
+            .take(limit)
+            .collect()
     }
 
     fn is_in_flight(&self, name: &Name) -> bool {
@@ -231,6 +234,10 @@
     }
 }
 
+fn tomb((customer, request): &Name) -> Tomb {
+    Tomb::of_request(customer, request)
+}
+
 /// Whether a queued name was forgotten or dispatched again since.
 fn is_stale(entries: &Map<Name, Entry>, at_ms: u64, name: &Name) -> bool {
     entries.get(name).is_none_or(|entry| entry.at_ms != at_ms)
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions come out. The daemons supply sockets and clocks; tests supply seeded schedules.
 
 mod apply;
+mod opening;
 mod sweep;
 
 pub mod bucket;
@@ -23,6 +24,7 @@
 pub mod shard;
 pub mod ticket;
 pub mod time;
+pub mod tomb;
 
 /// Hash map with a fast hasher.
 pub type Map<K, V> = rustc_hash::FxHashMap<K, V>;
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -24,17 +24,17 @@
 use crate::program;
 use crate::program::Bar;
 use crate::program::Program;
-use crate::record::Budget;
 use crate::record::Call;
 use crate::record::Ending;
 use crate::record::Outcome;
 use crate::record::Record;
-use crate::refusal::Code;
 use crate::refusal::Ran;
 pub use crate::refusal::Refusal;
 use crate::segment::Broken;
 use crate::segment::History;
 use crate::time::Time;
+use crate::tomb::Tomb;
+use crate::tomb::Tombs;
 
 /// Bounds of a shard's state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,14 +44,16 @@
     pub repeats: u32,
     /// Milliseconds after which a program without a call ends.
     pub idle_ms: u64,
-    /// Milliseconds for which ended programs and idempotent answers are kept.
+    /// Milliseconds for which ended programs and recorded answers are kept.
     pub retention_ms: u64,
-    /// Milliseconds for which the names of other requests are kept.
+    /// Milliseconds for which names are kept that must not be used again.
     pub ledger_ms: u64,
     /// Requests in the ledger.
     pub entries: usize,
     /// Bytes of answers in the ledger.
     pub bytes: usize,
+    /// Names that must not be used again, of requests and of programs each.
+    pub tombs: usize,
 }
 
 impl Default for Limits {
@@ -59,10 +61,11 @@
         Limits {
             repeats: 8,
             idle_ms: 30 * 60 * 1000,
-            retention_ms: 10 * 60 * 1000,
-            ledger_ms: 24 * 60 * 60 * 1000,
-            entries: 20_000,
-            bytes: 64 << 20,
+            retention_ms: 5 * 60 * 1000,
+            ledger_ms: 60 * 60 * 1000,
+            entries: 50_000,
+            bytes: 16 << 20,
+            tombs: 200_000,
         }
     }
 }
@@ -82,6 +85,8 @@
     pub(crate) programs: Map<id::Program, Program>,
     pub(crate) ledger: Ledger,
     pub(crate) levels: Map<Customer, Level>,
+    /// Names of forgotten programs.
+    pub(crate) tombs: Tombs,
     lost_ms: Option<u64>,
     #[serde(skip)]
     pub(crate) limits: Limits,
@@ -146,7 +151,14 @@
     pub fn program_of(&self, name: &id::Program, customer: &Customer) -> Result<&Program, Refusal> {
         let program = self.programs.get(name);
         let own = program.filter(|program| program.customer == *customer);
-        own.ok_or_else(Refusal::not_found)
+        own.ok_or_else(|| match self.is_forgotten(name, customer) {
+            true => program::ended().ran(Ran::Unknown),
+            false => Refusal::not_found(),
+        })
+    }
+
+    pub(crate) fn is_forgotten(&self, name: &id::Program, customer: &Customer) -> bool {
+        self.tombs.contains(Tomb::of_program(customer, name))
     }
 
     /// All programs.
@@ -182,66 +194,6 @@
         }
     }
 
-    /// Opens a root program.
-    pub fn open(
-        &self,
-        name: &id::Program,
-        customer: &Customer,
-        budget: Budget,
-        at_ms: u64,
-    ) -> Opening {
-        match self.programs.get(name) {
-            None => Opening::New(vec![Record::Opened {
-                program: name.clone(),
-                customer: customer.clone(),
-                budget,
-                at_ms,
-            }]),
-            Some(old) if old.customer == *customer && old.budget == budget => Opening::Same,
-            Some(_) => Opening::Refuse(taken()),
-        }
-    }
-
-    /// The name of a program's next child.
-    pub fn next_child(&self, parent: &id::Program) -> Option<id::Program> {
-        let program = self.programs.get(parent)?;
-        parent.child(program.children + 1).ok()
-    }
-
-    /// Opens a child with a slice of its parent's budget; `name` is [`Replica::next_child`].
-    pub fn child(
-        &self,
-        name: &id::Program,
-        customer: &Customer,
-        budget: Budget,
-        at_ms: u64,
-    ) -> Opening {
-        let parent = name.parent().unwrap_or_else(|| name.clone());
-        let program = match self.program_of(&parent, customer) {
-            Ok(program) => program,
-            Err(refusal) => return Opening::Refuse(refusal),
-        };
-        let wall_ms = budget.wall_ms.min(program.wall_left(at_ms));
-        match self.programs.get(name) {
-            Some(old) if same_slice(&old.budget, &budget) => Opening::Same,
-            Some(_) => Opening::Refuse(taken()),
-            None if program.ended.is_some() => Opening::Refuse(program::ended()),
-            None if self.next_child(&parent).as_ref() != Some(name) => {
-                let message = "not the number of the next child";
-                Opening::Refuse(Refusal::new(Code::OutOfOrder, message))
-            }
-            None if exceeds(program, &budget) || wall_ms == 0 => {
-                let message = "more than the parent has left";
-                Opening::Refuse(Refusal::new(Code::Budget, message))
-            }
-            None => Opening::New(vec![Record::Child {
-                program: name.clone(),
-                budget: Budget { wall_ms, ..budget },
-                at_ms,
-            }]),
-        }
-    }
-
     /// What becomes of a call.
     pub fn begin(&self, ask: Begin) -> Decision {
         match self.review(&ask) {
@@ -379,15 +331,3 @@
 fn unknown(ask: &Begin) -> Decision {
     Decision::Close(ask.unknown(), Refusal::outcome_unknown())
 }
-
-fn taken() -> Refusal {
-    Refusal::new(Code::Conflict, "the name is taken")
-}
-
-fn same_slice(old: &Budget, new: &Budget) -> bool {
-    old.tokens == new.tokens && old.calls == new.calls
-}
-
-fn exceeds(parent: &Program, slice: &Budget) -> bool {
-    slice.tokens > parent.tokens_left() || slice.calls > parent.calls_left()
-}
--- /dev/null
+++ b/crates/coord/tests/program.rs
@@ -0,0 +1,438 @@
+//! A program's steps run in order, once, on budget, and end.
+
+mod common;
+
+use common::answer;
+use common::ask;
+use common::budget;
+use common::name;
+use common::step;
+use coord::id::Step;
+use coord::id::Tokens;
+use coord::record::Budget;
+use coord::record::Call;
+use coord::record::Ending;
+use coord::record::Outcome;
+use coord::record::Record;
+use coord::refusal::Code;
+use coord::refusal::Ran;
+use coord::replica::Begin;
+use coord::replica::Decision;
+use coord::replica::Limits;
+use coord::replica::Opening;
+use coord::replica::Replica;
+use rstest::fixture;
+use rstest::rstest;
+
+const PLENTY: Budget = Budget {
+    tokens: Tokens(1000),
+    calls: 100,
+    wall_ms: 1_000_000,
+};
+
+#[fixture]
+fn replica() -> Replica {
+    opened(PLENTY)
+}
+
+fn opened(budget: Budget) -> Replica {
+    let mut replica = Replica::new(Limits::default());
+    open(&mut replica, "p", budget);
+    replica
+}
+
+fn open(replica: &mut Replica, program: &str, budget: Budget) {
+    let opening = match program.contains('.') {
+        true => replica.child(&name(program), &name("ana"), budget, 1000),
+        false => replica.open(&name(program), &name("ana"), budget, 1000),
+    };
+    match opening {
+        Opening::New(records) => records.iter().for_each(|record| replica.apply(record)),
+        other => panic!("not opened: {other:?}"),
+    }
+}
+
+fn begin(replica: &mut Replica, ask: Begin) -> Decision {
+    let decision = replica.begin(ask);
+    if let Decision::Dispatch(records) | Decision::Close(records, _) = &decision {
+        records.iter().for_each(|record| replica.apply(record));
+    }
+    decision
+}
+
+fn settle(replica: &mut Replica, call: &Call, attempt: &str, outcome: Outcome) -> usize {
+    let records = replica.settle(call, &name(attempt), outcome, 2000);
+    records.iter().for_each(|record| replica.apply(record));
+    records.len()
+}
+
+/// Runs a step whole.
+fn run(replica: &mut Replica, program: &str, number: u32, tokens: u64) {
+    let call = step(program, number);
+    let ask = Begin {
+        content: u64::from(number),
+        ..ask(call.clone(), "a")
+    };
+    assert!(matches!(begin(replica, ask), Decision::Dispatch(_)));
+    let outcome = Outcome::Answered(answer(&format!("answer {number}"), tokens));
+    assert_eq!(settle(replica, &call, "a", outcome), 1);
+}
+
+fn code(decision: &Decision) -> Code {
+    match decision {
+        Decision::Refuse(refusal) | Decision::Close(_, refusal) => refusal.code,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+#[rstest]
+fn a_step_ahead_of_its_turn_waits_until_the_one_before_is_answered(mut replica: Replica) {
+    let second = ask(step("p", 2), "b");
+    assert!(matches!(replica.begin(second.clone()), Decision::Early));
+    begin(&mut replica, ask(step("p", 1), "a"));
+    assert!(matches!(replica.begin(second.clone()), Decision::Early));
+    settle(
+        &mut replica,
+        &step("p", 1),
+        "a",
+        Outcome::Answered(answer("x", 4)),
+    );
+    assert!(matches!(replica.begin(second), Decision::Dispatch(_)));
+}
+
+#[rstest]
+fn a_repeated_step_attaches_and_then_gets_the_recorded_answer(mut replica: Replica) {
+    let first = ask(step("p", 1), "a");
+    begin(&mut replica, first.clone());
+    assert!(matches!(replica.begin(first.clone()), Decision::Attach));
+    settle(
+        &mut replica,
+        &step("p", 1),
+        "a",
+        Outcome::Answered(answer("x", 4)),
+    );
+    match replica.begin(first) {
+        Decision::Replay(replayed) => assert_eq!(replayed.body, b"x"),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[rstest]
+#[case::current(2, Code::Conflict)]
+#[case::stale(1, Code::OutOfOrder)]
+#[case::none(0, Code::BadRequest)]
+fn a_step_of_other_content_is_refused(
+    mut replica: Replica,
+    #[case] number: u32,
+    #[case] expected: Code,
+) {
+    run(&mut replica, "p", 1, 4);
+    run(&mut replica, "p", 2, 4);
+    let other = Begin {
+        content: 99,
+        ..ask(step("p", number), "b")
+    };
+    assert_eq!(code(&replica.begin(other)), expected);
+}
+
+#[rstest]
+fn a_step_in_flight_with_other_content_is_a_conflict(mut replica: Replica) {
+    begin(&mut replica, ask(step("p", 1), "a"));
+    let other = Begin {
+        content: 99,
+        ..ask(step("p", 1), "b")
+    };
+    assert_eq!(code(&replica.begin(other)), Code::Conflict);
+}
+
+#[rstest]
+fn another_customers_program_is_answered_like_none(mut replica: Replica) {
+    run(&mut replica, "p", 1, 4);
+    let refused = |program: &str| {
+        let foreign = Begin {
+            customer: name("eva"),
+            ..ask(step(program, 1), "b")
+        };
+        match replica.begin(foreign) {
+            Decision::Refuse(refusal) => refusal,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(refused("p"), refused("none"));
+    let end = |program: &str| replica.end(&name(program), &name("eva"), Ending::Cancelled, 1);
+    assert_eq!(end("p").unwrap_err(), end("none").unwrap_err());
+}
+
+#[rstest]
+fn an_unknown_outcome_is_final_for_a_call_that_may_not_be_repeated(mut replica: Replica) {
+    let first = ask(step("p", 1), "a");
+    begin(&mut replica, first.clone());
+    settle(&mut replica, &step("p", 1), "a", Outcome::Unknown);
+    match replica.begin(first) {
+        Decision::Refuse(refusal) => {
+            assert_eq!(
+                (refusal.code, refusal.ran),
+                (Code::OutcomeUnknown, Ran::Unknown)
+            );
+            assert_eq!(refusal.retry_after, None);
+        }
+        other => panic!("{other:?}"),
+    }
+    assert!(matches!(
+        replica.begin(ask(step("p", 2), "b")),
+        Decision::Dispatch(_)
+    ));
+    assert_eq!(replica.program(&name("p")).unwrap().spent, Tokens(20));
+}
+
+#[rstest]
+fn an_idempotent_call_is_dispatched_anew_and_its_lost_attempt_stays_charged(mut replica: Replica) {
+    let call = step("p", 1);
+    let first = Begin {
+        idempotent: true,
+        ..ask(call.clone(), "a")
+    };
+    begin(&mut replica, first.clone());
+    settle(&mut replica, &call, "a", Outcome::Unknown);
+    assert!(matches!(
+        replica.begin(ask(step("p", 2), "c")),
+        Decision::Early
+    ));
+    let again = Begin {
+        attempt: name("b"),
+        ..first
+    };
+    assert!(matches!(begin(&mut replica, again), Decision::Dispatch(_)));
+    assert_eq!(
+        settle(
+            &mut replica,
+            &call,
+            "a",
+            Outcome::Answered(answer("late", 4))
+        ),
+        0
+    );
+    assert_eq!(
+        settle(&mut replica, &call, "b", Outcome::Answered(answer("x", 4))),
+        1
+    );
+    assert_eq!(replica.program(&name("p")).unwrap().spent, Tokens(24));
+}
+
+#[rstest]
+fn a_call_that_did_not_run_costs_nothing_and_may_change(mut replica: Replica) {
+    begin(&mut replica, ask(step("p", 1), "a"));
+    settle(&mut replica, &step("p", 1), "a", Outcome::NotRun);
+    let program = replica.program(&name("p")).unwrap();
+    assert_eq!(
+        (program.tokens_left(), program.calls_left()),
+        (Tokens(1000), 100)
+    );
+    let changed = Begin {
+        content: 2,
+        ..ask(step("p", 1), "b")
+    };
+    assert!(matches!(replica.begin(changed), Decision::Dispatch(_)));
+}
+
+#[rstest]
+#[case::tokens(budget(25, 100, 1_000_000), 1000, true)]
+#[case::calls(budget(1000, 1, 1_000_000), 1000, true)]
+#[case::wall_clock(budget(1000, 100, 500), 1500, true)]
+#[case::answer_too_long(budget(39, 100, 1_000_000), 1000, false)]
+fn a_program_over_its_budget_is_refused(
+    #[case] budget: Budget,
+    #[case] at_ms: u64,
+    #[case] ends: bool,
+) {
+    let mut replica = opened(budget);
+    run(&mut replica, "p", 1, 20);
+    let next = Begin {
+        content: 2,
+        at_ms,
+        ..ask(step("p", 2), "b")
+    };
+    let decision = begin(&mut replica, next.clone());
+    assert_eq!(code(&decision), Code::Budget);
+    assert_eq!(matches!(decision, Decision::Close(..)), ends);
+    let expected = if ends { Code::Ended } else { Code::Budget };
+    assert_eq!(code(&replica.begin(next)), expected);
+}
+
+#[rstest]
+fn a_program_that_repeats_one_call_ends(mut replica: Replica) {
+    let limit = Limits::default().repeats;
+    for number in 1..=limit {
+        let call = step("p", number);
+        assert!(matches!(
+            begin(&mut replica, ask(call.clone(), "a")),
+            Decision::Dispatch(_)
+        ));
+        settle(
+            &mut replica,
+            &call,
+            "a",
+            Outcome::Answered(answer("same", 2)),
+        );
+    }
+    let next = ask(step("p", limit + 1), "b");
+    assert_eq!(code(&begin(&mut replica, next.clone())), Code::Looped);
+    assert_eq!(code(&replica.begin(next)), Code::Ended);
+}
+
+#[rstest]
+fn a_childs_budget_is_a_slice_that_returns_what_is_left(mut replica: Replica) {
+    run(&mut replica, "p", 1, 20);
+    open(&mut replica, "p.1", budget(500, 10, 1000));
+    assert!(matches!(
+        replica.child(&name("p.1"), &name("ana"), budget(500, 10, 1000), 1),
+        Opening::Same
+    ));
+    assert_eq!(
+        replica.program(&name("p")).unwrap().tokens_left(),
+        Tokens(480)
+    );
+    let greedy = replica.child(&name("p.2"), &name("ana"), budget(481, 1, 1000), 1);
+    assert!(matches!(greedy, Opening::Refuse(refusal) if refusal.code == Code::Budget));
+    run(&mut replica, "p.1", 1, 20);
+    for record in replica
+        .end(&name("p.1"), &name("ana"), Ending::Finished, 3000)
+        .unwrap()
+    {
+        replica.apply(&record);
+    }
+    let program = replica.program(&name("p")).unwrap();
+    assert_eq!(
+        (program.tokens_left(), program.calls_left()),
+        (Tokens(960), 98)
+    );
+}
+
+#[rstest]
+fn ending_a_program_ends_its_children_and_keeps_recorded_answers(mut replica: Replica) {
+    run(&mut replica, "p", 1, 4);
+    open(&mut replica, "p.1", budget(10, 1, 1000));
+    open(&mut replica, "p.1.1", budget(5, 1, 1000));
+    let records = replica
+        .end(&name("p"), &name("ana"), Ending::Cancelled, 3000)
+        .unwrap();
+    records.iter().for_each(|record| replica.apply(record));
+    assert!(
+        replica
+            .programs()
+            .all(|(_, program)| program.ended.is_some())
+    );
+    let again = ask(step("p", 1), "b");
+    assert!(matches!(replica.begin(again), Decision::Replay(_)));
+    assert_eq!(code(&replica.begin(ask(step("p", 2), "b"))), Code::Ended);
+    let child = replica.child(&name("p.2"), &name("ana"), budget(1, 1, 1), 3000);
+    assert!(matches!(child, Opening::Refuse(refusal) if refusal.code == Code::Ended));
+}
+
+#[rstest]
+fn the_sweep_ends_idle_programs_but_not_busy_ones_and_forgets_ended_ones(mut replica: Replica) {
+    let limits = Limits::default();
+    let patient = budget(100, 10, u64::MAX);
+    let sweep = |replica: &mut Replica, at_ms: u64| {
+        let records = replica.sweep(at_ms);
+        records.iter().for_each(|record| replica.apply(record));
+        records
+    };
+    for program in ["q", "r"] {
+        open(&mut replica, program, patient);
+    }
+    open(&mut replica, "q.1", budget(50, 5, u64::MAX));
+    begin(&mut replica, ask(step("r", 1), "a"));
+    begin(&mut replica, ask(step("q.1", 1), "a"));
+    let later = 1000 + limits.idle_ms.max(PLENTY.wall_ms);
+    let ended = sweep(&mut replica, later);
+    let expected = Record::Ended {
+        program: name("p"),
+        reason: Ending::Budget,
+        at_ms: later,
+    };
+    assert_eq!(ended, [expected]);
+    sweep(&mut replica, later + limits.retention_ms);
+    assert!(replica.program(&name("p")).is_none());
+    settle(&mut replica, &step("q.1", 1), "a", Outcome::NotRun);
+    let ended = sweep(&mut replica, later + limits.idle_ms);
+    assert!(
+        matches!(&ended[..], [Record::Ended { program, reason: Ending::Idle, .. }] if *program == name("q.1"))
+    );
+}
+
+#[rstest]
+fn the_history_is_the_whole_conversation_and_a_foreign_segment_breaks_it(mut replica: Replica) {
+    run(&mut replica, "p", 1, 4);
+    run(&mut replica, "p", 2, 4);
+    let messages = replica.history(&name("p")).unwrap().unwrap();
+    let expected = r#"[{"role":"user","content":"hi"},{"content":"answer 1","role":"assistant"},{"role":"user","content":"hi"},{"content":"answer 2","role":"assistant"}]"#;
+    assert_eq!(String::from_utf8(messages).unwrap(), expected);
+    open(&mut replica, "q", budget(100, 10, 1000));
+    run(&mut replica, "q", 1, 4);
+    let foreign = replica.snapshot(&name("q")).unwrap().segments[0].clone();
+    let mut mixed = replica.snapshot(&name("p")).unwrap();
+    mixed.segments[0] = foreign;
+    assert!(mixed.messages().is_err());
+    let mut gap = replica.snapshot(&name("p")).unwrap();
+    gap.segments.remove(0);
+    assert!(gap.verify().is_err());
+}
+
+#[rstest]
+#[case::completion(
+    "application/json",
+    r#"{"choices":[{"message":{"role":"assistant","content":"yes"}}]}"#,
+    "yes"
+)]
+#[case::stream(
+    "text/event-stream; charset=utf-8",
+    "data: {\"choices\":[{\"delta\":{\"content\":\"y\"}}]}\n\ndata: {\"choices\":[{\"delta\":{\"content\":\"es\"}}]}\n\ndata: [DONE]\n\n",
+    "yes"
+)]
+#[case::text("text/plain", "yes", "yes")]
+fn the_history_reads_each_kind_of_answer(
+    mut replica: Replica,
+    #[case] kind: &str,
+    #[case] body: &str,
+    #[case] said: &str,
+) {
+    begin(&mut replica, ask(step("p", 1), "a"));
+    let answer = coord::record::Answer {
+        content_type: kind.into(),
+        ..answer(body, 4)
+    };
+    settle(&mut replica, &step("p", 1), "a", Outcome::Answered(answer));
+    let messages = replica.history(&name("p")).unwrap().unwrap();
+    let messages: serde_json::Value = serde_json::from_slice(&messages).unwrap();
+    assert_eq!(messages[1]["content"], said);
+}
+
+#[rstest]
+fn the_next_step_after_a_loss_is_refused_as_unknown_unless_idempotent(mut replica: Replica) {
+    run(&mut replica, "p", 1, 4);
+    replica.mark_lost(5000);
+    let idempotent = Begin {
+        content: 2,
+        idempotent: true,
+        ..ask(step("p", 2), "b")
+    };
+    assert!(matches!(replica.begin(idempotent), Decision::Dispatch(_)));
+    let risky = Begin {
+        content: 2,
+        ..ask(step("p", 2), "b")
+    };
+    assert_eq!(
+        code(&begin(&mut replica, risky.clone())),
+        Code::OutcomeUnknown
+    );
+    assert_eq!(code(&replica.begin(risky)), Code::OutcomeUnknown);
+    assert!(matches!(
+        replica.begin(Begin {
+            content: 3,
+            ..ask(step("p", 3), "c")
+        }),
+        Decision::Dispatch(_)
+    ));
+    assert_eq!(replica.program(&name("p")).unwrap().next_step(), Step(3));
+}
--- /dev/null
+++ b/crates/coord/tests/replica.rs
@@ -0,0 +1,296 @@
+//! Seeded schedules of calls, outcomes, fail-overs and sweeps against a shard's state.
+
+mod common;
+
+use std::collections::HashMap;
+
+use common::answer;
+use common::ask;
+use common::budget;
+use common::name;
+use common::seeded;
+use common::single;
+use common::step;
+use coord::id::Step;
+use coord::id::Tokens;
+use coord::record::Call;
+use coord::record::Ending;
+use coord::record::Outcome;
+use coord::record::Record;
+use coord::replica::Begin;
+use coord::replica::Decision;
+use coord::replica::Limits;
+use coord::replica::Opening;
+use coord::replica::Replica;
+use proptest::prelude::*;
+
+const PROGRAMS: [&str; 3] = ["p", "q", "p.1"];
+const BUDGET: u64 = 300;
+const LIMITS: Limits = Limits {
+    repeats: 4,
+    idle_ms: 20_000,
+    retention_ms: 20_000,
+    ledger_ms: 100_000_000,
+    entries: 100,
+    bytes: 1 << 20,
+    tombs: 100,
+};
+
+#[derive(Debug, Clone)]
+enum Event {
+    Open(usize),
+    Step {
+        program: usize,
+        ahead: u32,
+        content: u64,
+        idempotent: bool,
+    },
+    Single {
+        request: u8,
+        content: u64,
+        idempotent: bool,
+    },
+    /// An outcome of the newest attempts, or of an earlier one.
+    Settle {
+        back: usize,
+        outcome: u8,
+    },
+    End(usize),
+    Pass(u64),
+    Sweep,
+    /// The standby takes over; the dead primary's calls are fenced off or not.
+    FailOver(bool),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        1 => (0usize..3).prop_map(Event::Open),
+        6 => (0usize..3, 0u32..4, 0u64..3, any::<bool>()).prop_map(
+            |(program, ahead, content, idempotent)| Event::Step { program, ahead, content, idempotent }
+        ),
+        3 => (0u8..4, 0u64..2, any::<bool>()).prop_map(
+            |(request, content, idempotent)| Event::Single { request, content, idempotent }
+        ),
+        6 => (0usize..4, 0u8..4).prop_map(|(back, outcome)| Event::Settle { back, outcome }),
+        1 => (0usize..3).prop_map(Event::End),
+        2 => (1u64..3000).prop_map(Event::Pass),
+        1 => Just(Event::Pass(20_000)),
+        1 => Just(Event::Sweep),
+        1 => any::<bool>().prop_map(Event::FailOver),
+    ]
+}
+
+struct Shard {
+    primary: Replica,
+    standby: Replica,
+    at_ms: u64,
+    attempts: Vec<(Call, String)>,
+    /// Calls that ran or may have run although they may not be repeated.
+    ran: HashMap<Call, String>,
+    next_step: HashMap<String, u32>,
+    violations: Vec<String>,
+}
+
+impl Shard {
+    fn new() -> Shard {
+        let mut shard = Shard {
+            primary: Replica::new(LIMITS),
+            standby: Replica::new(LIMITS),
+            at_ms: 1000,
+            attempts: Vec::new(),
+            ran: HashMap::new(),
+            next_step: HashMap::new(),
+            violations: Vec::new(),
+        };
+        (0..3).for_each(|program| shard.open(program));
+        shard
+    }
+
+    fn record(&mut self, records: Vec<Record>) {
+        for record in &records {
+            self.primary.apply(record);
+            let bytes = postcard::to_allocvec(record).unwrap();
+            self.standby.apply(&postcard::from_bytes(&bytes).unwrap());
+        }
+    }
+
+    fn open(&mut self, program: usize) {
+        let program = PROGRAMS[program];
+        let slice = budget(BUDGET / 2, 20, 100_000);
+        let opening = match program.contains('.') {
+            true => self
+                .primary
+                .child(&name(program), &name("ana"), slice, self.at_ms),
+            false => self.primary.open(
+                &name(program),
+                &name("ana"),
+                budget(BUDGET, 40, 200_000),
+                self.at_ms,
+            ),
+        };
+        if let Opening::New(records) = opening {
+            self.record(records);
+            self.next_step.insert(program.to_owned(), 1);
+        }
+    }
+
+    fn call(&mut self, call: Call, content: u64, idempotent: bool) {
+        let attempt = format!("a{}", self.attempts.len());
+        let ask = Begin {
+            content,
+            idempotent,
+            at_ms: self.at_ms,
+            ..ask(call.clone(), &attempt)
+        };
+        match self.primary.begin(ask) {
+            Decision::Dispatch(records) => {
+                self.record(records);
+                self.check_dispatch(&call, idempotent, &attempt);
+                self.attempts.push((call, attempt));
+            }
+            Decision::Close(records, _) => self.record(records),
+            _ => (),
+        }
+    }
+
+    fn check_dispatch(&mut self, call: &Call, idempotent: bool, attempt: &str) {
+        if let Some(former) = self.ran.get(call) {
+            self.violations
+                .push(format!("{call:?} runs as {attempt} after {former}"));
+        }
+        if !idempotent {
+            self.ran.insert(call.clone(), attempt.to_owned());
+        }
+        if let Call::Step(program, Step(step)) = call {
+            let next = self.next_step[program.as_str()];
+            if *step != next {
+                self.violations
+                    .push(format!("{call:?} runs at step {next}"));
+            }
+        }
+    }
+
+    fn settle(&mut self, back: usize, outcome: u8) {
+        let Some(index) = self.attempts.len().checked_sub(back + 1) else {
+            return;
+        };
+        let (call, attempt) = self.attempts[index].clone();
+        let outcome = match outcome {
+            0 | 1 => Outcome::Answered(answer(&attempt, 20)),
+            2 => Outcome::NotRun,
+            _ => Outcome::Unknown,
+        };
+        let records = self
+            .primary
+            .settle(&call, &name(&attempt), outcome, self.at_ms);
+        self.outcome(records);
+    }
+
+    fn outcome(&mut self, records: Vec<Record>) {
+        for record in &records {
+            let Record::Settled { call, outcome, .. } = record else {
+                continue;
+            };
+            let may_repeat = !self.ran.contains_key(call);
+            match (call, outcome) {
+                (_, Outcome::NotRun) => drop(self.ran.remove(call)),
+                (Call::Step(..), Outcome::Unknown) if may_repeat => (),
+                (Call::Step(program, step), _) => {
+                    self.next_step.insert(program.to_string(), step.0 + 1);
+                }
+                (Call::Single(..), _) => (),
+            }
+        }
+        self.record(records);
+    }
+
+    fn fail_over(&mut self, fenced: bool) {
+        let bytes = self.standby.encode().unwrap();
+        self.primary = Replica::decode(&bytes, LIMITS).unwrap();
+        for flight in self.primary.in_flight() {
+            let records = self.primary.resolve(&flight, fenced, self.at_ms);
+            self.outcome(records);
+        }
+    }
+
+    fn on(&mut self, event: Event) {
+        match event {
+            Event::Open(program) => self.open(program),
+            Event::Step {
+                program,
+                ahead,
+                content,
+                idempotent,
+            } => {
+                let program = PROGRAMS[program];
+                let next = self.next_step.get(program).copied().unwrap_or(1);
+                self.call(
+                    step(program, (next + ahead).saturating_sub(1)),
+                    content,
+                    idempotent,
+                );
+            }
+            Event::Single {
+                request,
+                content,
+                idempotent,
+            } => {
+                self.call(single("ana", &format!("r{request}")), content, idempotent);
+            }
+            Event::Settle { back, outcome } => self.settle(back, outcome),
+            Event::End(program) => {
+                let ended = self.primary.end(
+                    &name(PROGRAMS[program]),
+                    &name("ana"),
+                    Ending::Finished,
+                    self.at_ms,
+                );
+                self.record(ended.unwrap_or_default());
+            }
+            Event::Pass(ms) => self.at_ms += ms,
+            Event::Sweep => {
+                let records = self.primary.sweep(self.at_ms);
+                self.record(records);
+            }
+            Event::FailOver(fenced) => self.fail_over(fenced),
+        }
+    }
+
+    fn check(&self) {
+        assert!(self.violations.is_empty(), "{:?}", self.violations);
+        self.primary.verify().unwrap();
+        for (program, state) in self.primary.programs() {
+            let used = state.spent.0 + state.reserved.0;
+            assert!(
+                Tokens(used) <= state.budget.tokens,
+                "{program} over its tokens"
+            );
+            assert!(
+                state.calls <= state.budget.calls,
+                "{program} over its calls"
+            );
+            let twin = self.standby.program(program).expect("the standby has it");
+            assert_eq!(format!("{state:?}"), format!("{twin:?}"));
+        }
+        assert_eq!(
+            self.primary.programs().count(),
+            self.standby.programs().count()
+        );
+        assert_eq!(self.primary.ledger().len(), self.standby.ledger().len());
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded(500))]
+
+    #[test]
+    fn in_order_at_most_once_and_on_budget_across_fail_overs(
+        events in prop::collection::vec(event(), 1..100),
+    ) {
+        let mut shard = Shard::new();
+        for event in events {
+            shard.on(event);
+            shard.check();
+        }
+    }
+}
--- /dev/null
+++ b/crates/coord/tests/shard.rs
@@ -0,0 +1,200 @@
+//! Plans of the shard map: epochs never go down, few shards move, pairs span data centres.
+
+mod common;
+
+use std::collections::HashSet;
+
+use common::name;
+use coord::id::Node;
+use coord::id::SHARDS;
+use coord::id::Shard;
+use coord::shard::Map;
+use coord::shard::Member;
+use coord::shard::recruits;
+use coord::shard::transfers;
+use proptest::prelude::*;
+
+fn member(number: usize, centres: usize) -> Member {
+    let address = ([127, 0, 0, 1], 1000 + number as u16).into();
+    Member {
+        node: node(number),
+        data_centre: name(&format!("dc-{}", number % centres)),
+        peers: address,
+        callers: address,
+        leaving: false,
+    }
+}
+
+fn node(number: usize) -> Node {
+    name(&format!("n{number}"))
+}
+
+fn first(nodes: usize, centres: usize) -> Map {
+    Map::first((0..nodes).map(|number| member(number, centres)).collect())
+}
+
+/// Lets every primary recruit standbys and hand over until nothing is left to do.
+fn settle(mut map: Map) -> Map {
+    for _ in 0..20 {
+        let before = map.clone();
+        for primary in map.members.clone() {
+            for (shard, standby) in recruits(&map, &primary.node) {
+                let next = map.with_standby(shard, &primary.node, &standby);
+                map = next.unwrap_or(map);
+            }
+            for shard in transfers(&map, &primary.node) {
+                map = map.hand_over(shard, &primary.node).expect("has a standby");
+            }
+        }
+        if map == before {
+            break;
+        }
+    }
+    map
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Join(usize),
+    Die(usize),
+    Leave(usize),
+    Settle,
+    DropStandby(u16),
+    Recover(u16),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        2 => (0usize..6).prop_map(Event::Join),
+        2 => (0usize..6).prop_map(Event::Die),
+        1 => (0usize..6).prop_map(Event::Leave),
+        3 => Just(Event::Settle),
+        2 => (0u16..SHARDS).prop_map(Event::DropStandby),
+        2 => (0u16..SHARDS).prop_map(Event::Recover),
+    ]
+}
+
+fn on(map: &Map, event: &Event, centres: usize) -> Map {
+    let of_primary = |shard: u16, change: fn(&Map, Shard, &Node) -> Option<Map>| {
+        let primary = map.owner(Shard(shard))?.primary.clone()?;
+        change(map, Shard(shard), &primary)
+    };
+    match event {
+        Event::Join(number) => map.join(member(*number, centres)),
+        Event::Die(number) => map.died(&node(*number)),
+        Event::Leave(number) => map.leave(&node(*number)),
+        Event::Settle => settle(map.clone()),
+        Event::DropStandby(s) => of_primary(*s, Map::without_standby).unwrap_or(map.clone()),
+        Event::Recover(s) => of_primary(*s, Map::recovered).unwrap_or(map.clone()),
+    }
+}
+
+fn check(before: &Map, after: &Map, event: &Event) {
+    let nodes: HashSet<&Node> = after.members.iter().map(|member| &member.node).collect();
+    for (old, new) in before.shards.iter().zip(&after.shards) {
+        assert!(new.epoch >= old.epoch, "the epoch went down");
+        assert!(
+            new.primary == old.primary || new.epoch > old.epoch,
+            "a primary without an epoch"
+        );
+        assert!(new.primary.is_none() || new.primary != new.standby);
+        assert!(
+            [&new.primary, &new.standby]
+                .into_iter()
+                .flatten()
+                .all(|n| nodes.contains(n))
+        );
+        assert!(new.primary.is_some() || after.staying().next().is_none());
+        let handed_on = new.primary == old.primary || new.primary == old.standby;
+        let settled = matches!(event, Event::Settle);
+        assert!(
+            handed_on || settled || new.lost || old.primary.is_none(),
+            "a primary without a copy"
+        );
+        assert!(
+            !old.lost || new.lost || matches!(event, Event::Recover(_)),
+            "a loss was forgotten"
+        );
+    }
+}
+
+fn spans_centres(map: &Map) -> bool {
+    let pairs = map
+        .shards
+        .iter()
+        .filter_map(|o| Some((o.primary.as_ref()?, o.standby.as_ref()?)));
+    let mut pairs = pairs.map(|(primary, standby)| map.may_stand_by(primary, standby));
+    pairs.all(|fits| fits)
+}
+
+proptest! {
+    #![proptest_config(common::seeded(200))]
+
+    #[test]
+    fn every_change_keeps_epochs_pairs_and_copies(
+        centres in 1usize..4,
+        events in prop::collection::vec(event(), 1..25),
+    ) {
+        let mut map = first(3, centres);
+        for event in &events {
+            let next = on(&map, event, centres);
+            check(&map, &next, event);
+            map = next;
+        }
+        let settled = settle(map);
+        let alone = settled.staying().count() < 2;
+        prop_assert!(alone || spans_centres(&settled));
+        prop_assert!(alone || settled.shards.iter().all(|o| o.standby.is_some() || o.lost));
+    }
+}
+
+#[test]
+fn a_join_moves_only_the_new_nodes_share() {
+    let before = settle(first(3, 3));
+    let after = settle(before.join(member(4, 5)));
+    let pairs = before.shards.iter().zip(&after.shards);
+    let moved = pairs
+        .filter(|(old, new)| old.primary != new.primary)
+        .count();
+    let held = |number| after.holding(&node(number)).primary;
+    assert_eq!([0, 1, 2, 4].map(held), [64, 64, 64, 64]);
+    assert_eq!(moved, 64);
+    assert_eq!(after, settle(after.clone()));
+}
+
+#[test]
+fn a_death_moves_only_the_dead_nodes_shards_to_their_standbys() {
+    let before = settle(first(3, 3));
+    let after = before.died(&node(1));
+    for (old, new) in before.shards.iter().zip(&after.shards) {
+        match old.primary == Some(node(1)) {
+            true => assert_eq!((&new.primary, new.lost), (&old.standby, false)),
+            false => assert_eq!((&new.primary, new.epoch), (&old.primary, old.epoch)),
+        }
+    }
+}
+
+#[test]
+fn a_leaving_node_hands_over_everything_and_stays_out() {
+    let map = settle(settle(first(3, 3)).leave(&node(0)));
+    assert_eq!(map.holding(&node(0)), Default::default());
+    assert!(
+        map.shards
+            .iter()
+            .all(|owner| !owner.lost && owner.standby.is_some())
+    );
+}
+
+#[test]
+fn a_shard_whose_pair_died_is_lost_until_its_primary_has_recovered() {
+    let map = settle(first(2, 2)).died(&node(0)).died(&node(1));
+    let map = map.join(member(2, 2)).join(member(3, 2));
+    assert!(
+        map.shards
+            .iter()
+            .all(|owner| owner.lost && owner.primary == Some(node(2)))
+    );
+    assert_eq!(map.with_standby(Shard(0), &node(2), &node(3)), None);
+    let map = map.recovered(Shard(0), &node(2)).unwrap();
+    assert!(map.with_standby(Shard(0), &node(2), &node(3)).is_some());
+}
