Count a member that joins again as new when promising

Cause: a seeded schedule found two nodes acting for one shard: a member that was written out and joined again still counted from its first join, so it wrote out an owner that didn't know it. A member whose platform answers now promises nothing, or an owner that alone is cut off would never be written out.

--- a/crates/coord/src/promise.rs
+++ b/crates/coord/src/promise.rs
@@ -12,11 +12,13 @@
 //! doesn't ask it; so it writes an owner out only after it has heard that the owner knows the map
 //! with it, or after [`Terms::limit`], up to which an owner goes on at most.
 //!
-//! A node's name is that of one process: one that starts again joins under another name.
+//! A node's name is that of one process: one that starts again joins under another name. A member
+//! that was written out and joins again counts as new.
 
 use crate::Map;
 use crate::id::Node;
 use crate::id::Version;
+use crate::shard;
 use crate::shard::Member;
 use crate::time::Millis;
 use crate::time::Time;
@@ -43,39 +45,57 @@
 /// A member's side: what it has promised, and whether it may write the map.
 #[derive(Debug, Clone)]
 pub struct Voter {
+    node: Node,
     terms: Terms,
     joined: Option<Version>,
     known: Version,
     writing: Option<Version>,
     promised_until: Time,
+    reached: Option<Time>,
     heard: Map<Node, Version>,
 }
 
 impl Voter {
     /// A process that hasn't joined: it promises nothing and writes nobody out.
-    pub fn new(terms: Terms) -> Voter {
+    pub fn new(node: Node, terms: Terms) -> Voter {
         Voter {
+            node,
             terms,
             joined: None,
             known: Version::default(),
             writing: None,
             promised_until: Time::default(),
+            reached: None,
             heard: Map::default(),
         }
     }
 
-    /// This process's own entry stands in the map of this version, by its own write.
+    /// This process's own write that made it a member stands as the map of this version.
     pub fn joined(&mut self, version: Version) {
-        self.joined.get_or_insert(version);
-        self.saw(version);
+        self.joined = self.joined.max(Some(version));
+        self.know(version);
     }
 
-    /// A map of this version was read, from the platform or from a peer.
-    pub fn saw(&mut self, version: Version) {
+    /// A map was read, from the platform or from a peer.
+    pub fn saw(&mut self, map: &shard::Map) {
+        if map.version > self.known && map.member(&self.node).is_none() {
+            self.joined = None;
+        }
+        self.know(map.version);
+    }
+
+    fn know(&mut self, version: Version) {
         self.known = self.known.max(version);
         self.writing = self.writing.filter(|base| *base >= self.known);
     }
 
+    /// The platform has answered this member.
+    ///
+    /// It promises nothing for a while then, so that an owner that alone is cut off is written out.
+    pub fn reached(&mut self, now: Time) {
+        self.reached = self.reached.max(Some(now));
+    }
+
     /// A peer says that it knows the map of this version.
     pub fn heard(&mut self, node: &Node, version: Version) {
         let known = self.heard.entry(node.clone()).or_default();
@@ -89,6 +109,7 @@
             None => Vote::Refused,
             Some(_) if version < self.known => Vote::Behind(self.known),
             Some(_) if self.writing.is_some() => Vote::Refused,
+            Some(_) if self.reached.is_some_and(|at| now < at + duration) => Vote::Refused,
             Some(_) => {
                 let until = now + duration + self.terms.margin;
                 self.promised_until = self.promised_until.max(until);
--- a/crates/coord/tests/program.rs
+++ b/crates/coord/tests/program.rs
@@ -203,6 +203,12 @@
         ..first
     };
     assert!(matches!(begin(&mut replica, again), Decision::Dispatch(_)));
+    replica.apply(&Record::Settled {
+        call: call.clone(),
+        attempt: name("a"),
+        outcome: Outcome::Answered(answer("late", 4)),
+        at_ms: 2000,
+    });
     assert_eq!(
         settle(
             &mut replica,
