--- a/crates/coord/tests/promise.rs
+++ b/crates/coord/tests/promise.rs
@@ -493,3 +493,16 @@
     assert!(!voter.may_write(Time(900)));
     assert_eq!(ask(&mut voter, 5, 200), Vote::Refused);
 }
+
+#[test]
+fn a_new_member_writes_out_only_an_owner_that_knows_it_or_has_passed_the_limit() {
+    let owner: Node = name("n1");
+    let mut voter = Voter::new(name("n9"), TERMS);
+    voter.joined(Version(3));
+    voter.heard(&owner, Version(2));
+    let may = |voter: &Voter, standing| voter.may_write_out(&owner, Millis(standing), Time(0));
+    assert!(!may(&voter, 1519));
+    assert!(may(&voter, 1520));
+    voter.heard(&owner, Version(3));
+    assert!(may(&voter, 0));
+}
