Share settings, logs, metrics and the administrative server between daemons

Cause: both daemons need the same checked settings, JSON-line logs, metrics and state dump. Settings errors name file, line and field by looking the path up in the parsed tree; ruled out: plain serde messages, which name no line. The dump asks for an operator's key, kept as a salted hash, apart from callers' keys.

--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,166 @@
+//! Settings of the entry daemon.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use coord::id::DataCentre;
+use coord::id::Node;
+use coord::time::Millis;
+use node::log::Level;
+use node::operator::Operator;
+use node::settings::Check;
+use node::settings::Invalid;
+use sched::policy::Policy;
+use serde::Deserialize;
+
+/// Shortest lease, in milliseconds.
+const LEASE_MIN: Millis = Millis(500);
+
+/// Largest body that can be configured, in bytes: a message between processes must hold it.
+const BODY_MAX: usize = wire::MESSAGE_LIMIT / 2;
+
+/// What an entry reads at its start.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// This node's name.
+    pub node: Node,
+    pub data_centre: DataCentre,
+    pub listen: Listen,
+    /// Base URL of the platform's object API.
+    pub platform: String,
+    /// Salted hashes of operators' keys.
+    #[serde(default)]
+    pub operators: Vec<Operator>,
+    #[serde(default)]
+    pub lease: Lease,
+    #[serde(default)]
+    pub limits: Limits,
+    #[serde(default)]
+    pub policy: Policy,
+    #[serde(default)]
+    pub log_level: Level,
+    /// Folder for bulk data, on hosts that have a disk.
+    #[serde(default)]
+    pub data: Option<PathBuf>,
+}
+
+/// Addresses of this node.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers, behind the platform's balancer.
+    pub callers: SocketAddr,
+    /// For the system's own processes.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// Timing of this node's lease.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Lease {
+    /// Length of a lease; renewed every third of it.
+    pub duration_ms: Millis,
+    /// Allowance for clocks that run at different rates, over one lease.
+    pub margin_ms: Millis,
+}
+
+/// Bounds on callers.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Time a request may take unless it says otherwise.
+    pub timeout_ms: Millis,
+    /// Longest time a request may ask for.
+    pub timeout_max_ms: Millis,
+    /// Longest wait for a token of the customer's bucket.
+    pub admission_wait_ms: Millis,
+    /// Requests in progress at this node.
+    pub requests: usize,
+    /// Time without a call after which a program ends.
+    pub idle_ms: Millis,
+    /// Time that answers are kept for repeats.
+    pub retention_ms: Millis,
+    /// Time that a target keeps an open program's cache without renewal.
+    pub cache_hold_ms: Millis,
+}
+
+impl Default for Lease {
+    fn default() -> Self {
+        Self { duration_ms: Millis(6_000), margin_ms: Millis(300) }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 2 * 1024 * 1024,
+            timeout_ms: Millis(120_000),
+            timeout_max_ms: Millis(600_000),
+            admission_wait_ms: Millis(1_000),
+            requests: 4_096,
+            idle_ms: Millis(900_000),
+            retention_ms: Millis(600_000),
+            cache_hold_ms: Millis(10_000),
+        }
+    }
+}
+
+impl Check for Settings {
+    fn check(&self) -> Result<(), Invalid> {
+        let Listen { callers, peers, admin } = &self.listen;
+        match self {
+            _ if callers == peers => Err(Invalid::new("listen.peers", "same address as callers")),
+            _ if callers == admin => Err(Invalid::new("listen.admin", "same address as callers")),
+            _ if peers == admin => Err(Invalid::new("listen.admin", "same address as peers")),
+            _ if peers.ip().is_unspecified() => {
+                Err(Invalid::new("listen.peers", "peers need an address that they can reach"))
+            }
+            _ if !self.platform.starts_with("http://") => {
+                Err(Invalid::new("platform", "expected a URL that starts with http://"))
+            }
+            _ => self.check_lease().and_then(|()| self.check_limits()),
+        }
+    }
+}
+
+impl Settings {
+    fn check_lease(&self) -> Result<(), Invalid> {
+        let Lease { duration_ms, margin_ms } = &self.lease;
+        match duration_ms {
+            duration if *duration < LEASE_MIN => {
+                let message = format!("a lease lasts at least {LEASE_MIN}");
+                Err(Invalid::new("lease.duration_ms", message))
+            }
+            duration if margin_ms.0 * 3 >= duration.0 => {
+                let message = "the margin must be under a third of the lease";
+                Err(Invalid::new("lease.margin_ms", message))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn check_limits(&self) -> Result<(), Invalid> {
+        let limits = &self.limits;
+        match limits {
+            _ if limits.body_bytes == 0 || limits.body_bytes > BODY_MAX => {
+                let message = format!("expected 1 to {BODY_MAX} bytes");
+                Err(Invalid::new("limits.body_bytes", message))
+            }
+            _ if limits.timeout_ms > limits.timeout_max_ms => {
+                Err(Invalid::new("limits.timeout_ms", "longer than timeout_max_ms"))
+            }
+            _ if limits.requests == 0 => {
+                Err(Invalid::new("limits.requests", "no request could be served"))
+            }
+            _ if limits.retention_ms < limits.timeout_max_ms => {
+                Err(Invalid::new("limits.retention_ms", "shorter than the longest request"))
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! What both daemons share: settings, logs, metrics, the administrative server, the platform
+//! client and shutdown.
+
+pub mod admin;
+pub mod client;
+pub mod error;
+pub mod log;
+pub mod metrics;
+pub mod operator;
+pub mod settings;
+pub mod shutdown;
