--- /dev/null
+++ b/crates/sched/src/route.rs
@@ -0,0 +1,229 @@
+//! Choice of the target for a call.
+//!
+//! The least expected completion: the backlog ahead, prefill of what the target has not cached (or
+//! the transfer of a cache from another target), then decode. A program so stays with its cache
+//! unless waiting there costs more than computing it anew. Load reports lag, so the caller adds
+//! what it has sent since the report was made.
+
+use coord::id::Target;
+use coord::id::Tokens;
+use coord::id::fingerprint;
+
+use crate::cost;
+use crate::policy::Choice;
+use crate::policy::Policy;
+
+/// Prefill rate assumed for a target that reports none, in tokens a second.
+const DEFAULT_PREFILL_RATE: u64 = 4_000;
+
+/// Decode rate assumed for a target that reports none, in tokens a second and call.
+const DEFAULT_DECODE_RATE: u64 = 40;
+
+/// Cost of a network hop to another data centre, in seconds.
+const FAR_SECONDS: f64 = 0.002;
+
+/// Calls and their cost.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Sent {
+    /// Number of calls.
+    pub calls: u32,
+    /// Their expected cost.
+    pub cost: Tokens,
+}
+
+/// A target that could run the call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// Its name.
+    pub target: Target,
+    /// Whether it leaves; such a target is never chosen.
+    pub draining: bool,
+    /// Calls that run.
+    pub running: u32,
+    /// Calls that wait.
+    pub queued: u32,
+    /// Calls that can run together.
+    pub slots: u32,
+    /// Cost of the calls that wait.
+    pub queued_tokens: Tokens,
+    /// Cost left of the calls that run.
+    pub running_tokens: Tokens,
+    /// Tokens a second; 0 if not reported.
+    pub prefill_rate: u64,
+    /// Tokens a second and call; 0 if not reported.
+    pub decode_rate: u64,
+    /// What this process has sent since the load was reported.
+    pub sent_since: Sent,
+    /// Tokens of the call's input that it has cached.
+    pub cached: Tokens,
+    /// Whether it stands in this process's data centre.
+    pub near: bool,
+}
+
+/// What a call needs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Need {
+    /// Number of the call, counted by the process that routes.
+    pub turn: u64,
+    /// Hash of the program or customer, for affinity.
+    pub affinity: u64,
+    /// Input.
+    pub input: Tokens,
+    /// Expected output.
+    pub output: Tokens,
+    /// Rate at which targets transfer a cache, in tokens a second; 0 if they can't.
+    pub transfer_rate: u64,
+}
+
+/// Where a call goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Placement {
+    /// Position of the chosen candidate.
+    pub index: usize,
+    /// Position of the candidate whose cache is transferred to it first.
+    pub transfer_from: Option<usize>,
+}
+
+/// Chooses a target; none if all leave.
+pub fn choose(policy: &Policy, candidates: &[Candidate], need: &Need) -> Option<usize> {
+    place(policy, candidates, need).map(|placement| placement.index)
+}
+
+/// Chooses a target and whether to transfer a cache there.
+pub fn place(policy: &Policy, candidates: &[Candidate], need: &Need) -> Option<Placement> {
+    let open = || {
+        candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, one)| !one.draining)
+    };
+    let index = match policy.choice {
+        Choice::RoundRobin => {
+            let count = open().count() as u64;
+            let turn = need.turn.checked_rem(count)?;
+            open().nth(turn as usize).map(|(index, _)| index)
+        }
+        Choice::LeastLoaded => least(open().map(|(index, one)| (index, occupancy(one)))),
+        Choice::Affinity => open()
+            .max_by_key(|(_, one)| affinity(one, need))
+            .map(|(index, _)| index),
+        Choice::Completion => return soonest(candidates, need),
+    };
+    index.map(|index| Placement {
+        index,
+        transfer_from: None,
+    })
+}
+
+/// Time until the call's last token, in seconds, if it computes what isn't cached.
+pub fn completion(candidate: &Candidate, need: &Need) -> f64 {
+    let uncached = need.input.0.saturating_sub(candidate.cached.0);
+    let prefill = uncached as f64 / prefill_rate(candidate);
+    backlog(candidate) + prefill + decode(candidate, need) + distance(candidate)
+}
+
+fn soonest(candidates: &[Candidate], need: &Need) -> Option<Placement> {
+    let open = || {
+        candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, one)| !one.draining)
+    };
+    let compute = least(open().map(|(index, one)| (index, completion(one, need))))?;
+    let computed = Placement {
+        index: compute,
+        transfer_from: None,
+    };
+    let Some((source, holder)) = open().max_by_key(|(_, one)| one.cached) else {
+        return Some(computed);
+    };
+    if need.transfer_rate == 0 || holder.cached.0 == 0 {
+        return Some(computed);
+    }
+    let transfer = |one: &Candidate| transferred(one, holder, need);
+    let others = open().filter(|(index, _)| *index != source);
+    let Some(moved) = least(others.map(|(index, one)| (index, transfer(one)))) else {
+        return Some(computed);
+    };
+    match transfer(&candidates[moved]) < completion(&candidates[compute], need) {
+        true => Some(Placement {
+            index: moved,
+            transfer_from: Some(source),
+        }),
+        false => Some(computed),
+    }
+}
+
+/// Time until the call's last token, in seconds, if the holder's cache is transferred first.
+fn transferred(candidate: &Candidate, holder: &Candidate, need: &Need) -> f64 {
+    let received = Candidate {
+        cached: holder.cached,
+        ..candidate.clone()
+    };
+    let missing = holder.cached.0.saturating_sub(candidate.cached.0);
+    completion(&received, need) + missing as f64 / need.transfer_rate as f64
+}
+
+/// Time until a call that comes now would start, in seconds.
+fn backlog(candidate: &Candidate) -> f64 {
+    let ahead = candidate.queued_tokens.0 + candidate.sent_since.cost.0;
+    let running = candidate.running_tokens.0;
+    let calls = candidate.running + candidate.queued + candidate.sent_since.calls;
+    let wait = ahead as f64 / work_rate(candidate);
+    match calls >= candidate.slots.max(1) {
+        true => wait + running as f64 / work_rate(candidate) / f64::from(candidate.slots.max(1)),
+        false => wait,
+    }
+}
+
+fn decode(candidate: &Candidate, need: &Need) -> f64 {
+    let rate = match candidate.decode_rate {
+        0 => DEFAULT_DECODE_RATE,
+        rate => rate,
+    };
+    need.output.0 as f64 / rate as f64
+}
+
+fn prefill_rate(candidate: &Candidate) -> f64 {
+    match candidate.prefill_rate {
+        0 => DEFAULT_PREFILL_RATE as f64,
+        rate => rate as f64,
+    }
+}
+
+/// Cost that a target works off a second.
+fn work_rate(candidate: &Candidate) -> f64 {
+    let decode = u64::from(candidate.slots) * candidate.decode_rate * cost::OUTPUT_WEIGHT;
+    match decode {
+        0 => prefill_rate(candidate),
+        decode => prefill_rate(candidate).min(decode as f64),
+    }
+}
+
+fn distance(candidate: &Candidate) -> f64 {
+    match candidate.near {
+        true => 0.0,
+        false => FAR_SECONDS,
+    }
+}
+
+/// Calls for each slot.
+fn occupancy(candidate: &Candidate) -> f64 {
+    let calls = candidate.running + candidate.queued + candidate.sent_since.calls;
+    f64::from(calls) / f64::from(candidate.slots.max(1))
+}
+
+/// Weight of a target for a program: the highest wins, so few programs move when targets change.
+fn affinity(candidate: &Candidate, need: &Need) -> u64 {
+    fingerprint(&[
+        candidate.target.as_str().as_bytes(),
+        &need.affinity.to_be_bytes(),
+    ])
+}
+
+/// Position of the smallest value, the first among equals.
+fn least(values: impl Iterator<Item = (usize, f64)>) -> Option<usize> {
+    values
+        .min_by(|(_, a), (_, b)| a.total_cmp(b))
+        .map(|(index, _)| index)
+}
