Add the daemons' command lines and a harness that runs the system as processes

Cause: failure tests and the demo need the same way to start entries, sidecars and stand-ins, with a switch on each path. Ruled out: in-process daemons, which can't be killed or frozen.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! The entry daemon: thin, stateless to the outside, owner of some shards.
+
+pub mod options;
+pub mod settings;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,3 +1,12 @@
-//! Placeholder.
+//! Entry daemon of teasellever.
 
-fn main() {}
+use std::process::ExitCode;
+
+use gumdrop::Options as _;
+
+use entry::options::Options;
+
+fn main() -> ExitCode {
+    let options = Options::parse_args_default_or_exit();
+    entry::controller::run(options)
+}
--- /dev/null
+++ b/crates/node/src/command.rs
@@ -0,0 +1,93 @@
+//! What the command lines of both daemons share: exit codes, settings check, state dump.
+
+use std::fmt;
+use std::fs;
+use std::path::Path;
+use std::process::ExitCode;
+
+use eyre::WrapErr;
+use http::Method;
+use http::StatusCode;
+use serde::de::DeserializeOwned;
+
+use crate::client;
+use crate::settings;
+use crate::settings::Check;
+
+/// How a command ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exit {
+    /// Done: 0.
+    Success,
+    /// Failed while running: 1.
+    Failure,
+    /// Command line not understood: 2.
+    Usage,
+    /// Settings rejected: 3.
+    Settings,
+    /// Answered, but refused: 4.
+    Refused,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> ExitCode {
+        ExitCode::from(exit as u8)
+    }
+}
+
+/// Prints a failure on standard error.
+pub fn fail(exit: Exit, error: impl fmt::Display) -> Exit {
+    eprintln!("{error:#}");
+    exit
+}
+
+/// Checks a settings file without starting anything.
+pub fn check<T: DeserializeOwned + Check>(file: &Path) -> Exit {
+    match settings::load::<T>(file) {
+        Ok(_) => {
+            println!("{}: ok", file.display());
+            Exit::Success
+        }
+        Err(error) => fail(Exit::Settings, error),
+    }
+}
+
+/// Reads an operator's key from a file.
+///
+/// Errors: the file can't be read.
+pub fn read_key(file: &Path) -> eyre::Result<String> {
+    let text = fs::read_to_string(file).wrap_err_with(|| format!("reading {}", file.display()))?;
+    Ok(text.trim().to_owned())
+}
+
+/// Prints the state of a running process.
+pub async fn dump(admin: &str, key_file: &Path, skip: usize, limit: usize) -> Exit {
+    let url = format!("{admin}/v1/state?skip={skip}&limit={limit}");
+    show(Method::GET, &url, key_file, Vec::new()).await
+}
+
+/// Sends an operator's request and prints the reply.
+pub async fn show(method: Method, url: &str, key_file: &Path, body: Vec<u8>) -> Exit {
+    match exchange(method, url, key_file, body).await {
+        Ok((status, body)) if status.is_success() => {
+            println!("{body}");
+            Exit::Success
+        }
+        Ok((_, body)) => fail(Exit::Refused, body),
+        Err(error) => fail(Exit::Failure, format!("{error:#}")),
+    }
+}
+
+async fn exchange(
+    method: Method,
+    url: &str,
+    key_file: &Path,
+    body: Vec<u8>,
+) -> eyre::Result<(StatusCode, String)> {
+    let key = read_key(key_file)?;
+    let (status, body) = client::send(method, url, &key, body).await?;
+    let pretty = serde_json::from_slice::<serde_json::Value>(&body)
+        .and_then(|value| serde_json::to_string_pretty(&value))
+        .unwrap_or_else(|_| String::from_utf8_lossy(&body).into_owned());
+    Ok((status, pretty))
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 pub mod client;
+pub mod command;
 pub mod error;
 pub mod log;
 pub mod metrics;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! The sidecar daemon: the only process that talks to its target.
+
+pub mod options;
+pub mod settings;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -1,3 +1,12 @@
-//! Placeholder.
+//! Sidecar daemon of teasellever.
 
-fn main() {}
+use std::process::ExitCode;
+
+use gumdrop::Options as _;
+
+use sidecar::options::Options;
+
+fn main() -> ExitCode {
+    let options = Options::parse_args_default_or_exit();
+    sidecar::controller::run(options)
+}
--- /dev/null
+++ b/tests/src/fleet.rs
@@ -0,0 +1,529 @@
+//! The whole system as processes: stand-ins, entries, sidecars.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use eyre::WrapErr;
+use http::Method;
+use serde_json::Value;
+use serde_json::json;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::caller::Caller;
+use crate::caller::Http;
+use crate::cut::Cut;
+use crate::port;
+use crate::process::Process;
+
+/// Longest wait for a condition that must come about.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The operator's key of every process.
+pub const OPERATOR: &str = "tests-operator";
+
+/// The model of every engine.
+pub const MODEL: &str = "small";
+
+const POLL: Duration = Duration::from_millis(25);
+const SALT: &str = "00ff";
+
+static FOLDERS: AtomicU32 = AtomicU32::new(0);
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// One entry in each, named by its data centre.
+    pub data_centres: Vec<&'static str>,
+    pub engines: usize,
+    pub tools: usize,
+    pub lease_ms: u64,
+    pub slots: usize,
+    /// Prompt tokens a second of an engine.
+    pub prefill_rate: u64,
+    /// Answer tokens a second and request of an engine.
+    pub decode_rate: u64,
+    /// Time that a tool works on a request.
+    pub work_ms: u64,
+    /// Laid over every entry's settings.
+    pub entry: Value,
+    /// Laid over every sidecar's settings.
+    pub sidecar: Value,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            data_centres: vec!["dc-1", "dc-2", "dc-3"],
+            engines: 2,
+            tools: 1,
+            lease_ms: 1_500,
+            slots: 8,
+            prefill_rate: 100_000,
+            decode_rate: 2_000,
+            work_ms: 5,
+            entry: json!({}),
+            sidecar: json!({}),
+        }
+    }
+}
+
+/// An entry and the switches on the paths that lead to and from it.
+#[derive(Debug)]
+pub struct Entry {
+    pub name: String,
+    pub process: Process,
+    pub settings: PathBuf,
+    pub callers: SocketAddr,
+    pub admin: SocketAddr,
+    /// From other entries to this one.
+    pub inward: Cut,
+    /// From this entry to the platform.
+    pub platform: Cut,
+}
+
+/// A target, its sidecar and the switch on the path from the entries.
+#[derive(Debug)]
+pub struct Target {
+    pub name: String,
+    pub fake: Process,
+    pub url: SocketAddr,
+    /// Arguments to start the target again.
+    pub args: Vec<String>,
+    pub sidecar: Process,
+    pub settings: PathBuf,
+    pub admin: SocketAddr,
+    /// From entries to the sidecar.
+    pub inward: Cut,
+    kind: Kind,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Engine,
+    Plain,
+}
+
+/// All processes of one run; they end with it.
+#[derive(Debug)]
+pub struct Fleet {
+    pub folder: PathBuf,
+    pub platform: Process,
+    pub store: SocketAddr,
+    pub entries: Vec<Entry>,
+    pub engines: Vec<Target>,
+    pub tools: Vec<Target>,
+    pub http: Http,
+    ticket: u64,
+}
+
+impl Fleet {
+    /// Starts everything, configures two customers and waits until it serves.
+    ///
+    /// Errors: a process doesn't start, or doesn't serve in time.
+    pub async fn start(plan: &Plan) -> eyre::Result<Fleet> {
+        let folder = folder()?;
+        let store = port::free();
+        let listen = store.to_string();
+        let args = ["platform", "--listen", listen.as_str()];
+        let platform = Process::start(&folder, "platform", "teasellever-fakes", &args)?;
+        let mut fleet = Fleet {
+            folder,
+            platform,
+            store,
+            entries: Vec::new(),
+            engines: Vec::new(),
+            tools: Vec::new(),
+            http: Http::default(),
+            ticket: 0,
+        };
+        fleet.wait_for_port(store).await?;
+        for data_centre in &plan.data_centres {
+            let entry = fleet.start_entry(plan, data_centre).await?;
+            fleet.entries.push(entry);
+        }
+        for number in 1..=plan.engines {
+            let target = fleet.start_target(plan, Kind::Engine, number).await?;
+            fleet.engines.push(target);
+        }
+        for number in 1..=plan.tools {
+            let target = fleet.start_target(plan, Kind::Plain, number).await?;
+            fleet.tools.push(target);
+        }
+        fleet.wait_healthy().await?;
+        let objects = fleet.objects(plan);
+        fleet.change(objects, json!([])).await?;
+        Ok(fleet)
+    }
+
+    /// A caller of a customer at one entry; customers are named `large` and `small`.
+    pub fn caller(&self, entry: usize, customer: &str) -> Caller {
+        let key = format!("tk.{customer}-key.{customer}-secret");
+        Caller::new(self.http.clone(), self.entries[entry].callers, &key)
+    }
+
+    /// Puts the next ticket through the first entry that accepts it.
+    ///
+    /// Errors: none accepts it in time.
+    pub async fn change(&mut self, set: Value, remove: Value) -> eyre::Result<u64> {
+        self.ticket += 1;
+        let number = self.ticket;
+        let change = json!({ "number": number, "set": set, "remove": remove });
+        let end = Instant::now() + PATIENCE;
+        loop {
+            for entry in &self.entries {
+                let (status, reply) = self.put_ticket(entry.admin, &change).await;
+                match status {
+                    200 => return Ok(number),
+                    _ if Instant::now() > end => eyre::bail!("ticket {number}: {status} {reply}"),
+                    _ => tokio::time::sleep(POLL).await,
+                }
+            }
+        }
+    }
+
+    /// Puts a ticket at one entry; returns status and reply, status 0 without one.
+    pub async fn put_ticket(&self, admin: SocketAddr, change: &Value) -> (u16, Value) {
+        let path = format!("/v1/tickets/{}", change["number"]);
+        let reply = self
+            .http
+            .json(Method::PUT, admin, &path, OPERATOR, change)
+            .await;
+        reply.unwrap_or_else(|error| (0, json!({ "message": error.to_string() })))
+    }
+
+    /// The state dump of a process.
+    ///
+    /// Errors: it doesn't answer.
+    pub async fn state(&self, admin: SocketAddr) -> eyre::Result<Value> {
+        let (status, state) = self
+            .http
+            .json(Method::GET, admin, "/v1/state", OPERATOR, &Value::Null)
+            .await?;
+        eyre::ensure!(status == 200, "state: {status} {state}");
+        Ok(state)
+    }
+
+    /// Sets the fault switches of a stand-in.
+    ///
+    /// Errors: it doesn't answer.
+    pub async fn faults(&self, fake: SocketAddr, faults: Value) -> eyre::Result<()> {
+        let reply = self
+            .http
+            .json(Method::POST, fake, "/fake/faults", "", &faults)
+            .await?;
+        eyre::ensure!(reply.0 < 300, "faults: {} {}", reply.0, reply.1);
+        Ok(())
+    }
+
+    /// What a stand-in has counted.
+    ///
+    /// Errors: it doesn't answer.
+    pub async fn stats(&self, fake: SocketAddr) -> eyre::Result<Value> {
+        let path = "/fake/stats";
+        let (_, stats) = self
+            .http
+            .json(Method::GET, fake, path, "", &Value::Null)
+            .await?;
+        Ok(stats)
+    }
+
+    /// Waits until every entry serves.
+    ///
+    /// Errors: not in time.
+    pub async fn wait_healthy(&self) -> eyre::Result<()> {
+        for entry in &self.entries {
+            self.wait_serving(entry.admin).await?;
+        }
+        for target in self.engines.iter().chain(&self.tools) {
+            self.wait_serving(target.admin).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until one process serves.
+    ///
+    /// Errors: not in time.
+    pub async fn wait_serving(&self, admin: SocketAddr) -> eyre::Result<()> {
+        self.until("a process serves", async || {
+            let path = "/healthz";
+            let reply = self
+                .http
+                .json(Method::GET, admin, path, "", &Value::Null)
+                .await;
+            reply.is_ok_and(|(status, _)| status == 200)
+        })
+        .await
+    }
+
+    /// Polls a condition until it holds.
+    ///
+    /// Errors: not in time.
+    pub async fn until(&self, what: &str, holds: impl AsyncFn() -> bool) -> eyre::Result<()> {
+        let end = Instant::now() + PATIENCE;
+        while !holds().await {
+            eyre::ensure!(Instant::now() < end, "not in time: {what}");
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Starts an entry again from its settings after its process has ended.
+    ///
+    /// Errors: it doesn't start.
+    pub fn restart_entry(&mut self, index: usize) -> eyre::Result<()> {
+        let entry = &mut self.entries[index];
+        let settings = entry.settings.to_string_lossy().into_owned();
+        let args = ["serve", settings.as_str()];
+        entry.process = Process::start(&self.folder, &entry.name, "teasellever-entry", &args)?;
+        Ok(())
+    }
+
+    /// Starts a sidecar again from its settings after its process has ended.
+    ///
+    /// Errors: it doesn't start.
+    pub fn restart_sidecar(&mut self, index: usize, plain: bool) -> eyre::Result<()> {
+        let targets = if plain {
+            &mut self.tools
+        } else {
+            &mut self.engines
+        };
+        let target = &mut targets[index];
+        let settings = target.settings.to_string_lossy().into_owned();
+        let name = format!("sidecar-{}", target.name);
+        let args = ["serve", settings.as_str()];
+        target.sidecar = Process::start(&self.folder, &name, "teasellever-sidecar", &args)?;
+        Ok(())
+    }
+
+    /// Starts a target again after it has crashed.
+    ///
+    /// Errors: it doesn't start.
+    pub fn restart_target(&mut self, index: usize, plain: bool) -> eyre::Result<()> {
+        let targets = if plain {
+            &mut self.tools
+        } else {
+            &mut self.engines
+        };
+        let target = &mut targets[index];
+        let args: Vec<&str> = target.args.iter().map(String::as_str).collect();
+        target.fake = Process::start(&self.folder, &target.name, "teasellever-fakes", &args)?;
+        Ok(())
+    }
+
+    /// The objects of the first ticket.
+    fn objects(&self, plan: &Plan) -> Value {
+        let customers = ["large", "small"].into_iter().flat_map(|customer| {
+            [
+                customer_object(customer, 10_000.0, 10_000),
+                key_object(customer),
+            ]
+        });
+        let targets = self.engines.iter().chain(&self.tools).map(|target| {
+            let models = match target.kind {
+                Kind::Engine => json!([MODEL]),
+                Kind::Plain => json!([]),
+            };
+            json!({ "target": {
+                "id": target.name,
+                "data_centre": plan.data_centres[0],
+                "sidecar": target.inward.address,
+                "models": models,
+            }})
+        });
+        let tools: Vec<&str> = self
+            .tools
+            .iter()
+            .map(|target| target.name.as_str())
+            .collect();
+        let routes = [
+            ("book", false, false),
+            ("look", true, false),
+            ("open", true, true),
+        ]
+        .map(|(id, idempotent, public)| {
+            json!({ "route": {
+                "id": id, "targets": tools, "idempotent": idempotent, "public": public,
+            }})
+        });
+        let model = json!({ "model": { "id": MODEL, "context": 300_000 } });
+        customers
+            .chain(targets)
+            .chain(routes)
+            .chain([model])
+            .collect()
+    }
+
+    async fn start_entry(&self, plan: &Plan, data_centre: &str) -> eyre::Result<Entry> {
+        let name = format!("entry-{data_centre}-{}", self.entries.len() + 1);
+        let [callers, peers, admin] = [port::free(), port::free(), port::free()];
+        let inward = Cut::new(peers).await?;
+        let platform = Cut::new(self.store).await?;
+        let mut settings = json!({
+            "node": name,
+            "data_centre": data_centre,
+            "listen": {
+                "callers": callers,
+                "peers": peers,
+                "advertised": inward.address,
+                "admin": admin,
+            },
+            "platform": format!("http://{}", platform.address),
+            "operators": [operator_hash()],
+            "lease": { "duration_ms": plan.lease_ms, "margin_ms": plan.lease_ms / 10 },
+        });
+        lay_over(&mut settings, &plan.entry);
+        let settings = self.write(&name, &settings)?;
+        let args = ["serve", settings.to_str().unwrap_or_default()];
+        let process = Process::start(&self.folder, &name, "teasellever-entry", &args)?;
+        Ok(Entry {
+            name,
+            process,
+            settings,
+            callers,
+            admin,
+            inward,
+            platform,
+        })
+    }
+
+    async fn start_target(&self, plan: &Plan, kind: Kind, number: usize) -> eyre::Result<Target> {
+        let name = match kind {
+            Kind::Engine => format!("engine-{number}"),
+            Kind::Plain => format!("tool-{number}"),
+        };
+        let [url, peers, admin] = [port::free(), port::free(), port::free()];
+        let record = self.folder.join(format!("{name}.executions"));
+        let args = target_args(plan, kind, url, &record);
+        let words: Vec<&str> = args.iter().map(String::as_str).collect();
+        let fake = Process::start(&self.folder, &name, "teasellever-fakes", &words)?;
+        let inward = Cut::new(peers).await?;
+        let mut settings = json!({
+            "target": name,
+            "data_centre": plan.data_centres[0],
+            "listen": { "peers": peers, "admin": admin },
+            "url": format!("http://{url}"),
+            "kind": if kind == Kind::Engine { "engine" } else { "plain" },
+            "platform": format!("http://{}", self.store),
+            "operators": [operator_hash()],
+            "limits": {
+                "slots": plan.slots,
+                "prefill_rate": plan.prefill_rate,
+                "decode_rate": plan.decode_rate,
+            },
+        });
+        lay_over(&mut settings, &plan.sidecar);
+        let settings = self.write(&name, &settings)?;
+        self.wait_for_port(url).await?;
+        let args = ["serve", settings.to_str().unwrap_or_default()];
+        let process = format!("sidecar-{name}");
+        let sidecar = Process::start(&self.folder, &process, "teasellever-sidecar", &args)?;
+        Ok(Target {
+            name,
+            fake,
+            url,
+            args: words_owned(&words),
+            sidecar,
+            settings,
+            admin,
+            inward,
+            kind,
+        })
+    }
+
+    fn write(&self, name: &str, settings: &Value) -> eyre::Result<PathBuf> {
+        let file = self.folder.join(format!("{name}.jsonc"));
+        std::fs::write(&file, serde_json::to_string_pretty(settings)?)?;
+        Ok(file)
+    }
+
+    async fn wait_for_port(&self, address: SocketAddr) -> eyre::Result<()> {
+        self.until("a port listens", async || {
+            tokio::net::TcpStream::connect(address).await.is_ok()
+        })
+        .await
+    }
+}
+
+/// A customer of the configuration.
+pub fn customer_object(customer: &str, rate: f64, burst: u32) -> Value {
+    json!({ "customer": { "id": customer, "rate": rate, "burst": burst } })
+}
+
+/// The key of a customer that [`Fleet::caller`] presents.
+pub fn key_object(customer: &str) -> Value {
+    let hash = hash(SALT, &format!("{customer}-secret"));
+    let id = format!("{customer}-key");
+    json!({ "key": { "id": id, "customer": customer, "salt": SALT, "hash": hash } })
+}
+
+fn target_args(plan: &Plan, kind: Kind, url: SocketAddr, record: &Path) -> Vec<String> {
+    let record = record.to_string_lossy().into_owned();
+    let words = match kind {
+        Kind::Engine => vec![
+            ("engine", String::new()),
+            ("--listen", url.to_string()),
+            ("--model", MODEL.to_owned()),
+            ("--slots", plan.slots.to_string()),
+            ("--prefill-rate", plan.prefill_rate.to_string()),
+            ("--decode-rate", plan.decode_rate.to_string()),
+            ("--record", record),
+        ],
+        Kind::Plain => vec![
+            ("tool", String::new()),
+            ("--listen", url.to_string()),
+            ("--work-ms", plan.work_ms.to_string()),
+            ("--record", record),
+        ],
+    };
+    let words = words
+        .into_iter()
+        .flat_map(|(name, value)| [name.to_owned(), value]);
+    words.filter(|word| !word.is_empty()).collect()
+}
+
+fn words_owned(words: &[&str]) -> Vec<String> {
+    words.iter().map(|word| (*word).to_owned()).collect()
+}
+
+fn lay_over(settings: &mut Value, over: &Value) {
+    match (settings, over) {
+        (Value::Object(settings), Value::Object(over)) => over
+            .iter()
+            .for_each(|(key, value)| lay_over(settings.entry(key).or_insert(Value::Null), value)),
+        (settings, over) => *settings = over.clone(),
+    }
+}
+
+fn operator_hash() -> String {
+    format!("{SALT}:{}", hash(SALT, OPERATOR))
+}
+
+fn hash(salt: &str, secret: &str) -> String {
+    let digest = Sha256::new()
+        .chain_update(salt)
+        .chain_update(secret)
+        .finalize();
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn folder() -> eyre::Result<PathBuf> {
+    let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+    let name = format!("teasellever-{}-{number}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).wrap_err("making a folder for settings and logs")?;
+    Ok(folder)
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if !std::thread::panicking() && std::env::var_os("TEASELLEVER_KEEP").is_none() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
