--- a/crates/sidecar/src/controller.rs
+++ b/crates/sidecar/src/controller.rs
@@ -2,9 +2,7 @@
 
 use std::path::Path;
 use std::process::ExitCode;
-use std::sync::Arc;
 
-use eyre::WrapErr;
 use node::command;
 use node::command::Exit;
 use node::settings;
@@ -48,3 +46,7 @@
         Err(error) => command::fail(Exit::Failure, format!("{error:#}")),
     }
 }
+
+async fn daemon(_settings: Settings) -> eyre::Result<()> {
+    eyre::bail!("the sidecar doesn't serve yet")
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -1,4 +1,5 @@
 //! The sidecar daemon: the only process that talks to its target.
 
+pub mod controller;
 pub mod options;
 pub mod settings;
