--- a/crates/entry/src/command.rs
+++ b/crates/entry/src/command.rs
@@ -21,7 +21,12 @@
 pub async fn ticket(command: TicketCommand) -> Exit {
     match command {
         TicketCommand::Put(put) => put_file(put).await,
-        TicketCommand::Show(TicketShow { admin, key_file, number, .. }) => {
+        TicketCommand::Show(TicketShow {
+            admin,
+            key_file,
+            number,
+            ..
+        }) => {
             let url = format!("{admin}/v1/tickets/{number}");
             show(Method::GET, &url, &key_file, Vec::new()).await
         }
@@ -53,9 +58,12 @@
     let (Some(name), Some(customer)) = (give.key, give.customer) else {
         return fail(Exit::Usage, "a key needs its name and its customer");
     };
-    let (presented, key) = coord::key::make(name, customer);
-    let change =
-        Change { number: give.ticket, set: vec![Object::Key(key)], remove: Vec::new() };
+    let (presented, key) = coord::key::make(name, customer, &mut rand::rng());
+    let change = Change {
+        number: give.ticket,
+        set: vec![Object::Key(key)],
+        remove: Vec::new(),
+    };
     let exit = put_change(&give.admin, &give.key_file, &change).await;
     if exit == Exit::Success {
         eprintln!("the key is shown this once:");
@@ -65,11 +73,21 @@
 }
 
 async fn withdraw_key(withdraw: KeyWithdraw) -> Exit {
-    let KeyWithdraw { admin, key_file, ticket, key, .. } = withdraw;
+    let KeyWithdraw {
+        admin,
+        key_file,
+        ticket,
+        key,
+        ..
+    } = withdraw;
     let Some(key) = key else {
         return fail(Exit::Usage, "which key?");
     };
-    let change = Change { number: ticket, set: Vec::new(), remove: vec![Name::Key(key)] };
+    let change = Change {
+        number: ticket,
+        set: Vec::new(),
+        remove: vec![Name::Key(key)],
+    };
     put_change(&admin, &key_file, &change).await
 }
 
--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -30,9 +30,14 @@
     match command {
         Command::Serve(file) => serve(&file.settings).await,
         Command::Check(file) => command::check::<Settings>(&file.settings),
-        Command::Ticket(_) | Command::Key(_) => {
-            command::fail(Exit::Failure, "the entry takes no tickets yet")
-        }
+        Command::Ticket(ticket) => match ticket.command {
+            Some(command) => crate::command::ticket(command).await,
+            None => command::fail(Exit::Usage, "ticket put or show?"),
+        },
+        Command::Key(key) => match key.command {
+            Some(command) => crate::command::key(command).await,
+            None => command::fail(Exit::Usage, "key give or withdraw?"),
+        },
         Command::Dump(dump) => {
             command::dump(&dump.admin, &dump.key_file, dump.skip, dump.limit).await
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! The entry daemon: thin, stateless to the outside, owner of some shards.
 
+pub mod command;
 pub mod controller;
 pub mod options;
 pub mod settings;
