--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -219,11 +219,15 @@
             .await
     }
 
-    /// Calls a plain route under a request name.
+    /// Calls a plain route under a request name, which also ends the path that the target sees.
     pub async fn plain(&self, route: &str, request: &str, body: &str) -> Answer {
         let caller = self.with("idempotency-key", request);
         caller
-            .call(Method::POST, &format!("/r/{route}/do"), body.to_owned())
+            .call(
+                Method::POST,
+                &format!("/r/{route}/do/{request}"),
+                body.to_owned(),
+            )
             .await
     }
 }
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -40,6 +40,8 @@
 pub struct Plan {
     /// One entry in each, named by its data centre.
     pub data_centres: Vec<&'static str>,
+    /// Each with one key and far more rate than it uses.
+    pub customers: Vec<&'static str>,
     pub engines: usize,
     pub tools: usize,
     pub lease_ms: u64,
@@ -60,6 +62,7 @@
     fn default() -> Self {
         Self {
             data_centres: vec!["dc-1", "dc-2", "dc-3"],
+            customers: vec!["large", "small"],
             engines: 2,
             tools: 1,
             lease_ms: 1_500,
@@ -123,7 +126,7 @@
 }
 
 impl Fleet {
-    /// Starts everything, configures two customers and waits until it serves.
+    /// Starts everything, configures the customers and waits until it serves.
     ///
     /// Errors: a process doesn't start, or doesn't serve in time.
     pub async fn start(plan: &Plan) -> eyre::Result<Fleet> {
@@ -161,7 +164,7 @@
         Ok(fleet)
     }
 
-    /// A caller of a customer at one entry; customers are named `large` and `small`.
+    /// A caller of a customer at one entry.
     pub fn caller(&self, entry: usize, customer: &str) -> Caller {
         let key = format!("tk.{customer}-key.{customer}-secret");
         Caller::new(self.http.clone(), self.entries[entry].callers, &key)
@@ -318,7 +321,7 @@
 
     /// The objects of the first ticket.
     fn objects(&self, plan: &Plan) -> Value {
-        let customers = ["large", "small"].into_iter().flat_map(|customer| {
+        let customers = plan.customers.iter().flat_map(|customer| {
             [
                 customer_object(customer, 10_000.0, 10_000),
                 key_object(customer),
