--- a/crates/sched/src/quarantine.rs
+++ b/crates/sched/src/quarantine.rs
@@ -115,11 +115,10 @@
     /// Notes a crash of a target that ran these. Processes that are told of the same crash derive
     /// the same name for it; the same process is told of a crash once.
     pub fn crashed(&mut self, fingerprints: &[u64], now: Time) {
-        self.expire(now);
         let set = sorted(fingerprints);
         let mut crash = name(&set, 0);
         let mut repeat = 0;
-        while self.repeats.contains_key(&crash) {
+        while self.repeats.get(&crash).is_some_and(|ends| now < *ends) {
             repeat += 1;
             crash = name(&set, repeat);
         }
@@ -130,7 +129,6 @@
     /// Notes a crash under a name that all who are told of it share, such as a hash of the target's
     /// incarnation; telling it again changes nothing.
     pub fn crashed_as(&mut self, crash: u64, fingerprints: &[u64], now: Time) {
-        self.expire(now);
         self.note(crash, &sorted(fingerprints), now);
     }
 
@@ -146,7 +144,8 @@
         let Some(record) = self.records.get(&fingerprint) else {
             return Verdict::Free;
         };
-        let open = |mark: &&Mark| !mark.cleared && !self.explained.contains_key(&mark.crash);
+        let explained = |crash| self.explained.get(&crash).is_some_and(|ends| now < *ends);
+        let open = |mark: &&Mark| !mark.cleared && !explained(mark.crash);
         match record.marks.iter().filter(open).count() {
             _ if now >= record.ends => Verdict::Free,
             _ if record.alone => Verdict::Quarantined,
@@ -198,7 +197,7 @@
             let ends = now + explained.left.min(LIFETIME);
             self.explained.entry(explained.crash).or_insert(ends);
         }
-        self.bound();
+        self.bound(now);
     }
 
     fn note(&mut self, crash: u64, fingerprints: &[u64], now: Time) {
@@ -209,6 +208,9 @@
                 .records
                 .entry(*fingerprint)
                 .or_insert_with(|| Record::new(ends));
+            if now >= record.ends {
+                *record = Record::new(ends);
+            }
             record.alone |= alone;
             record.ends = ends;
             record.mark(Mark {
@@ -220,7 +222,7 @@
                 self.explained.extend(crashes.map(|crash| (crash, ends)));
             }
         }
-        self.bound();
+        self.bound(now);
     }
 
     fn expire(&mut self, now: Time) {
@@ -229,8 +231,13 @@
         self.repeats.retain(|_, ends| now < *ends);
     }
 
-    /// Drops what ends first while too much is remembered.
-    fn bound(&mut self) {
+    /// Drops what has ended, then what ends first, once too much is remembered.
+    fn bound(&mut self, now: Time) {
+        let sizes = [self.records.len(), self.explained.len(), self.repeats.len()];
+        if sizes.iter().all(|size| *size <= ENTRY_LIMIT) {
+            return;
+        }
+        self.expire(now);
         shrink(&mut self.records, |record| record.ends);
         shrink(&mut self.explained, |ends| *ends);
         shrink(&mut self.repeats, |ends| *ends);
@@ -270,16 +277,14 @@
     coord::id::fingerprint(&[&bytes, &repeat.to_be_bytes()])
 }
 
+/// Halves a full map, keeping what ends last.
 fn shrink<V>(map: &mut Map<u64, V>, ends: impl Fn(&V) -> Time) {
-    let Some(excess) = map
-        .len()
-        .checked_sub(ENTRY_LIMIT)
-        .filter(|excess| *excess > 0)
-    else {
+    if map.len() <= ENTRY_LIMIT {
         return;
-    };
+    }
     let mut order: Vec<(Time, u64)> = map.iter().map(|(key, value)| (ends(value), *key)).collect();
     order.sort_unstable();
+    let excess = order.len() - ENTRY_LIMIT / 2;
     for (_, key) in order.into_iter().take(excess) {
         map.remove(&key);
     }
--- a/crates/sched/src/queue.rs
+++ b/crates/sched/src/queue.rs
@@ -28,8 +28,8 @@
 /// Tokens that the settings' times are stated for.
 const TOKENS_PER_SETTING: f64 = 1000.0;
 
-/// Idle customers kept before those without a debt are dropped.
-const IDLE_LIMIT: usize = 1024;
+/// Customers remembered before idle ones are dropped.
+const CUSTOMER_LIMIT: usize = 1024;
 
 /// A call that waits.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -113,6 +113,11 @@
         self.places.is_empty()
     }
 
+    /// Number of customers remembered.
+    pub fn customers(&self) -> usize {
+        self.index.len()
+    }
+
     /// Expected cost of all calls that wait.
     pub fn tokens(&self) -> Tokens {
         Tokens(self.tokens)
@@ -198,7 +203,7 @@
         if let Some(slot) = self.index.get(customer) {
             return *slot;
         }
-        if self.index.len() >= IDLE_LIMIT {
+        if self.index.len() >= CUSTOMER_LIMIT {
             self.drop_idle();
         }
         let flow = Flow {
@@ -224,12 +229,16 @@
         }
     }
 
-    /// Drops customers that neither wait nor owe anything.
+    /// Drops half of the idle customers, those that owe least first.
     fn drop_idle(&mut self) {
-        let floor = self.virtual_time;
-        for (slot, entry) in self.flows.iter_mut().enumerate() {
-            let idle = |flow: &Flow| flow.jobs.is_empty() && flow.finish <= floor;
-            if let Some(flow) = entry.take_if(|flow| idle(flow)) {
+        let idle = |(slot, flow): (usize, &Option<Flow>)| {
+            let flow = flow.as_ref().filter(|flow| flow.jobs.is_empty())?;
+            Some((slot, flow.finish))
+        };
+        let mut found: Vec<(usize, f64)> = self.flows.iter().enumerate().filter_map(idle).collect();
+        found.sort_by(|(_, a), (_, b)| a.total_cmp(b));
+        for (slot, _) in found.into_iter().take(CUSTOMER_LIMIT / 2) {
+            if let Some(flow) = self.flows[slot].take() {
                 self.index.remove(&flow.customer);
                 self.vacant.push(slot);
             }
--- /dev/null
+++ b/crates/sched/tests/bounds.rs
@@ -0,0 +1,98 @@
+//! Retries and credits.
+
+use coord::id::Node;
+use coord::time::Millis;
+use coord::time::Time;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use sched::credit::Grant;
+use sched::credit::Pool;
+use sched::retry::Budget;
+use sched::retry::Delay;
+
+fn node(name: &str) -> Node {
+    name.parse().unwrap()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn retries_stay_within_a_tenth(steps in prop::collection::vec(any::<bool>(), 0..3_000)) {
+        let mut budget = Budget::new();
+        let (mut sent, mut retried) = (0u32, 0u32);
+        for first in steps {
+            match first {
+                true => {
+                    budget.sent();
+                    sent += 1;
+                }
+                false => retried += u32::from(budget.take()),
+            }
+            prop_assert!(retried * 10 <= sent);
+        }
+    }
+
+    #[test]
+    fn delay_stays_below_its_doubling_ceiling(random in prop::collection::vec(0.0f64..1.0, 1..80)) {
+        let mut delay = Delay::new(Millis(50), Millis(2_000));
+        for (attempt, random) in random.into_iter().enumerate() {
+            let ceiling = (50u64 << attempt.min(20)).min(2_000);
+            prop_assert!(delay.next(random) <= Millis(ceiling));
+        }
+    }
+
+    /// Credits granted and calls that run never exceed the target's limit.
+    #[test]
+    fn credits_never_exceed_the_limit(steps in prop::collection::vec((0u8..4, 0u8..3, 0u32..12), 1..200)) {
+        let mut pool = Pool::new(4, 2, Millis(50));
+        let mut running = 0u32;
+        for (at, (kind, who, calls)) in steps.into_iter().enumerate() {
+            let node = node(&format!("n{who}"));
+            match kind {
+                0 => pool.want(&node, calls),
+                1 => drop(pool.grant(Time(at as u64 * 10))),
+                2 => running += u32::from(pool.start(&node)),
+                _ if running > 0 => {
+                    pool.end();
+                    running -= 1;
+                }
+                _ => pool.forget(&node),
+            }
+            prop_assert!(running <= 6);
+            prop_assert!(pool.free() + running <= 6);
+        }
+    }
+}
+
+#[test]
+fn credits_are_shared_in_turn() {
+    let mut pool = Pool::new(4, 0, Millis(1_000));
+    pool.want(&node("a"), 100);
+    pool.want(&node("b"), 2);
+    let grants = pool.grant(Time(0));
+    let expected = ["a", "b"].map(|name| Grant {
+        node: node(name),
+        credits: 2,
+    });
+    assert_eq!(grants, expected);
+    assert!(pool.grant(Time(0)).is_empty());
+}
+
+#[test]
+fn unused_credits_return_after_their_lifetime() {
+    let mut pool = Pool::new(2, 0, Millis(100));
+    pool.want(&node("a"), 2);
+    assert_eq!(pool.grant(Time(0)).len(), 1);
+    pool.want(&node("b"), 1);
+    assert!(pool.grant(Time(99)).is_empty());
+    assert_eq!(
+        pool.grant(Time(100)),
+        [Grant {
+            node: node("b"),
+            credits: 1
+        }]
+    );
+    assert!(!pool.start(&node("a")));
+    assert!(pool.start(&node("b")));
+}
--- /dev/null
+++ b/crates/sched/tests/queue.rs
@@ -0,0 +1,307 @@
+//! Order of calls in a target's queue.
+
+use coord::id::Customer;
+use coord::id::Tokens;
+use coord::time::Millis;
+use coord::time::Time;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+use sched::Map;
+use sched::policy::Order;
+use sched::policy::Policy;
+use sched::queue::Job;
+use sched::queue::Queue;
+
+const COST: u64 = 1_000;
+
+fn customer(name: &str) -> Customer {
+    name.parse().unwrap()
+}
+
+fn job(id: u64, name: &str, arrived: u64) -> Job {
+    Job {
+        id,
+        customer: customer(name),
+        weight: 1,
+        program: None,
+        attained: Tokens(0),
+        cost: Tokens(COST),
+        warm: false,
+        arrived: Time(arrived),
+    }
+}
+
+fn queue(order: Order, emphasis: f64) -> Queue {
+    Queue::new(&Policy {
+        order,
+        emphasis,
+        ..Policy::default()
+    })
+}
+
+fn drain(queue: &mut Queue) -> Vec<u64> {
+    std::iter::from_fn(|| queue.pop(Time(0)))
+        .map(|job| job.id)
+        .collect()
+}
+
+#[test]
+fn fifo_ignores_customers_and_service() {
+    let mut queue = queue(Order::Fifo, 0.0);
+    queue.push(
+        Job {
+            attained: Tokens(90_000),
+            ..job(1, "large", 1)
+        },
+        Time(1),
+    );
+    queue.push(
+        Job {
+            warm: true,
+            ..job(2, "small", 2)
+        },
+        Time(2),
+    );
+    queue.push(job(3, "large", 3), Time(3));
+    assert_eq!(drain(&mut queue), [1, 2, 3]);
+}
+
+#[rstest]
+#[case(Order::Fair)]
+#[case(Order::Full)]
+fn flood_of_one_customer_does_not_delay_another(#[case] order: Order) {
+    let mut queue = queue(order, 0.0);
+    for id in 0..100 {
+        queue.push(job(id, "large", 0), Time(0));
+    }
+    queue.push(job(100, "small", 5), Time(5));
+    let place = drain(&mut queue).iter().position(|id| *id == 100).unwrap();
+    assert!(place <= 1, "served at place {place}");
+}
+
+#[test]
+fn weights_divide_service() {
+    let mut queue = queue(Order::Full, 0.0);
+    for id in 0..300 {
+        queue.push(
+            Job {
+                weight: 3,
+                ..job(id, "heavy", 0)
+            },
+            Time(0),
+        );
+        queue.push(job(1_000 + id, "light", 0), Time(0));
+    }
+    let heavy = (0..200)
+        .filter(|_| queue.pop(Time(0)).unwrap().weight == 3)
+        .count();
+    assert!((149..=151).contains(&heavy), "{heavy} of 200");
+}
+
+#[test]
+fn idle_customer_hoards_no_credit() {
+    let mut queue = queue(Order::Fair, 0.0);
+    queue.push(job(0, "idle", 0), Time(0));
+    for id in 1..200 {
+        queue.push(job(id, "busy", 0), Time(0));
+    }
+    for _ in 0..150 {
+        queue.pop(Time(0));
+    }
+    for id in 300..340 {
+        queue.push(job(id, "idle", 10), Time(10));
+    }
+    let first: Vec<u64> = (0..20).map(|_| queue.pop(Time(10)).unwrap().id).collect();
+    let idle = first.iter().filter(|id| **id >= 300).count();
+    assert!((9..=11).contains(&idle), "{idle} of 20");
+}
+
+#[test]
+fn settle_charges_what_an_estimate_missed() {
+    let mut queue = queue(Order::Fair, 0.0);
+    queue.push(job(0, "under", 0), Time(0));
+    queue.push(job(1, "exact", 0), Time(0));
+    queue.pop(Time(0));
+    queue.pop(Time(0));
+    queue.settle(&customer("under"), Tokens(COST), Tokens(6 * COST));
+    for id in 10..20 {
+        queue.push(job(id, "under", 1), Time(1));
+        queue.push(job(id + 10, "exact", 1), Time(1));
+    }
+    let first: Vec<u64> = (0..5).map(|_| queue.pop(Time(1)).unwrap().id).collect();
+    assert!(first.iter().all(|id| *id >= 20), "{first:?}");
+}
+
+#[test]
+fn least_attained_program_goes_first_within_a_customer() {
+    let mut queue = queue(Order::Full, 0.0);
+    queue.push(
+        Job {
+            attained: Tokens(50_000),
+            ..job(1, "one", 0)
+        },
+        Time(0),
+    );
+    queue.push(
+        Job {
+            attained: Tokens(100),
+            ..job(2, "one", 0)
+        },
+        Time(0),
+    );
+    assert_eq!(drain(&mut queue), [2, 1]);
+}
+
+#[test]
+fn ageing_brings_long_programs_to_the_front() {
+    let mut queue = queue(Order::Full, 0.0);
+    queue.push(
+        Job {
+            attained: Tokens(50_000),
+            ..job(1, "one", 0)
+        },
+        Time(0),
+    );
+    let later = 60_000;
+    queue.push(job(2, "one", later), Time(later));
+    assert_eq!(drain(&mut queue), [1, 2]);
+}
+
+#[test]
+fn warm_program_goes_first_among_equals() {
+    let mut queue = queue(Order::Full, 0.0);
+    queue.push(job(1, "one", 0), Time(0));
+    queue.push(
+        Job {
+            warm: true,
+            ..job(2, "one", 1)
+        },
+        Time(1),
+    );
+    assert_eq!(drain(&mut queue), [2, 1]);
+}
+
+#[rstest]
+#[case::worst_served_first(0.0, [2, 1])]
+#[case::program_latency_first(1.0, [1, 2])]
+fn emphasis_moves_between_fairness_and_program_latency(
+    #[case] emphasis: f64,
+    #[case] expected: [u64; 2],
+) {
+    let mut queue = queue(Order::Full, emphasis);
+    queue.push(job(0, "served", 0), Time(0));
+    queue.pop(Time(0));
+    queue.push(job(1, "served", 0), Time(0));
+    queue.push(
+        Job {
+            attained: Tokens(80_000),
+            ..job(2, "unserved", 0)
+        },
+        Time(0),
+    );
+    assert_eq!(drain(&mut queue), expected);
+}
+
+#[test]
+fn removed_and_replaced_calls_are_served_once() {
+    let mut queue = queue(Order::Full, 0.5);
+    queue.push(job(1, "one", 0), Time(0));
+    queue.push(job(2, "one", 0), Time(0));
+    queue.push(
+        Job {
+            cost: Tokens(7),
+            ..job(2, "two", 0)
+        },
+        Time(0),
+    );
+    assert_eq!(queue.tokens(), Tokens(COST + 7));
+    assert_eq!(queue.remove(1).map(|job| job.id), Some(1));
+    assert_eq!(queue.remove(1), None);
+    assert_eq!(drain(&mut queue), [2]);
+    assert_eq!((queue.len(), queue.tokens()), (0, Tokens(0)));
+}
+
+#[test]
+fn customers_that_come_and_go_leave_nothing_behind() {
+    let mut queue = queue(Order::Full, 0.0);
+    for id in 0..20_000 {
+        queue.push(job(id, &format!("c{id}"), id), Time(id));
+        queue.pop(Time(id));
+    }
+    assert!(queue.customers() <= 2_048, "{}", queue.customers());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Two customers that both wait are served within one call's cost of each other.
+    #[test]
+    fn service_of_waiting_customers_stays_close(costs in prop::collection::vec(1u64..5_000, 20..80)) {
+        let mut queue = queue(Order::Full, 0.0);
+        for (id, cost) in costs.iter().enumerate() {
+            let id = 2 * id as u64;
+            queue.push(Job { cost: Tokens(*cost), ..job(id, "a", 0) }, Time(0));
+            queue.push(Job { cost: Tokens(5_001 - *cost), ..job(id + 1, "b", 0) }, Time(0));
+        }
+        let mut left: Map<Customer, usize> = Map::default();
+        left.insert(customer("a"), costs.len());
+        left.insert(customer("b"), costs.len());
+        let mut served: Map<Customer, u64> = Map::default();
+        while left.values().all(|count| *count > 0) {
+            let job = queue.pop(Time(0)).unwrap();
+            *left.get_mut(&job.customer).unwrap() -= 1;
+            *served.entry(job.customer).or_default() += job.cost.0;
+        }
+        let service = |name| served.get(&customer(name)).copied().unwrap_or(0);
+        prop_assert!(service("a").abs_diff(service("b")) <= 5_001);
+    }
+
+    /// Every call that was pushed and not removed is popped just once, in any order of operations.
+    #[test]
+    fn calls_are_neither_lost_nor_doubled(
+        order in prop::sample::select(vec![Order::Fifo, Order::Fair, Order::Full]),
+        steps in prop::collection::vec((0u8..4, 0u64..40, 0u8..3, 0u64..9_000), 1..200),
+    ) {
+        let mut queue = queue(order, 0.3);
+        let mut expected: Map<u64, u64> = Map::default();
+        for (at, (kind, id, who, size)) in steps.into_iter().enumerate() {
+            let now = Time(at as u64);
+            match kind {
+                0 | 1 => {
+                    let cost = Tokens(size);
+                    queue.push(Job { cost, ..job(id, &format!("c{who}"), now.0) }, now);
+                    expected.insert(id, size);
+                }
+                2 => {
+                    let removed = queue.remove(id).map(|job| job.id);
+                    prop_assert_eq!(removed, expected.remove(&id).map(|_| id));
+                }
+                _ => match queue.pop(now) {
+                    Some(job) => prop_assert!(expected.remove(&job.id).is_some()),
+                    None => prop_assert!(expected.is_empty()),
+                },
+            }
+            queue.settle(&customer(&format!("c{who}")), Tokens(size), Tokens(size / 2));
+            prop_assert_eq!(queue.len(), expected.len());
+            prop_assert_eq!(queue.tokens().0, expected.values().sum::<u64>());
+        }
+    }
+}
+
+#[test]
+fn ageing_of_zero_orders_by_arrival() {
+    let mut queue = Queue::new(&Policy {
+        ageing: Millis(0),
+        ..Policy::default()
+    });
+    queue.push(
+        Job {
+            attained: Tokens(50_000),
+            ..job(1, "one", 0)
+        },
+        Time(0),
+    );
+    queue.push(job(2, "one", 1), Time(1));
+    assert_eq!(drain(&mut queue), [1, 2]);
+}
--- /dev/null
+++ b/crates/sched/tests/route.rs
@@ -0,0 +1,174 @@
+//! Choice of targets.
+
+use coord::id::Tokens;
+use rstest::rstest;
+use sched::policy::Choice;
+use sched::policy::Policy;
+use sched::route;
+use sched::route::Candidate;
+use sched::route::Need;
+use sched::route::Placement;
+use sched::route::Sent;
+
+fn candidate(name: &str) -> Candidate {
+    Candidate {
+        target: name.parse().unwrap(),
+        draining: false,
+        running: 0,
+        queued: 0,
+        slots: 8,
+        queued_tokens: Tokens(0),
+        running_tokens: Tokens(0),
+        prefill_rate: 8_000,
+        decode_rate: 50,
+        sent_since: Sent::default(),
+        cached: Tokens(0),
+        near: true,
+    }
+}
+
+fn three() -> Vec<Candidate> {
+    vec![candidate("m1"), candidate("m2"), candidate("m3")]
+}
+
+fn policy(choice: Choice) -> Policy {
+    Policy {
+        choice,
+        ..Policy::default()
+    }
+}
+
+fn need() -> Need {
+    Need {
+        input: Tokens(16_000),
+        output: Tokens(200),
+        ..Need::default()
+    }
+}
+
+#[test]
+fn round_robin_takes_each_in_turn_and_skips_leaving_ones() {
+    let mut candidates = three();
+    candidates[1].draining = true;
+    let policy = policy(Choice::RoundRobin);
+    let chosen = |turn| route::choose(&policy, &candidates, &Need { turn, ..need() });
+    assert_eq!(
+        (0..4).map(chosen).collect::<Vec<_>>(),
+        [Some(0), Some(2), Some(0), Some(2)]
+    );
+}
+
+#[test]
+fn least_loaded_counts_what_was_sent_since_the_report() {
+    let mut candidates = three();
+    candidates[0].running = 3;
+    candidates[1].sent_since = Sent {
+        calls: 4,
+        cost: Tokens(1),
+    };
+    candidates[2].running = 2;
+    candidates[2].queued = 3;
+    assert_eq!(
+        route::choose(&policy(Choice::LeastLoaded), &candidates, &need()),
+        Some(0)
+    );
+}
+
+#[test]
+fn affinity_moves_only_programs_of_the_target_that_left() {
+    let policy = policy(Choice::Affinity);
+    let all = three();
+    let mut fewer = three();
+    fewer[2].draining = true;
+    for affinity in 0..200 {
+        let need = Need { affinity, ..need() };
+        let before = route::choose(&policy, &all, &need).unwrap();
+        let after = route::choose(&policy, &fewer, &need).unwrap();
+        assert!(before == after || before == 2);
+    }
+}
+
+#[test]
+fn program_stays_with_its_cache_for_a_short_wait() {
+    let mut candidates = three();
+    candidates[1].cached = Tokens(15_000);
+    candidates[1].queued_tokens = Tokens(4_000);
+    assert_eq!(
+        route::choose(&Policy::default(), &candidates, &need()),
+        Some(1)
+    );
+}
+
+#[test]
+fn program_leaves_its_cache_when_waiting_costs_more_than_computing() {
+    let mut candidates = three();
+    candidates[1].cached = Tokens(15_000);
+    candidates[1].queued_tokens = Tokens(40_000);
+    assert_ne!(
+        route::choose(&Policy::default(), &candidates, &need()),
+        Some(1)
+    );
+}
+
+#[test]
+fn cache_is_transferred_when_that_beats_waiting_and_computing() {
+    let mut candidates = three();
+    candidates[1].cached = Tokens(15_000);
+    candidates[1].queued_tokens = Tokens(40_000);
+    let need = Need {
+        transfer_rate: 100_000,
+        ..need()
+    };
+    let placement = route::place(&Policy::default(), &candidates, &need);
+    assert_eq!(
+        placement,
+        Some(Placement {
+            index: 0,
+            transfer_from: Some(1)
+        })
+    );
+}
+
+#[test]
+fn own_sends_since_the_report_spread_a_burst() {
+    let mut candidates = three();
+    let mut counts = [0; 3];
+    for _ in 0..30 {
+        let chosen = route::choose(&Policy::default(), &candidates, &need()).unwrap();
+        counts[chosen] += 1;
+        candidates[chosen].sent_since.calls += 1;
+        candidates[chosen].sent_since.cost.0 += 17_600;
+    }
+    assert_eq!(counts, [10, 10, 10]);
+}
+
+#[rstest]
+#[case(Choice::RoundRobin)]
+#[case(Choice::LeastLoaded)]
+#[case(Choice::Affinity)]
+#[case(Choice::Completion)]
+fn leaving_targets_get_nothing(#[case] choice: Choice) {
+    let mut candidates = three();
+    candidates.iter_mut().for_each(|one| one.draining = true);
+    assert_eq!(route::choose(&policy(choice), &candidates, &need()), None);
+    assert_eq!(route::choose(&policy(choice), &[], &need()), None);
+    candidates[2].draining = false;
+    assert_eq!(
+        route::choose(&policy(choice), &candidates, &need()),
+        Some(2)
+    );
+}
+
+#[test]
+fn target_that_reports_no_rates_is_still_usable() {
+    let blank = Candidate {
+        slots: 0,
+        prefill_rate: 0,
+        decode_rate: 0,
+        ..candidate("m1")
+    };
+    assert_eq!(
+        route::choose(&Policy::default(), &[blank], &need()),
+        Some(0)
+    );
+}
