--- a/crates/fakes/src/main.rs
+++ b/crates/fakes/src/main.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fakes::engine;
-use fakes::platform;
+use fakes::platform::Platform;
 use fakes::tool;
 use fakes::weights;
 use gumdrop::Options;
@@ -88,7 +88,7 @@
 #[tokio::main]
 async fn main() -> io::Result<()> {
     match Args::parse_args_default_or_exit().command {
-        Some(Command::Platform(args)) => platform::serve(address(args.listen)).await,
+        Some(Command::Platform(args)) => run_platform(args).await,
         Some(Command::Engine(args)) => run_engine(args).await,
         Some(Command::Tool(args)) => run_tool(args).await,
         Some(Command::Weights(args)) => run_weights(args).await,
@@ -100,6 +100,12 @@
     listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))
 }
 
+async fn run_platform(args: Plain) -> io::Result<()> {
+    let platform = Platform::start(address(args.listen)).await?;
+    println!("listening on {}", platform.address());
+    std::future::pending().await
+}
+
 async fn run_engine(args: Engine) -> io::Result<()> {
     let defaults = engine::Settings::default();
     let models = match args.model.is_empty() {
