--- /dev/null
+++ b/crates/sidecar/src/dispatch.rs
@@ -0,0 +1,405 @@
+//! One attempt from its arrival to its end: admit, wait, start, run, account.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use coord::id::Attempt;
+use coord::id::Customer;
+use coord::id::Epoch;
+use coord::id::Program;
+use coord::id::Shard;
+use coord::id::Tokens;
+use coord::time::Millis;
+use coord::time::Time;
+use sched::cost;
+use sched::queue::Job;
+use tokio::sync::mpsc::UnboundedReceiver;
+use wire::Ran;
+use wire::Refusal;
+use wire::Start;
+use wire::Started;
+use wire::start::Work;
+
+use crate::frame::Outcome;
+use crate::frame::Output;
+use crate::generate;
+use crate::health::Run;
+use crate::ledger::Authority;
+use crate::ledger::Denied;
+use crate::meter;
+use crate::meter::Sample;
+use crate::plain;
+use crate::plain::Question;
+use crate::queue::Permit;
+use crate::queue::Place;
+use crate::refusal;
+use crate::refusal::Code;
+use crate::state::Control;
+use crate::state::State;
+
+/// When to come back to a target that has too much to do.
+const OVERLOAD_DELAY: Millis = Millis(500);
+
+/// When to come back to a target whose process is stopping.
+const DRAIN_DELAY: Millis = Millis(1_000);
+
+/// What the target will be asked.
+#[derive(Debug)]
+enum Request {
+    Generate(bytes::Bytes),
+    Plain(Question),
+}
+
+/// An attempt that is here.
+#[derive(Debug)]
+pub struct Dispatch {
+    state: Arc<State>,
+    attempt: Attempt,
+    authority: Authority,
+    customer: Customer,
+    program: Option<Program>,
+    cost: Tokens,
+    keep: bool,
+    request: Request,
+    start: Start,
+    arrived: Time,
+}
+
+impl Dispatch {
+    /// Reads what is to be run.
+    ///
+    /// Errors: it is malformed, and was not run.
+    pub fn new(state: Arc<State>, mut start: Start) -> Result<Dispatch, Refusal> {
+        let malformed = |_| refusal::new(Code::BadRequest, Ran::No, "malformed name");
+        let attempt: Attempt = start.attempt.parse().map_err(malformed)?;
+        let customer: Customer = start.customer.parse().map_err(malformed)?;
+        let program = match start.program.is_empty() {
+            true => None,
+            false => Some(start.program.parse::<Program>().map_err(malformed)?),
+        };
+        let authority = authority(start.shard, start.epoch)?;
+        let cost = expected_cost(&state, &start);
+        let keep = matches!(&start.work, Some(Work::Generate(work)) if work.keep);
+        let request = request(&state, &attempt, &mut start)?;
+        Ok(Dispatch {
+            arrived: state.clock.now(),
+            state,
+            attempt,
+            authority,
+            customer,
+            program,
+            cost,
+            keep,
+            request,
+            start,
+        })
+    }
+
+    /// Runs the attempt and tells its caller everything.
+    pub async fn run(self, output: Output) {
+        let mut controls = match self.admit() {
+            Ok(controls) => controls,
+            Err(refusal) => {
+                let outcome = Outcome::Refused(refusal);
+                return output.end(outcome, self.state.load()).await;
+            }
+        };
+        let outcome = self.wait_and_run(&output, &mut controls).await;
+        self.state.unlisten(&self.attempt);
+        self.state.metrics.ended(&outcome);
+        output.end(outcome, self.state.load()).await;
+    }
+
+    /// The attempt's name.
+    pub fn attempt(&self) -> &Attempt {
+        &self.attempt
+    }
+
+    fn admit(&self) -> Result<UnboundedReceiver<Control>, Refusal> {
+        let admitted = match self.state.is_draining() {
+            true => {
+                let message = "the sidecar is stopping";
+                return Err(refusal::later(Code::Draining, message, DRAIN_DELAY));
+            }
+            false => self
+                .state
+                .ledger
+                .lock()
+                .admit(&self.attempt, self.authority),
+        };
+        match admitted {
+            Ok(()) => Ok(self.state.listen(&self.attempt)),
+            Err(denied) => Err(refuse(denied)),
+        }
+    }
+
+    async fn wait_and_run(
+        &self,
+        output: &Output,
+        controls: &mut UnboundedReceiver<Control>,
+    ) -> Outcome {
+        match self.wait(output, controls).await {
+            Ok(permit) => self.execute(permit, output, controls).await,
+            Err(refusal) => {
+                let now = self.state.clock.now();
+                self.state.ledger.lock().end_unsent(&self.attempt, now);
+                Outcome::Refused(refusal)
+            }
+        }
+    }
+
+    /// Waits for leave to run; a refusal means that it never runs.
+    async fn wait(
+        &self,
+        output: &Output,
+        controls: &mut UnboundedReceiver<Control>,
+    ) -> Result<Permit, Refusal> {
+        let mut place = self.enter()?;
+        let mut start_by = self.limit(self.start.start_by_ms).min(self.deadline());
+        let not_run = |code, message| Err(refusal::new(code, Ran::No, message));
+        loop {
+            let timer = tokio::time::sleep_until(self.state.clock.instant(start_by));
+            tokio::select! {
+                biased;
+                Some(control) = controls.recv() => match control {
+                    Control::Extend(time) => start_by = time.min(self.deadline()),
+                    Control::Cancel => return not_run(Code::NotRun, "cancelled while it waited"),
+                },
+                () = output.closed() => return not_run(Code::NotRun, "its caller has left"),
+                () = timer => return not_run(Code::Deadline, "not started in time"),
+                permit = place.granted() => return Ok(permit),
+            }
+        }
+    }
+
+    fn enter(&self) -> Result<Place, Refusal> {
+        let warm = self.cached() > Tokens(0);
+        let job = Job {
+            id: 0,
+            customer: self.customer.clone(),
+            weight: self.start.weight.max(1),
+            program: self.program.clone(),
+            attained: Tokens(self.start.attained),
+            cost: self.cost,
+            warm,
+            arrived: self.arrived,
+        };
+        let place = self.state.queue.enter(job, self.start.alone);
+        place.map_err(|_| refusal::later(Code::Overloaded, "the queue is full", OVERLOAD_DELAY))
+    }
+
+    async fn execute(
+        &self,
+        permit: Permit,
+        output: &Output,
+        controls: &mut UnboundedReceiver<Control>,
+    ) -> Outcome {
+        let begun = self
+            .state
+            .ledger
+            .lock()
+            .start(&self.attempt, self.authority);
+        if !begun {
+            let now = self.state.clock.now();
+            self.state.ledger.lock().end_unsent(&self.attempt, now);
+            let message = "fenced off or superseded while it waited";
+            return Outcome::Refused(refusal::new(Code::NotRun, Ran::No, message));
+        }
+        let queued = self.state.clock.now().since(self.arrived);
+        self.state.metrics.waited(crate::clock::duration(queued));
+        let started = Started {
+            incarnation: self.state.incarnation.clone(),
+            queued_ms: queued.0,
+        };
+        output.started(started, self.state.load()).await;
+        self.hold_cache();
+        let since = Instant::now();
+        let run = self
+            .state
+            .health
+            .enter(&self.attempt, self.start.fingerprint);
+        let (outcome, sample) = self.watch(&run, output, controls).await;
+        drop(run);
+        self.state.metrics.ran(since.elapsed());
+        self.account(&outcome, sample);
+        drop(permit);
+        outcome
+    }
+
+    /// Runs the request until it ends, is cancelled or is out of time.
+    async fn watch(
+        &self,
+        run: &Run,
+        output: &Output,
+        controls: &mut UnboundedReceiver<Control>,
+    ) -> (Outcome, Option<Sample>) {
+        let mut work = std::pin::pin!(self.work(run, output));
+        let deadline = self.state.clock.instant(self.deadline());
+        let mut heard = true;
+        loop {
+            tokio::select! {
+                ended = &mut work => return ended,
+                Some(Control::Cancel) = controls.recv(), if self.stoppable() => {
+                    return (self.stop(Code::Cancelled).await, None);
+                }
+                () = output.closed(), if heard => match self.start.idempotent {
+                    true => return (self.stop(Code::Cancelled).await, None),
+                    false => heard = false,
+                },
+                () = tokio::time::sleep_until(deadline) => {
+                    return (self.stop(Code::Deadline).await, None);
+                }
+            }
+        }
+    }
+
+    async fn work(&self, run: &Run, output: &Output) -> (Outcome, Option<Sample>) {
+        let state = &self.state;
+        match &self.request {
+            Request::Generate(body) => {
+                let job = generate::Job {
+                    upstream: &state.upstream,
+                    limits: &state.settings.limits,
+                    run,
+                    attempt: &self.attempt,
+                    output,
+                };
+                generate::run(job, body.clone()).await
+            }
+            Request::Plain(question) => {
+                let job = plain::Job {
+                    upstream: &state.upstream,
+                    limits: &state.settings.limits,
+                    run,
+                    output,
+                };
+                (plain::run(job, question.clone()).await, None)
+            }
+        }
+    }
+
+    /// Whether a running request may be cut short: an engine's, or one that may be repeated.
+    fn stoppable(&self) -> bool {
+        matches!(self.request, Request::Generate(_)) || self.start.idempotent
+    }
+
+    async fn stop(&self, code: Code) -> Outcome {
+        let refusal = match self.request {
+            Request::Generate(_) => {
+                if let Err(error) = self.state.upstream.cancel(self.attempt.as_str()).await {
+                    self.state.failed("cancel", &error);
+                }
+                refusal::new(code, Ran::Yes, "stopped while it ran")
+            }
+            Request::Plain(_) => {
+                let message = "stopped while it ran; the service may finish it";
+                refusal::new(Code::OutcomeUnknown, Ran::Unknown, message)
+            }
+        };
+        Outcome::Refused(refusal)
+    }
+
+    fn account(&self, outcome: &Outcome, sample: Option<Sample>) {
+        let now = self.state.clock.now();
+        let unsent = matches!(outcome, Outcome::Refused(refusal) if refusal.ran() == Ran::No);
+        match unsent {
+            true => self.state.ledger.lock().end_unsent(&self.attempt, now),
+            false => self.state.ledger.lock().end(&self.attempt, now),
+        }
+        self.release_cache(now);
+        if let Some(sample) = sample {
+            let uncached = Tokens(sample.prompt.0.saturating_sub(sample.cached.0));
+            let actual = cost::call(uncached, sample.completion);
+            self.state.queue.settle(&self.customer, self.cost, actual);
+            self.state.meter.add(&sample);
+        }
+    }
+
+    fn hold_cache(&self) {
+        if let (true, Some(program)) = (self.state.is_engine(), &self.program) {
+            self.state.leases.lock().begin(program.as_str());
+        }
+    }
+
+    fn release_cache(&self, now: Time) {
+        if let (true, Some(program)) = (self.state.is_engine(), &self.program) {
+            let mut leases = self.state.leases.lock();
+            leases.finish(program.as_str(), self.keep, now);
+            if leases.may_drop(program.as_str(), now) {
+                self.state.release.notify_one();
+            }
+        }
+    }
+
+    fn cached(&self) -> Tokens {
+        let program = self.program.as_ref().map_or("", |program| program.as_str());
+        self.state.leases.lock().cached(program)
+    }
+
+    fn deadline(&self) -> Time {
+        self.limit(self.start.deadline_ms)
+    }
+
+    /// The moment so many milliseconds after arrival; 0 stands for no limit.
+    fn limit(&self, length: u64) -> Time {
+        match length {
+            0 => Time(u64::MAX),
+            length => self.arrived + Millis(length),
+        }
+    }
+}
+
+/// Reads the ownership under which a message was sent.
+///
+/// Errors: no such shard.
+pub fn authority(shard: u32, epoch: u64) -> Result<Authority, Refusal> {
+    let shard = u16::try_from(shard);
+    let shard = shard.map_err(|_| refusal::new(Code::BadRequest, Ran::No, "no such shard"))?;
+    Ok(Authority {
+        shard: Shard(shard),
+        epoch: Epoch(epoch),
+    })
+}
+
+fn request(state: &State, attempt: &Attempt, start: &mut Start) -> Result<Request, Refusal> {
+    let refuse = |message: &str| refusal::new(Code::BadRequest, Ran::No, message);
+    match start.work.take() {
+        Some(Work::Generate(work)) if state.is_engine() => {
+            let body = generate::body(&work, attempt, &start.program);
+            let body = body.map_err(|_| refuse("the messages are no JSON array"))?;
+            Ok(Request::Generate(body))
+        }
+        Some(Work::Plain(work)) if !state.is_engine() => {
+            let question = plain::question(&work, attempt.as_str());
+            Ok(Request::Plain(question.map_err(refuse)?))
+        }
+        Some(_) => Err(refuse("the target is of another kind")),
+        None => Err(refuse("nothing to run")),
+    }
+}
+
+fn expected_cost(state: &State, start: &Start) -> Tokens {
+    match &start.work {
+        Some(Work::Generate(work)) => {
+            let cached = state.leases.lock().cached(&start.program);
+            let uncached = Tokens(start.prompt_tokens.saturating_sub(cached.0));
+            state
+                .meter
+                .estimate(uncached, Tokens(work.max_tokens.into()))
+        }
+        _ => meter::PLAIN_COST,
+    }
+}
+
+fn refuse(denied: Denied) -> Refusal {
+    match denied {
+        Denied::Superseded => refusal::new(Code::Conflict, Ran::No, "the shard has a newer owner"),
+        Denied::Duplicate => refusal::new(Code::Conflict, Ran::Unknown, "the attempt came before"),
+        Denied::Fenced => refusal::new(Code::NotRun, Ran::No, "the attempt was fenced off"),
+        Denied::Full => refusal::later(
+            Code::Overloaded,
+            "too many attempts remembered",
+            OVERLOAD_DELAY,
+        ),
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/header.rs
@@ -0,0 +1,98 @@
+//! What of a caller's request may reach a target: never a key.
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use wire::Header;
+
+/// How a caller's key begins.
+const KEY_PREFIX: &[u8] = b"tk.";
+
+/// Headers that carry credentials.
+const CREDENTIALS: [&str; 4] = [
+    "authorization",
+    "proxy-authorization",
+    "x-api-key",
+    "api-key",
+];
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 10] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Why headers can't be passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// Not a valid header.
+    Malformed,
+    /// A value holds what looks like a caller's key.
+    Key,
+}
+
+/// The headers of a request that its target may see.
+///
+/// Errors: a header is malformed or holds a key.
+pub fn request(headers: &[Header]) -> Result<HeaderMap, Error> {
+    let mut passed = HeaderMap::with_capacity(headers.len());
+    for header in headers {
+        let name: HeaderName = header.name.parse().map_err(|_| Error::Malformed)?;
+        if is_dropped(&name) {
+            continue;
+        }
+        if holds_key(&header.value) {
+            return Err(Error::Key);
+        }
+        let value = HeaderValue::from_bytes(&header.value).map_err(|_| Error::Malformed)?;
+        passed.append(name, value);
+    }
+    Ok(passed)
+}
+
+/// The headers of an answer that its caller may see.
+pub fn answer(headers: &HeaderMap) -> Vec<Header> {
+    let passed = headers.iter().filter(|(name, _)| !is_hop_by_hop(name));
+    passed
+        .map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec().into(),
+        })
+        .collect()
+}
+
+/// Whether some text holds what looks like a caller's key: the prefix at the start of a word, a
+/// name and a secret.
+pub fn holds_key(text: &[u8]) -> bool {
+    let starts = text.windows(KEY_PREFIX.len()).enumerate();
+    starts
+        .filter(|(_, window)| *window == KEY_PREFIX)
+        .any(|(at, _)| starts_word(text, at) && has_secret(&text[at + KEY_PREFIX.len()..]))
+}
+
+fn starts_word(text: &[u8], at: usize) -> bool {
+    let before = at.checked_sub(1).and_then(|before| text.get(before));
+    !before.is_some_and(|byte| byte.is_ascii_alphanumeric())
+}
+
+fn has_secret(rest: &[u8]) -> bool {
+    let name = rest.split(|byte| *byte == b'.').next().unwrap_or_default();
+    let secret = rest.get(name.len() + 1).copied().unwrap_or_default();
+    !name.is_empty() && name.iter().all(|byte| byte.is_ascii_graphic()) && secret.is_ascii_graphic()
+}
+
+fn is_dropped(name: &HeaderName) -> bool {
+    CREDENTIALS.contains(&name.as_str()) || is_hop_by_hop(name)
+}
+
+fn is_hop_by_hop(name: &HeaderName) -> bool {
+    HOP_BY_HOP.contains(&name.as_str())
+}
--- /dev/null
+++ b/crates/sidecar/src/plain.rs
@@ -0,0 +1,151 @@
+//! Runs one request at a plain service and passes its answer on as it comes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use wire::Done;
+use wire::Head;
+use wire::Plain;
+use wire::Ran;
+
+use crate::clock;
+use crate::frame::Outcome;
+use crate::frame::Output;
+use crate::header;
+use crate::health::Run;
+use crate::refusal;
+use crate::refusal::Code;
+use crate::settings::Limits;
+use crate::upstream;
+use crate::upstream::Upstream;
+
+/// Header that names a request to the service, unless the caller's request has one.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// What the service is asked.
+#[derive(Debug, Clone)]
+pub struct Question {
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Where a request runs and what bounds it.
+#[derive(Debug)]
+pub struct Job<'a> {
+    pub upstream: &'a Upstream,
+    pub limits: &'a Limits,
+    pub run: &'a Run,
+    pub output: &'a Output,
+}
+
+/// Why an answer stopped before its end.
+#[derive(Debug)]
+enum Break {
+    Broken(String),
+    TooLarge,
+}
+
+/// Reads what the service is to be asked; `attempt` names it if the caller didn't.
+///
+/// Errors: malformed, or a key would reach the service.
+pub fn question(work: &Plain, attempt: &str) -> Result<Question, &'static str> {
+    let method = work.method.parse().map_err(|_| "malformed method")?;
+    let mut headers = header::request(&work.headers).map_err(|error| match error {
+        header::Error::Malformed => "malformed header",
+        header::Error::Key => "a header holds a caller's key",
+    })?;
+    if !headers.contains_key(&REQUEST_ID) {
+        let name = HeaderValue::from_str(attempt).map_err(|_| "malformed attempt")?;
+        headers.insert(REQUEST_ID, name);
+    }
+    match work.path.starts_with('/') {
+        true if header::holds_key(work.path.as_bytes()) => Err("the path holds a caller's key"),
+        true => Ok(Question {
+            method,
+            path: work.path.clone(),
+            headers,
+            body: work.body.clone(),
+        }),
+        false => Err("malformed path"),
+    }
+}
+
+/// Runs a request to its end.
+pub async fn run(job: Job<'_>, question: Question) -> Outcome {
+    let silence = clock::duration(job.limits.silence_ms);
+    let send = job.upstream.send(
+        question.method,
+        &question.path,
+        question.headers,
+        question.body,
+    );
+    let sent = tokio::time::timeout(silence, send).await;
+    match sent.unwrap_or(Err(upstream::Error::Silent)) {
+        Ok(response) => job.pass_on(response, silence).await,
+        Err(error @ upstream::Error::Unsent(_)) => {
+            let message = format!("the service can't be reached: {error}");
+            Outcome::Refused(refusal::new(Code::Unavailable, Ran::No, message))
+        }
+        Err(error) => job.unknown(error.to_string()).await,
+    }
+}
+
+impl Job<'_> {
+    async fn pass_on(&self, response: Response<Incoming>, silence: Duration) -> Outcome {
+        let head = Head {
+            status: u32::from(response.status().as_u16()),
+            headers: header::answer(response.headers()),
+        };
+        self.output.head(head).await;
+        match self.pass_on_body(response.into_body(), silence).await {
+            Ok(()) => Outcome::Done(Done {
+                finish: "stop".to_owned(),
+                ..Done::default()
+            }),
+            Err(Break::TooLarge) => {
+                let refusal = refusal::new(Code::TooLarge, Ran::Yes, "the answer is too large");
+                Outcome::Refused(refusal)
+            }
+            Err(Break::Broken(cause)) => self.unknown(cause).await,
+        }
+    }
+
+    async fn pass_on_body(&self, mut body: Incoming, silence: Duration) -> Result<(), Break> {
+        let mut size = 0;
+        loop {
+            let frame = match tokio::time::timeout(silence, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => return Err(Break::Broken(error.to_string())),
+                Ok(None) => return Ok(()),
+                Err(_) => return Err(Break::Broken("silent".to_owned())),
+            };
+            let Ok(chunk) = frame.into_data() else {
+                continue;
+            };
+            size += chunk.len();
+            if size > self.limits.answer_bytes {
+                return Err(Break::TooLarge);
+            }
+            self.output.chunk(chunk).await;
+        }
+    }
+
+    async fn unknown(&self, cause: String) -> Outcome {
+        match self.run.crash().await {
+            Some(crashed) => Outcome::Crashed(crashed),
+            None => {
+                let message = format!("no whole answer from the service: {cause}");
+                Outcome::Refused(refusal::new(Code::OutcomeUnknown, Ran::Unknown, message))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/rpc.rs
@@ -0,0 +1,169 @@
+//! The service that entries call.
+
+use std::sync::Arc;
+
+use coord::id::Attempt;
+use coord::time::Millis;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+use tonic::Streaming;
+use wire::CacheReply;
+use wire::CacheRequest;
+use wire::CancelReply;
+use wire::CancelRequest;
+use wire::DispatchFrame;
+use wire::DispatchMessage;
+use wire::Load;
+use wire::ProbeRequest;
+use wire::Start;
+use wire::cancel_reply;
+use wire::dispatch_message::Message;
+use wire::target_server::Target;
+
+use crate::dispatch;
+use crate::dispatch::Dispatch;
+use crate::frame::Outcome;
+use crate::frame::Output;
+use crate::ledger::Cancelled;
+use crate::release;
+use crate::state::Control;
+use crate::state::State;
+
+/// Serves entries out of the shared state.
+#[derive(Debug, Clone)]
+pub struct Server {
+    state: Arc<State>,
+}
+
+impl Server {
+    /// A service over this state.
+    pub fn new(state: Arc<State>) -> Server {
+        Server { state }
+    }
+
+    fn cancel_attempt(&self, request: &CancelRequest) -> Result<Cancelled, Status> {
+        let attempt: Attempt = request.attempt.parse().map_err(malformed)?;
+        let authority = dispatch::authority(request.shard, request.epoch);
+        let authority = authority.map_err(|refusal| Status::invalid_argument(refusal.message))?;
+        let keep = Millis(request.keep_ms);
+        let now = self.state.clock.now();
+        let mut ledger = self.state.ledger.lock();
+        let cancelled = ledger.cancel(&attempt, authority, keep, now);
+        drop(ledger);
+        if matches!(cancelled, Cancelled::Fenced | Cancelled::Running) {
+            self.state.tell(&attempt, Control::Cancel);
+        }
+        Ok(cancelled)
+    }
+
+    /// Applies leases; returns the programs to be released now.
+    fn apply_leases(&self, request: CacheRequest) -> Vec<String> {
+        let now = self.state.clock.now();
+        let mut released = Vec::new();
+        for lease in request.leases {
+            let current = dispatch::authority(lease.shard, lease.epoch)
+                .is_ok_and(|authority| self.state.ledger.lock().observe(authority));
+            let mut leases = self.state.leases.lock();
+            match lease.hold_ms {
+                _ if !current => {}
+                0 => {
+                    leases.release(&lease.program, now);
+                    released.push(lease.program);
+                }
+                hold => leases.hold(&lease.program, Millis(hold), now),
+            }
+        }
+        released
+    }
+}
+
+#[tonic::async_trait]
+impl Target for Server {
+    type DispatchStream = ReceiverStream<Result<DispatchFrame, Status>>;
+
+    async fn dispatch(
+        &self,
+        request: Request<Streaming<DispatchMessage>>,
+    ) -> Result<Response<Self::DispatchStream>, Status> {
+        let mut messages = request.into_inner();
+        let first = messages.message().await?;
+        let Some(Message::Start(start)) = first.and_then(|message| message.message) else {
+            return Err(Status::invalid_argument("the first message is no start"));
+        };
+        let (output, frames) = Output::new();
+        begin(self.state.clone(), start, messages, output).await;
+        Ok(Response::new(ReceiverStream::new(frames)))
+    }
+
+    async fn cancel(
+        &self,
+        request: Request<CancelRequest>,
+    ) -> Result<Response<CancelReply>, Status> {
+        let state = match self.cancel_attempt(request.get_ref())? {
+            Cancelled::Fenced => cancel_reply::State::Fenced,
+            Cancelled::Running => cancel_reply::State::Running,
+            Cancelled::Done => cancel_reply::State::Done,
+            Cancelled::Superseded => cancel_reply::State::Refused,
+            Cancelled::Full => {
+                return Err(Status::resource_exhausted("too many attempts remembered"));
+            }
+        };
+        Ok(Response::new(CancelReply {
+            state: state.into(),
+            incarnation: self.state.incarnation.clone(),
+        }))
+    }
+
+    async fn cache(&self, request: Request<CacheRequest>) -> Result<Response<CacheReply>, Status> {
+        let programs = self.apply_leases(request.into_inner());
+        let released = match programs.is_empty() || !self.state.is_engine() {
+            true => Ok(programs),
+            false => release::confirm(&self.state, programs).await,
+        };
+        let released = released.map_err(|error| Status::unavailable(error.to_string()))?;
+        Ok(Response::new(CacheReply { released }))
+    }
+
+    async fn probe(&self, _request: Request<ProbeRequest>) -> Result<Response<Load>, Status> {
+        Ok(Response::new(self.state.load()))
+    }
+}
+
+async fn begin(
+    state: Arc<State>,
+    start: Start,
+    messages: Streaming<DispatchMessage>,
+    output: Output,
+) {
+    match Dispatch::new(state.clone(), start) {
+        Ok(dispatch) => {
+            let attempt = dispatch.attempt().clone();
+            let listener = tokio::spawn(listen(state, attempt, messages));
+            tokio::spawn(async move {
+                dispatch.run(output).await;
+                listener.abort();
+            });
+        }
+        Err(refusal) => output.end(Outcome::Refused(refusal), state.load()).await,
+    }
+}
+
+/// Passes later messages of a dispatch on to its attempt.
+async fn listen(state: Arc<State>, attempt: Attempt, mut messages: Streaming<DispatchMessage>) {
+    while let Ok(Some(message)) = messages.message().await {
+        match message.message {
+            Some(Message::Extend(extend)) => {
+                let time = state.clock.now() + Millis(extend.start_by_ms);
+                state.tell(&attempt, Control::Extend(time));
+            }
+            Some(Message::Cancelled(_)) => state.tell(&attempt, Control::Cancel),
+            Some(Message::Start(_)) | None => {}
+        }
+    }
+}
+
+fn malformed(error: coord::id::Malformed) -> Status {
+    Status::invalid_argument(error.to_string())
+}
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -99,15 +99,21 @@
 
 impl Check for Settings {
     fn check(&self) -> Result<(), Invalid> {
-        let urls = [Some(&self.url), self.platform.as_ref(), self.weights.as_ref()];
+        let urls = [
+            Some(&self.url),
+            self.platform.as_ref(),
+            self.weights.as_ref(),
+        ];
         let fields = ["url", "platform", "weights"];
-        let bad = urls.iter().zip(fields).find(|(url, _)| {
-            url.is_some_and(|url| !url.starts_with("http://"))
-        });
+        let bad = urls
+            .iter()
+            .zip(fields)
+            .find(|(url, _)| url.is_some_and(|url| !url.starts_with("http://")));
         match bad {
-            Some((_, field)) => {
-                Err(Invalid::new(field, "expected a URL that starts with http://"))
-            }
+            Some((_, field)) => Err(Invalid::new(
+                field,
+                "expected a URL that starts with http://",
+            )),
             None if self.listen.peers == self.listen.admin => {
                 Err(Invalid::new("listen.admin", "same address as peers"))
             }
--- /dev/null
+++ b/crates/sidecar/src/state.rs
@@ -0,0 +1,177 @@
+//! What the parts of this process share, each under its own lock.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use coord::Map;
+use coord::id::Attempt;
+use coord::time::Time;
+use parking_lot::Mutex;
+use serde::Serialize;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use wire::Load;
+
+use crate::cache::Leases;
+use crate::clock::Clock;
+use crate::health::Health;
+use crate::ledger::Ledger;
+use crate::load;
+use crate::load::Sources;
+use crate::meter::Meter;
+use crate::metrics::Instruments;
+use crate::queue::Queue;
+use crate::settings::Kind;
+use crate::settings::Settings;
+use crate::upstream::Upstream;
+
+/// Failures shown in the dump.
+const FAILURES: usize = 32;
+
+/// What a dispatched attempt can be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Control {
+    /// Start by this moment at the latest.
+    Extend(Time),
+    /// Stop.
+    Cancel,
+}
+
+/// A failed step at the target.
+#[derive(Debug, Clone, Serialize)]
+pub struct Failure {
+    pub step: &'static str,
+    pub cause: String,
+    /// On this process's clock, milliseconds.
+    pub at_ms: u64,
+}
+
+/// Shared state of one sidecar.
+#[derive(Debug)]
+pub struct State {
+    pub settings: Settings,
+    /// Name of this process's life.
+    pub incarnation: String,
+    pub clock: Clock,
+    pub upstream: Upstream,
+    pub health: Arc<Health>,
+    pub queue: Queue,
+    pub meter: Meter,
+    pub metrics: Instruments,
+    pub ledger: Mutex<Ledger>,
+    pub leases: Mutex<Leases>,
+    pub models: Mutex<Vec<String>>,
+    /// Wakes the release of cached histories.
+    pub release: Notify,
+    controls: Mutex<Map<Attempt, mpsc::UnboundedSender<Control>>>,
+    failures: Mutex<VecDeque<Failure>>,
+    draining: AtomicBool,
+}
+
+impl State {
+    /// State of a sidecar that begins now.
+    ///
+    /// Errors: metrics can't start.
+    pub fn new(settings: Settings) -> eyre::Result<State> {
+        let clock = Clock::start();
+        let incarnation = uuid::Uuid::now_v7().to_string();
+        let upstream = Upstream::new(&settings.url);
+        let name = format!("{}/{incarnation}", settings.target);
+        let health = Health::new(&name, settings.kind, upstream.clone());
+        let limits = &settings.limits;
+        Ok(State {
+            queue: Queue::new(&settings.policy, limits.slots, limits.queue, clock),
+            meter: Meter::new(limits.prefill_rate, limits.decode_rate),
+            metrics: Instruments::new()?,
+            ledger: Mutex::default(),
+            leases: Mutex::new(Leases::new(clock.now())),
+            models: Mutex::default(),
+            release: Notify::new(),
+            controls: Mutex::default(),
+            failures: Mutex::default(),
+            draining: AtomicBool::new(false),
+            health: Arc::new(health),
+            upstream,
+            clock,
+            incarnation,
+            settings,
+        })
+    }
+
+    /// The load report at this moment.
+    pub fn load(&self) -> Load {
+        load::report(Sources {
+            target: &self.settings.target,
+            incarnation: &self.incarnation,
+            draining: self.is_draining(),
+            slots: self.queue.slots(),
+            depth: self.queue.depth(),
+            models: self.models.lock().clone(),
+            report: self.health.report(),
+            meter: &self.meter,
+        })
+    }
+
+    /// Whether this process takes no new work.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Takes no new work from now on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether the target is a model engine.
+    pub fn is_engine(&self) -> bool {
+        self.settings.kind == Kind::Engine
+    }
+
+    /// Whether a program runs here at present.
+    pub fn runs(&self, program: &str) -> bool {
+        self.leases.lock().is_running(program)
+    }
+
+    /// Opens the way for controls to an attempt.
+    pub fn listen(&self, attempt: &Attempt) -> mpsc::UnboundedReceiver<Control> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.controls.lock().insert(attempt.clone(), sender);
+        receiver
+    }
+
+    /// Closes the way for controls to an attempt.
+    pub fn unlisten(&self, attempt: &Attempt) {
+        self.controls.lock().remove(attempt);
+    }
+
+    /// Tells an attempt something, if it is here.
+    pub fn tell(&self, attempt: &Attempt, control: Control) {
+        if let Some(sender) = self.controls.lock().get(attempt) {
+            // An attempt that has just ended needs no control.
+            let _ = sender.send(control);
+        }
+    }
+
+    /// Logs a failed step at the target and keeps it for the dump.
+    pub fn failed(&self, step: &'static str, error: &dyn std::fmt::Display) {
+        let cause = error.to_string();
+        log::warn!(step = step, peer = self.settings.target.as_str(); "{cause}");
+        let failure = Failure {
+            step,
+            cause,
+            at_ms: self.clock.now().0,
+        };
+        let mut failures = self.failures.lock();
+        failures.push_back(failure);
+        if failures.len() > FAILURES {
+            failures.pop_front();
+        }
+    }
+
+    /// The last failures at the target.
+    pub fn failures(&self) -> Vec<Failure> {
+        self.failures.lock().iter().cloned().collect()
+    }
+}
