--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! The entry daemon: thin, stateless to the outside, owner of some shards.
+
+pub mod command;
+pub mod controller;
+pub mod options;
+pub mod settings;
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -9,6 +9,7 @@
 use coord::id::Program;
 use coord::id::Shard;
 use coord::id::Tokens;
+use coord::refusal::Code;
 use coord::time::Millis;
 use coord::time::Time;
 use sched::cost;
@@ -33,7 +34,6 @@
 use crate::queue::Permit;
 use crate::queue::Place;
 use crate::refusal;
-use crate::refusal::Code;
 use crate::state::Control;
 use crate::state::State;
 
@@ -240,10 +240,10 @@
             tokio::select! {
                 ended = &mut work => return ended,
                 Some(Control::Cancel) = controls.recv(), if self.stoppable() => {
-                    return (self.stop(Code::Cancelled).await, None);
+                    return (self.stop(Code::Broken).await, None);
                 }
                 () = output.closed(), if heard => match self.start.idempotent {
-                    true => return (self.stop(Code::Cancelled).await, None),
+                    true => return (self.stop(Code::Broken).await, None),
                     false => heard = false,
                 },
                 () = tokio::time::sleep_until(deadline) => {
@@ -366,8 +366,7 @@
     match start.work.take() {
         Some(Work::Generate(work)) if state.is_engine() => {
             let body = generate::body(&work, attempt, &start.program);
-            let body = body.map_err(|_| refuse("the messages are no JSON array"))?;
-            Ok(Request::Generate(body))
+            Ok(Request::Generate(body.map_err(refuse)?))
         }
         Some(Work::Plain(work)) if !state.is_engine() => {
             let question = plain::question(&work, attempt.as_str());
--- a/crates/sidecar/src/generate.rs
+++ b/crates/sidecar/src/generate.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use coord::id::Attempt;
 use coord::id::Tokens;
+use coord::refusal::Code;
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -26,9 +27,9 @@
 use crate::frame::Outcome;
 use crate::frame::Output;
 use crate::health::Run;
+use crate::key;
 use crate::meter::Sample;
 use crate::refusal;
-use crate::refusal::Code;
 use crate::settings::Limits;
 use crate::upstream;
 use crate::upstream::Upstream;
@@ -72,9 +73,13 @@
 
 /// The engine's request for a generation.
 ///
-/// Errors: the messages are no JSON array.
-pub fn body(work: &Generate, attempt: &Attempt, program: &str) -> Result<Bytes, serde_json::Error> {
-    let _: Vec<IgnoredAny> = serde_json::from_slice(&work.messages)?;
+/// Errors: the messages are no JSON array, or hold a caller's key.
+pub fn body(work: &Generate, attempt: &Attempt, program: &str) -> Result<Bytes, &'static str> {
+    let parsed: Result<Vec<IgnoredAny>, _> = serde_json::from_slice(&work.messages);
+    parsed.map_err(|_| "the messages are no JSON array")?;
+    if key::is_in(&work.messages) {
+        return Err("the messages hold a caller's key");
+    }
     let rest = serde_json::json!({
         "model": work.model,
         "max_tokens": work.max_tokens,
@@ -122,7 +127,7 @@
     match followed {
         Ok(()) => progress.outcome(),
         Err(Break::TooLarge) => (too_large(), None),
-        Err(Break::Broken(cause)) => (job.broken(cause).await, None),
+        Err(Break::Broken(cause)) => (job.broken(cause, progress.offset).await, None),
     }
 }
 
@@ -188,14 +193,17 @@
         result.unwrap_or(Err(upstream::Error::Silent))
     }
 
-    async fn broken(&self, cause: String) -> Outcome {
+    async fn broken(&self, cause: String, offset: usize) -> Outcome {
         if let Some(crashed) = self.run.crash().await {
             return Outcome::Crashed(crashed);
         }
         // Nobody will read the rest, if the engine still computes it.
         let _ = self.upstream.cancel(self.attempt.as_str()).await;
         let message = format!("the answer broke off: {cause}");
-        let refusal = refusal::new(Code::OutcomeUnknown, Ran::Unknown, message);
+        let refusal = match offset {
+            0 => refusal::new(Code::OutcomeUnknown, Ran::Unknown, message),
+            _ => refusal::new(Code::Broken, Ran::Yes, message),
+        };
         Outcome::Refused(refusal)
     }
 }
@@ -204,7 +212,7 @@
     fn outcome(self) -> (Outcome, Option<Sample>) {
         let finish = self.finish.unwrap_or_default();
         if finish == CANCELLED {
-            let refusal = refusal::new(Code::Cancelled, Ran::Yes, "cancelled at the engine");
+            let refusal = refusal::new(Code::Broken, Ran::Yes, "cancelled at the engine");
             return (Outcome::Refused(refusal), None);
         }
         let first = self.first.unwrap_or_else(Instant::now);
--- a/crates/sidecar/src/header.rs
+++ b/crates/sidecar/src/header.rs
@@ -5,8 +5,7 @@
 use http::HeaderValue;
 use wire::Header;
 
-/// How a caller's key begins.
-const KEY_PREFIX: &[u8] = b"tk.";
+use crate::key;
 
 /// Headers that carry credentials.
 const CREDENTIALS: [&str; 4] = [
@@ -49,7 +48,7 @@
         if is_dropped(&name) {
             continue;
         }
-        if holds_key(&header.value) {
+        if key::is_in(&header.value) {
             return Err(Error::Key);
         }
         let value = HeaderValue::from_bytes(&header.value).map_err(|_| Error::Malformed)?;
@@ -69,26 +68,6 @@
         .collect()
 }
 
-/// Whether some text holds what looks like a caller's key: the prefix at the start of a word, a
-/// name and a secret.
-pub fn holds_key(text: &[u8]) -> bool {
-    let starts = text.windows(KEY_PREFIX.len()).enumerate();
-    starts
-        .filter(|(_, window)| *window == KEY_PREFIX)
-        .any(|(at, _)| starts_word(text, at) && has_secret(&text[at + KEY_PREFIX.len()..]))
-}
-
-fn starts_word(text: &[u8], at: usize) -> bool {
-    let before = at.checked_sub(1).and_then(|before| text.get(before));
-    !before.is_some_and(|byte| byte.is_ascii_alphanumeric())
-}
-
-fn has_secret(rest: &[u8]) -> bool {
-    let name = rest.split(|byte| *byte == b'.').next().unwrap_or_default();
-    let secret = rest.get(name.len() + 1).copied().unwrap_or_default();
-    !name.is_empty() && name.iter().all(|byte| byte.is_ascii_graphic()) && secret.is_ascii_graphic()
-}
-
 fn is_dropped(name: &HeaderName) -> bool {
     CREDENTIALS.contains(&name.as_str()) || is_hop_by_hop(name)
 }
--- a/crates/sidecar/src/plain.rs
+++ b/crates/sidecar/src/plain.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coord::refusal::Code;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -20,8 +21,8 @@
 use crate::frame::Output;
 use crate::header;
 use crate::health::Run;
+use crate::key;
 use crate::refusal;
-use crate::refusal::Code;
 use crate::settings::Limits;
 use crate::upstream;
 use crate::upstream::Upstream;
@@ -67,16 +68,18 @@
         let name = HeaderValue::from_str(attempt).map_err(|_| "malformed attempt")?;
         headers.insert(REQUEST_ID, name);
     }
-    match work.path.starts_with('/') {
-        true if header::holds_key(work.path.as_bytes()) => Err("the path holds a caller's key"),
-        true => Ok(Question {
-            method,
-            path: work.path.clone(),
-            headers,
-            body: work.body.clone(),
-        }),
-        false => Err("malformed path"),
+    if !work.path.starts_with('/') {
+        return Err("malformed path");
     }
+    if key::is_in_path(&work.path) || key::is_in(&work.body) {
+        return Err("the path or body holds a caller's key");
+    }
+    Ok(Question {
+        method,
+        path: work.path.clone(),
+        headers,
+        body: work.body.clone(),
+    })
 }
 
 /// Runs a request to its end.
--- a/crates/sidecar/src/refusal.rs
+++ b/crates/sidecar/src/refusal.rs
@@ -1,51 +1,12 @@
 //! Refusals of an attempt, with a stable code and whether it ran.
 
+use coord::refusal::Code;
 use coord::time::Millis;
 use wire::Ran;
 use wire::Refusal;
 
-/// Why an attempt got no answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Code {
-    /// The process is stopping.
-    Draining,
-    /// Too many wait already.
-    Overloaded,
-    /// Not started in time, or not finished in time.
-    Deadline,
-    /// Taken back before it started.
-    NotRun,
-    /// Sent under an ownership that has passed on.
-    Conflict,
-    /// Malformed.
-    BadRequest,
-    /// The answer is larger than allowed.
-    TooLarge,
-    /// The target doesn't answer, or lacks the model.
-    Unavailable,
-    /// Cancelled while it ran.
-    Cancelled,
-    /// May or may not have run.
-    OutcomeUnknown,
-}
-
-impl Code {
-    /// The stable text.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Code::Draining => "draining",
-            Code::Overloaded => "overloaded",
-            Code::Deadline => "deadline",
-            Code::NotRun => "not-run",
-            Code::Conflict => "conflict",
-            Code::BadRequest => "bad-request",
-            Code::TooLarge => "too-large",
-            Code::Unavailable => "unavailable",
-            Code::Cancelled => "cancelled",
-            Code::OutcomeUnknown => "outcome-unknown",
-        }
-    }
-}
+/// Name of this step in refusals.
+const STEP: &str = "dispatch";
 
 /// A refusal without advice on when to come back.
 pub fn new(code: Code, ran: Ran, message: impl Into<String>) -> Refusal {
@@ -54,7 +15,7 @@
         ran: ran.into(),
         message: message.into(),
         retry_after_ms: 0,
-        step: "dispatch".to_owned(),
+        step: STEP.to_owned(),
         peer: String::new(),
     }
 }
