Add the client of the platform's object API

Every call has a timeout and is counted; a write whose reply is missing is told apart from one that was refused, and update() settles it by reading back.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod log;
 pub mod metrics;
 pub mod operator;
+pub mod platform;
 pub mod settings;
 pub mod shutdown;
--- /dev/null
+++ b/crates/node/src/platform.rs
@@ -0,0 +1,388 @@
+//! Client of the platform's object API.
+//!
+//! Objects have versions; writes may be conditional. A write whose reply is missing may have taken
+//! effect: [`Platform::update`] settles that by reading back. Retries are jittered and limited to a
+//! tenth of the calls. Every call has a timeout and is counted.
+
+mod budget;
+mod message;
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coord::id::Version;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use rand::RngExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+pub use self::message::Changes;
+pub use self::message::Condition;
+pub use self::message::Error;
+pub use self::message::Host;
+pub use self::message::Listed;
+pub use self::message::Object;
+
+use self::budget::Budget;
+use self::message::RawChanges;
+
+/// Largest value of an object, in bytes.
+pub const VALUE_LIMIT: usize = 1024 * 1024;
+
+/// Largest listing read, in bytes.
+const LISTING_LIMIT: usize = 64 * 1024 * 1024;
+
+/// Attempts at one call, the first included.
+const ATTEMPTS: u32 = 4;
+
+/// Mean delay before the first retry, in milliseconds; doubles each time.
+const RETRY_DELAY_MS: u64 = 20;
+
+/// Calls made so far, by kind.
+#[derive(Debug, Default)]
+struct Counts {
+    reads: AtomicU64,
+    writes: AtomicU64,
+    watches: AtomicU64,
+    retries: AtomicU64,
+    failures: AtomicU64,
+}
+
+/// Calls made so far, by kind.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Stats {
+    pub reads: u64,
+    pub writes: u64,
+    pub watches: u64,
+    pub retries: u64,
+    pub failures: u64,
+}
+
+/// The platform's object API as one process sees it.
+pub struct Platform {
+    client: Client<HttpConnector, Full<Bytes>>,
+    base: String,
+    timeout: Duration,
+    counts: Counts,
+    budget: Budget,
+}
+
+impl std::fmt::Debug for Platform {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Platform")
+            .field("base", &self.base)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Platform {
+    /// Client of the API at a base URL; each call ends after `timeout`.
+    pub fn new(base: &str, timeout: Duration) -> Platform {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(timeout));
+        Platform {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            base: base.trim_end_matches('/').to_owned(),
+            timeout,
+            counts: Counts::default(),
+            budget: Budget::default(),
+        }
+    }
+
+    /// Calls made so far.
+    pub fn stats(&self) -> Stats {
+        let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        Stats {
+            reads: load(&self.counts.reads),
+            writes: load(&self.counts.writes),
+            watches: load(&self.counts.watches),
+            retries: load(&self.counts.retries),
+            failures: load(&self.counts.failures),
+        }
+    }
+
+    /// Reads an object; none if there is no such object.
+    ///
+    /// # Errors
+    ///
+    /// The platform is away or over its rate.
+    pub async fn get(&self, name: &str) -> Result<Option<Object>, Error> {
+        self.repeat(|| self.get_once(name)).await
+    }
+
+    /// Reads what changed under a prefix after a revision.
+    ///
+    /// # Errors
+    ///
+    /// The platform is away or over its rate.
+    pub async fn list(&self, prefix: &str, since: Version) -> Result<Changes, Error> {
+        self.repeat(|| self.changes(prefix, since, Duration::ZERO))
+            .await
+    }
+
+    /// Waits for changes under a prefix after a revision; counted by the platform as one call.
+    ///
+    /// # Errors
+    ///
+    /// The platform is away or over its rate.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        since: Version,
+        wait: Duration,
+    ) -> Result<Changes, Error> {
+        self.changes(prefix, since, wait).await
+    }
+
+    /// The platform's lagging list of hosts.
+    ///
+    /// # Errors
+    ///
+    /// The platform is away or over its rate.
+    pub async fn hosts(&self) -> Result<Vec<Host>, Error> {
+        self.counts.reads.fetch_add(1, Ordering::Relaxed);
+        let request = self.request(Method::GET, "/v1/hosts", None, Bytes::new());
+        let (_, body) = self.call(request, self.timeout).await?;
+        parse(&body)
+    }
+
+    /// Writes an object once and returns its new version.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`]: another version. [`Error::Unknown`]: may have taken effect.
+    pub async fn put(
+        &self,
+        name: &str,
+        value: Bytes,
+        condition: Condition,
+    ) -> Result<Version, Error> {
+        self.write(Method::PUT, name, value, condition).await
+    }
+
+    /// Deletes an object.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Platform::put`].
+    pub async fn delete(&self, name: &str, condition: Condition) -> Result<Version, Error> {
+        self.write(Method::DELETE, name, Bytes::new(), condition)
+            .await
+    }
+
+    /// Writes an object and settles a lost reply by reading back. The value must differ from all
+    /// that others write to this object.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`]: another's write stands. [`Error::Unknown`]: couldn't be settled.
+    pub async fn update(
+        &self,
+        name: &str,
+        value: Bytes,
+        condition: Condition,
+    ) -> Result<Version, Error> {
+        let mut doubtful = false;
+        let mut last = Error::Unknown;
+        for attempt in 0..ATTEMPTS {
+            if attempt > 0 {
+                self.pause(attempt).await;
+            }
+            match self.put(name, value.clone(), condition).await {
+                Ok(version) => return Ok(version),
+                Err(Error::Conflict { current }) if doubtful => {
+                    return self.settle(name, &value, current).await;
+                }
+                Err(Error::Conflict { current }) => return Err(Error::Conflict { current }),
+                Err(error) => {
+                    doubtful |= matches!(error, Error::Unknown);
+                    last = error;
+                }
+            }
+        }
+        match doubtful {
+            true => Err(Error::Unknown),
+            false => Err(last),
+        }
+    }
+
+    /// Tells whether the current version is our own earlier write.
+    async fn settle(&self, name: &str, value: &Bytes, current: Version) -> Result<Version, Error> {
+        for attempt in 0..ATTEMPTS {
+            match self.get(name).await? {
+                Some(object) if object.version >= current => match object.value == *value {
+                    true => return Ok(object.version),
+                    false => {
+                        return Err(Error::Conflict {
+                            current: object.version,
+                        });
+                    }
+                },
+                None if current == Version(0) => return Err(Error::Conflict { current }),
+                _ => self.pause(attempt + 1).await,
+            }
+        }
+        Err(Error::Unknown)
+    }
+
+    async fn repeat<T, F>(&self, call: impl Fn() -> F) -> Result<T, Error>
+    where
+        F: Future<Output = Result<T, Error>>,
+    {
+        self.budget.earn();
+        let mut attempt = 1;
+        loop {
+            match call().await {
+                Ok(reply) => return Ok(reply),
+                Err(error) if attempt >= ATTEMPTS || !self.budget.spend() => return Err(error),
+                Err(_) => self.pause(attempt).await,
+            }
+            attempt += 1;
+        }
+    }
+
+    async fn pause(&self, attempt: u32) {
+        self.counts.retries.fetch_add(1, Ordering::Relaxed);
+        let mean = RETRY_DELAY_MS << attempt.min(6);
+        let delay = rand::rng().random_range(mean / 4..=mean);
+        sleep(Duration::from_millis(delay)).await;
+    }
+
+    async fn get_once(&self, name: &str) -> Result<Option<Object>, Error> {
+        self.counts.reads.fetch_add(1, Ordering::Relaxed);
+        let path = format!("/v1/objects/{}", encode(name));
+        let request = self.request(Method::GET, &path, None, Bytes::new());
+        match self.call(request, self.timeout).await {
+            Ok((version, value)) => Ok(Some(Object { version, value })),
+            Err(Error::Absent) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn changes(
+        &self,
+        prefix: &str,
+        since: Version,
+        wait: Duration,
+    ) -> Result<Changes, Error> {
+        let count = match wait.is_zero() {
+            true => &self.counts.reads,
+            false => &self.counts.watches,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        let mut path = format!("/v1/objects?prefix={}&since={since}", encode(prefix));
+        if !wait.is_zero() {
+            path.push_str(&format!("&wait_ms={}", wait.as_millis()));
+        }
+        let request = self.request(Method::GET, &path, None, Bytes::new());
+        let (_, body) = self.call(request, self.timeout + wait).await?;
+        parse::<RawChanges>(&body)?.decode()
+    }
+
+    async fn write(
+        &self,
+        method: Method,
+        name: &str,
+        value: Bytes,
+        condition: Condition,
+    ) -> Result<Version, Error> {
+        self.counts.writes.fetch_add(1, Ordering::Relaxed);
+        let path = format!("/v1/objects/{}", encode(name));
+        let request = self.request(method, &path, condition.version(), value);
+        let (version, _) = self.call(request, self.timeout).await?;
+        Ok(version)
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        condition: Option<Version>,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.base));
+        if let Some(version) = condition {
+            request = request.header("if-version", version.0);
+        }
+        request
+            .body(Full::new(body))
+            .map_err(|error| Error::Broken(error.to_string()))
+    }
+
+    async fn call(
+        &self,
+        request: Result<Request<Full<Bytes>>, Error>,
+        limit: Duration,
+    ) -> Result<(Version, Bytes), Error> {
+        let sent = timeout(limit, self.exchange(request?)).await;
+        let outcome = sent.unwrap_or(Err(Error::Unknown));
+        let expected = matches!(outcome, Ok(_) | Err(Error::Conflict { .. } | Error::Absent));
+        if !expected {
+            self.counts.failures.fetch_add(1, Ordering::Relaxed);
+        }
+        outcome
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<(Version, Bytes), Error> {
+        let response =
+            self.client
+                .request(request)
+                .await
+                .map_err(|error| match error.is_connect() {
+                    true => Error::Away,
+                    false => Error::Unknown,
+                })?;
+        let version = version(&response);
+        match response.status() {
+            StatusCode::OK => (),
+            StatusCode::PRECONDITION_FAILED => return Err(Error::Conflict { current: version }),
+            StatusCode::NOT_FOUND => return Err(Error::Absent),
+            StatusCode::TOO_MANY_REQUESTS => return Err(Error::Limited),
+            StatusCode::SERVICE_UNAVAILABLE => return Err(Error::Away),
+            status => return Err(Error::Broken(format!("status {status}"))),
+        }
+        let body = Limited::new(response.into_body(), LISTING_LIMIT);
+        let body = body.collect().await.map_err(|_| Error::Unknown)?;
+        Ok((version, body.to_bytes()))
+    }
+}
+
+fn version(response: &Response<Incoming>) -> Version {
+    let header = response.headers().get("version");
+    let number = header.and_then(|text| text.to_str().ok()?.parse().ok());
+    Version(number.unwrap_or(0))
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(body).map_err(|error| Error::Broken(error.to_string()))
+}
+
+/// Percent-encodes what an object name may contain beside letters and digits.
+fn encode(name: &str) -> String {
+    let mut text = String::with_capacity(name.len());
+    for byte in name.bytes() {
+        match byte {
+            b'/' | b'.' | b'_' | b'-' => text.push(char::from(byte)),
+            _ if byte.is_ascii_alphanumeric() => text.push(char::from(byte)),
+            _ => text.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    text
+}
