--- /dev/null
+++ b/crates/entry/src/request.rs
@@ -0,0 +1,190 @@
+//! Callers' requests read from HTTP: bodies within their limit, and the system's own headers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use coord::id;
+use dropshot::StreamingBody;
+use futures::StreamExt;
+use http::HeaderMap;
+use http::header;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tokio::time::Instant;
+use wire::Refusal;
+
+use crate::refusal;
+use crate::refusal::code;
+use crate::settings::Limits;
+
+/// Names a request, so that it can be sent again.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The program that a call belongs to.
+pub const PROGRAM: &str = "teasellever-program";
+/// The call's number in its program, from 1.
+pub const STEP: &str = "teasellever-step";
+/// Time for the whole request, in milliseconds.
+pub const TIMEOUT: &str = "teasellever-timeout-ms";
+/// Start of the names of headers that are the system's own.
+pub const OWN_PREFIX: &str = "teasellever-";
+
+const READ: &str = "read";
+const DEFAULT_MAX_TOKENS: u32 = 1024;
+const MAX_TOKENS_LIMIT: u32 = 1 << 20;
+
+/// Body of a chat completion.
+#[derive(Debug, Deserialize)]
+pub struct Chat {
+    pub model: id::Model,
+    pub messages: Vec<Value>,
+    #[serde(default, alias = "max_completion_tokens")]
+    pub max_tokens: Option<u32>,
+    #[serde(default)]
+    pub stream: bool,
+}
+
+impl Chat {
+    /// Reads and checks the body.
+    pub fn parse(body: &[u8]) -> Result<Chat, Refusal> {
+        let chat: Chat = parse(body)?;
+        match chat.messages.iter().all(is_message) && !chat.messages.is_empty() {
+            true => Ok(chat),
+            false => Err(bad("`messages` needs objects with a `role`")),
+        }
+    }
+
+    /// The messages as a JSON array.
+    pub fn messages(&self) -> Vec<u8> {
+        serde_json::to_vec(&self.messages).unwrap_or_default()
+    }
+
+    /// Most tokens to generate.
+    pub fn max_tokens(&self) -> u32 {
+        let wanted = self.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+        wanted.clamp(1, MAX_TOKENS_LIMIT)
+    }
+}
+
+/// Body of a request to open a program.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Budget {
+    pub tokens: u64,
+    pub calls: u64,
+    pub wall_ms: u64,
+}
+
+/// A program and the call's number in it.
+#[derive(Debug, Clone)]
+pub struct Turn {
+    pub program: id::Program,
+    pub step: id::Step,
+}
+
+/// Reads a JSON body.
+pub fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|error| bad(format!("body: {error}")))
+}
+
+/// Reads a whole body, at most the limit, before the deadline.
+pub async fn read(
+    body: StreamingBody,
+    headers: &HeaderMap,
+    limits: &Limits,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    if announced(headers) > limits.body_bytes {
+        return Err(too_large(limits));
+    }
+    let gather = gather(body, limits);
+    match tokio::time::timeout_at(deadline, gather).await {
+        Ok(body) => body,
+        Err(_) => Err(refusal::not_run(code::DEADLINE, READ, "the body is late")),
+    }
+}
+
+async fn gather(body: StreamingBody, limits: &Limits) -> Result<Bytes, Refusal> {
+    let stream = body.into_stream();
+    futures::pin_mut!(stream);
+    let mut whole = BytesMut::new();
+    while let Some(part) = stream.next().await {
+        let part = part.map_err(|_| bad("the body broke off"))?;
+        if whole.len() + part.len() > limits.body_bytes {
+            return Err(too_large(limits));
+        }
+        whole.extend_from_slice(&part);
+    }
+    Ok(whole.freeze())
+}
+
+/// When the answer must be whole.
+pub fn deadline(headers: &HeaderMap, limits: &Limits) -> Result<Instant, Refusal> {
+    let timeout = match text(headers, TIMEOUT)? {
+        None => limits.timeout_ms.0,
+        Some(text) => {
+            let millis: u64 = text.parse().map_err(|_| bad_header(TIMEOUT))?;
+            millis.min(limits.timeout_max_ms.0)
+        }
+    };
+    Ok(Instant::now() + Duration::from_millis(timeout))
+}
+
+/// The caller's name for the request, if it gave one.
+pub fn name(headers: &HeaderMap) -> Result<Option<id::Request>, Refusal> {
+    let name = text(headers, IDEMPOTENCY_KEY)?;
+    let parsed = name.map(|name| name.parse().map_err(|_| bad_header(IDEMPOTENCY_KEY)));
+    parsed.transpose()
+}
+
+/// A name for a request that came without one.
+pub fn fresh_name() -> String {
+    format!("auto-{}", uuid::Uuid::new_v4().simple())
+}
+
+/// The program's turn that the request is, if any.
+pub fn turn(headers: &HeaderMap) -> Result<Option<Turn>, Refusal> {
+    match (text(headers, PROGRAM)?, text(headers, STEP)?) {
+        (None, None) => Ok(None),
+        (Some(program), Some(step)) => {
+            let program = program.parse().map_err(|_| bad_header(PROGRAM))?;
+            let step: id::Step = step.parse().map_err(|_| bad_header(STEP))?;
+            match step.0 > 0 {
+                true => Ok(Some(Turn { program, step })),
+                false => Err(bad_header(STEP)),
+            }
+        }
+        (Some(_), None) => Err(bad_header(STEP)),
+        (None, Some(_)) => Err(bad_header(PROGRAM)),
+    }
+}
+
+/// Refusal of a request that can't be understood.
+pub fn bad(message: impl Into<String>) -> Refusal {
+    refusal::not_run(code::BAD_REQUEST, READ, message)
+}
+
+fn is_message(value: &Value) -> bool {
+    value.get("role").is_some_and(Value::is_string)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let value = headers.get(name).map(|value| value.to_str());
+    value.transpose().map_err(|_| bad_header(name))
+}
+
+fn bad_header(name: &str) -> Refusal {
+    bad(format!("header `{name}` is missing or malformed"))
+}
+
+fn too_large(limits: &Limits) -> Refusal {
+    let message = format!("the body is larger than {} bytes", limits.body_bytes);
+    refusal::not_run(code::TOO_LARGE, READ, message)
+}
+
+fn announced(headers: &HeaderMap) -> usize {
+    let length = headers.get(header::CONTENT_LENGTH);
+    let length = length.and_then(|length| length.to_str().ok());
+    length.and_then(|length| length.parse().ok()).unwrap_or(0)
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -91,7 +91,10 @@
 
 impl Default for Lease {
     fn default() -> Self {
-        Self { duration_ms: Millis(6_000), margin_ms: Millis(300) }
+        Self {
+            duration_ms: Millis(6_000),
+            margin_ms: Millis(300),
+        }
     }
 }
 
@@ -112,17 +115,23 @@
 
 impl Check for Settings {
     fn check(&self) -> Result<(), Invalid> {
-        let Listen { callers, peers, admin } = &self.listen;
+        let Listen {
+            callers,
+            peers,
+            admin,
+        } = &self.listen;
         match self {
             _ if callers == peers => Err(Invalid::new("listen.peers", "same address as callers")),
             _ if callers == admin => Err(Invalid::new("listen.admin", "same address as callers")),
             _ if peers == admin => Err(Invalid::new("listen.admin", "same address as peers")),
-            _ if peers.ip().is_unspecified() => {
-                Err(Invalid::new("listen.peers", "peers need an address that they can reach"))
-            }
-            _ if !self.platform.starts_with("http://") => {
-                Err(Invalid::new("platform", "expected a URL that starts with http://"))
-            }
+            _ if peers.ip().is_unspecified() => Err(Invalid::new(
+                "listen.peers",
+                "peers need an address that they can reach",
+            )),
+            _ if !self.platform.starts_with("http://") => Err(Invalid::new(
+                "platform",
+                "expected a URL that starts with http://",
+            )),
             _ => self.check_lease().and_then(|()| self.check_limits()),
         }
     }
@@ -130,7 +139,10 @@
 
 impl Settings {
     fn check_lease(&self) -> Result<(), Invalid> {
-        let Lease { duration_ms, margin_ms } = &self.lease;
+        let Lease {
+            duration_ms,
+            margin_ms,
+        } = &self.lease;
         match duration_ms {
             duration if *duration < LEASE_MIN => {
                 let message = format!("a lease lasts at least {LEASE_MIN}");
@@ -151,15 +163,18 @@
                 let message = format!("expected 1 to {BODY_MAX} bytes");
                 Err(Invalid::new("limits.body_bytes", message))
             }
-            _ if limits.timeout_ms > limits.timeout_max_ms => {
-                Err(Invalid::new("limits.timeout_ms", "longer than timeout_max_ms"))
-            }
-            _ if limits.requests == 0 => {
-                Err(Invalid::new("limits.requests", "no request could be served"))
-            }
-            _ if limits.retention_ms < limits.timeout_max_ms => {
-                Err(Invalid::new("limits.retention_ms", "shorter than the longest request"))
-            }
+            _ if limits.timeout_ms > limits.timeout_max_ms => Err(Invalid::new(
+                "limits.timeout_ms",
+                "longer than timeout_max_ms",
+            )),
+            _ if limits.requests == 0 => Err(Invalid::new(
+                "limits.requests",
+                "no request could be served",
+            )),
+            _ if limits.retention_ms < limits.timeout_max_ms => Err(Invalid::new(
+                "limits.retention_ms",
+                "shorter than the longest request",
+            )),
             _ => Ok(()),
         }
     }
