--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -30,6 +30,8 @@
 /// Start of the names of headers that are the system's own.
 pub const OWN_PREFIX: &str = "teasellever-";
 
+/// Start of the names that the system makes.
+const FRESH: &str = "auto-";
 const READ: &str = "read";
 const DEFAULT_MAX_TOKENS: u32 = 1024;
 const MAX_TOKENS_LIMIT: u32 = 1 << 20;
@@ -133,14 +135,24 @@
 
 /// The caller's name for the request, if it gave one.
 pub fn name(headers: &HeaderMap) -> Result<Option<id::Request>, Refusal> {
-    let name = text(headers, IDEMPOTENCY_KEY)?;
-    let parsed = name.map(|name| name.parse().map_err(|_| bad_header(IDEMPOTENCY_KEY)));
-    parsed.transpose()
+    match text(headers, IDEMPOTENCY_KEY)? {
+        None => Ok(None),
+        Some(name) if is_fresh(name) => Err(bad_header(IDEMPOTENCY_KEY)),
+        Some(name) => {
+            let name = name.parse().map_err(|_| bad_header(IDEMPOTENCY_KEY))?;
+            Ok(Some(name))
+        }
+    }
 }
 
 /// A name for a request that came without one.
 pub fn fresh_name() -> String {
-    format!("auto-{}", uuid::Uuid::new_v4().simple())
+    format!("{FRESH}{}", uuid::Uuid::new_v4().simple())
+}
+
+/// Whether the system made this name, so that no caller can ask for it again.
+pub fn is_fresh(name: &str) -> bool {
+    name.starts_with(FRESH)
 }
 
 /// The program's turn that the request is, if any.
