--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,9 +1,14 @@
-//! Entry daemon: authenticates callers, finds the owner of each call and streams its answer.
+//! The entry daemon: thin, stateless to the outside, owner of some shards.
+//!
+//! It authenticates callers, finds the owner of each call's shard and streams the answer through.
 
 pub mod answer;
+pub mod attempt;
 pub mod dispatch;
+pub mod flight;
 pub mod job;
 pub mod message;
+pub mod options;
 pub mod place;
 pub mod plain;
 pub mod refusal;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -53,6 +53,9 @@
     pub callers: SocketAddr,
     /// For the system's own processes.
     pub peers: SocketAddr,
+    /// Where other nodes reach `peers`, if not at that address itself.
+    #[serde(default)]
+    pub advertised: Option<SocketAddr>,
     /// For operators.
     pub admin: SocketAddr,
 }
@@ -89,6 +92,13 @@
     pub cache_hold_ms: Millis,
 }
 
+impl Listen {
+    /// The address that other nodes use.
+    pub fn advertised(&self) -> SocketAddr {
+        self.advertised.unwrap_or(self.peers)
+    }
+}
+
 impl Default for Lease {
     fn default() -> Self {
         Self {
@@ -119,12 +129,14 @@
             callers,
             peers,
             admin,
+            ..
         } = &self.listen;
+        let reached = self.listen.advertised();
         match self {
             _ if callers == peers => Err(Invalid::new("listen.peers", "same address as callers")),
             _ if callers == admin => Err(Invalid::new("listen.admin", "same address as callers")),
             _ if peers == admin => Err(Invalid::new("listen.admin", "same address as peers")),
-            _ if peers.ip().is_unspecified() => Err(Invalid::new(
+            _ if reached.ip().is_unspecified() => Err(Invalid::new(
                 "listen.peers",
                 "peers need an address that they can reach",
             )),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,9 +3,11 @@
 
 pub mod admin;
 pub mod client;
+pub mod command;
 pub mod error;
 pub mod log;
 pub mod metrics;
 pub mod operator;
+pub mod platform;
 pub mod settings;
 pub mod shutdown;
