--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod controller;
 pub mod dispatch;
 pub mod flight;
 pub mod job;
