Add membership, leases, shards with standby and log, and configuration sync

A node's name is fresh for each lease, so a restarted process can't be taken for its predecessor. Durable counts the standby's acknowledgement while the map names one, the platform's log while it names none, and both while a standby is being written into the map. Ruled out: counting either, which loses records when the map's reading and the primary's differ.

--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -16,7 +16,9 @@
 
 impl Default for Clock {
     fn default() -> Clock {
-        Clock { start: Instant::now() }
+        Clock {
+            start: Instant::now(),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/fence.rs
@@ -0,0 +1,82 @@
+//! Taking members out of the shard map whose lease has run out unrenewed.
+//!
+//! The lease is fenced first, by a conditional write at just the version that was seen to expire.
+//! Only if that succeeds has the member no authority left, and the map may be changed.
+
+use std::sync::Arc;
+
+use coord::id::Node;
+use coord::id::Version;
+use node::platform::Condition;
+use node::platform::Error;
+
+use crate::lease;
+use crate::lease::Object;
+use crate::member::Member;
+use crate::renewal;
+use crate::upkeep::change;
+
+/// Fences silent members and takes them out of the map.
+pub async fn dead_members(member: &Arc<Member>) -> Result<(), Error> {
+    let me = member.node();
+    for other in &member.map().members {
+        let silent = other.node != me && member.heard.is_silent(member, &other.node);
+        if silent && fence(member, &other.node).await? {
+            log::warn!(step = "fence", peer = other.node.as_str(); "lease ran out unrenewed");
+            bury(member, &other.node).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Fences a member's lease if it has run out; true: the member has no authority left.
+async fn fence(member: &Member, node: &Node) -> Result<bool, Error> {
+    let Some(version) = member.heard.expired(member, node) else {
+        return look(member, node).await;
+    };
+    let _changing = member.changing.lock().await;
+    if !member.given.may_write(member.now()) || member.lease.authority().is_none() {
+        return Ok(false);
+    }
+    match revoke(member, node, Condition::At(version)).await {
+        Ok(_) => Ok(true),
+        Err(Error::Conflict { .. }) => look(member, node).await,
+        Err(error) => Err(error),
+    }
+}
+
+/// Reads the lease of a silent member; true: it was fenced by another node or given up.
+async fn look(member: &Member, node: &Node) -> Result<bool, Error> {
+    let now = member.now();
+    let name = lease::object_name(node);
+    let Some(object) = member.platform.get(&name).await? else {
+        return match revoke(member, node, Condition::Absent).await {
+            Ok(_) => Ok(true),
+            Err(Error::Conflict { .. }) => Ok(false),
+            Err(error) => Err(error),
+        };
+    };
+    member.heard.saw(member, node, object.version, now);
+    Ok(renewal::decode(&object.value).is_some_and(|lease| lease.revoked))
+}
+
+async fn revoke(member: &Member, node: &Node, condition: Condition) -> Result<Version, Error> {
+    let object = Object {
+        node: node.clone(),
+        counter: 0,
+        revoked: true,
+    };
+    let name = lease::object_name(node);
+    member
+        .platform
+        .update(&name, renewal::encode(&object), condition)
+        .await
+}
+
+/// Takes a fenced member out of the map; its lease object is of no more use then.
+async fn bury(member: &Member, node: &Node) -> Result<(), Error> {
+    change(member, |map| map.member(node).map(|_| map.died(node))).await?;
+    let name = lease::object_name(node);
+    let _ = member.platform.delete(&name, Condition::Any).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/handover.rs
@@ -0,0 +1,98 @@
+//! Handing shards over to their standbys, to balance the fleet or because this node stops.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::id::Shard;
+use coord::shard;
+use node::error;
+use node::platform::Error;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::member::Member;
+use crate::renewal;
+use crate::upkeep::change;
+use crate::upkeep::fold;
+use crate::upkeep::refresh;
+
+/// Shards handed over in one change of the map.
+const BATCH: usize = 64;
+
+/// Longest time for the standbys to take in the last records.
+const SYNC_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time between two looks at how far a planned stop has come.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Hands over what the plan says.
+pub async fn hand_over(member: &Arc<Member>) -> Result<(), Error> {
+    let me = member.node();
+    let mut plan = shard::transfers(&member.map(), &me);
+    plan.truncate(BATCH);
+    if plan.is_empty() {
+        return Ok(());
+    }
+    let ready = member.shards().freeze(&plan, SYNC_LIMIT).await;
+    let changed = change(member, |map| transfer(member, map, &ready)).await;
+    match changed {
+        // In doubt until the map has been read at a newer version.
+        Err(Error::Unknown) => refresh(member).await,
+        Err(error) => {
+            member.shards().thaw(&ready);
+            Err(error)
+        }
+        Ok(_) => {
+            member.shards().thaw(&ready);
+            Ok(())
+        }
+    }
+}
+
+fn transfer(member: &Member, map: &shard::Map, ready: &[Shard]) -> Option<shard::Map> {
+    let me = member.node();
+    fold(map, ready, |map, shard| {
+        let complete = member.shards().slot(shard).state.lock().is_complete();
+        complete.then(|| map.hand_over(shard, &me)).flatten()
+    })
+}
+
+/// Leaves the fleet: hands over every shard, writes out the log, gives up the lease.
+/// Returns when that is done or the limit is over.
+pub async fn leave(member: &Arc<Member>, limit: Duration) {
+    let end = Instant::now() + limit;
+    member.stop();
+    while Instant::now() < end && !has_left(member) {
+        step(member).await;
+        sleep(PAUSE).await;
+    }
+    while Instant::now() < end && !member.journal().is_idle() {
+        sleep(PAUSE).await;
+    }
+    let me = member.node();
+    if let Err(cause) = change(member, |map| map.member(&me).map(|_| map.died(&me))).await {
+        error::warn(&error::Error::new("leave shard map", "platform", cause));
+    }
+    renewal::release(member).await;
+}
+
+async fn step(member: &Arc<Member>) {
+    let me = member.node();
+    let marked = change(member, |map| {
+        let staying = map.staying().any(|other| other.node == me);
+        staying.then(|| map.leave(&me))
+    });
+    if let Err(cause) = marked.await {
+        error::warn(&error::Error::new("leave shard map", "platform", cause));
+    }
+    member.shards().upkeep.notify_one();
+}
+
+/// Whether no shard rests on this node; the last node in the map can't hand anything over.
+fn has_left(member: &Member) -> bool {
+    let map = member.map();
+    let me = member.node();
+    let holding = map.holding(&me);
+    let alone = map.staying().all(|other| other.node == me);
+    map.member(&me).is_none() || alone || (holding.primary == 0 && holding.standby == 0)
+}
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -7,6 +7,7 @@
 //! they are dropped and the shards concerned ask for a checkpoint later.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -121,6 +122,7 @@
     queue: Mutex<Queue>,
     wake: Notify,
     members: AtomicUsize,
+    writing: AtomicBool,
     news: mpsc::UnboundedSender<News>,
 }
 
@@ -132,6 +134,7 @@
             queue: Mutex::default(),
             wake: Notify::new(),
             members: AtomicUsize::new(1),
+            writing: AtomicBool::new(false),
             news,
         }
     }
@@ -139,7 +142,12 @@
     /// Queues records of a shard.
     pub fn append(&self, shard: Shard, epoch: Epoch, first: u64, records: Vec<Bytes>) {
         let body = Body::Records(records);
-        self.push([Entry { shard, epoch, first, body }]);
+        self.push([Entry {
+            shard,
+            epoch,
+            first,
+            body,
+        }]);
     }
 
     /// Queues a shard's whole state before its record number `next`.
@@ -149,7 +157,12 @@
             let bytes = state.slice(part * PART..state.len().min((part + 1) * PART));
             let (part, parts) = (part as u32, parts as u32);
             let body = Body::Checkpoint { part, parts, bytes };
-            Entry { shard, epoch, first: next, body }
+            Entry {
+                shard,
+                epoch,
+                first: next,
+                body,
+            }
         });
         self.push(entries);
     }
@@ -216,15 +229,22 @@
             while !self.is_empty() {
                 sleep_until(due).await;
                 due = Instant::now() + self.interval();
+                self.writing.store(true, Ordering::Relaxed);
                 let (generation, entries) = self.take();
                 let object = format!("{PREFIX}{}/{number:020}", node());
                 number += 1;
                 self.write(&object, generation, entries).await;
+                self.writing.store(false, Ordering::Relaxed);
                 self.tell_dropped();
             }
         }
     }
 
+    /// Whether everything has been written.
+    pub fn is_idle(&self) -> bool {
+        !self.writing.load(Ordering::Relaxed) && self.is_empty()
+    }
+
     fn is_empty(&self) -> bool {
         self.queue.lock().entries.is_empty()
     }
@@ -243,7 +263,11 @@
             Err(error) => return log::error!(step = "encode log"; "{error}"),
         };
         while self.queue.lock().generation == generation {
-            match self.platform.update(object, value.clone(), Condition::Absent).await {
+            match self
+                .platform
+                .update(object, value.clone(), Condition::Absent)
+                .await
+            {
                 Ok(_) => return self.tell_written(object, &entries),
                 Err(Error::Conflict { .. }) if self.stands(object, &value).await => {
                     return self.tell_written(object, &entries);
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -48,6 +48,10 @@
 struct Held {
     node: Node,
     holder: Holder,
+    /// When the newest renewal was sent.
+    sent: Time,
+    /// When all members were asked for the newest promise that they gave.
+    promised: Option<Time>,
     counter: u64,
 }
 
@@ -64,8 +68,19 @@
     /// A lease that isn't held yet.
     pub fn new(clock: Clock, node: Node, duration: Millis, margin: Millis) -> Lease {
         let holder = Holder::new(duration, margin);
-        let held = Held { node, holder, counter: 0 };
-        Lease { clock, duration, margin, held: Mutex::new(held) }
+        let held = Held {
+            node,
+            holder,
+            sent: Time(0),
+            promised: None,
+            counter: 0,
+        };
+        Lease {
+            clock,
+            duration,
+            margin,
+            held: Mutex::new(held),
+        }
     }
 
     /// The name under which this node holds its lease.
@@ -76,8 +91,16 @@
     /// End of the lease less the margin; none: not valid right now.
     pub fn authority(&self) -> Option<Instant> {
         let held = self.held.lock();
-        let end = held.holder.ends().0.saturating_sub(self.margin.0);
-        held.holder.valid(self.clock.now()).then(|| self.clock.instant(Time(end)))
+        let promised = held.promised.map_or(Time(0), |sent| sent + self.duration);
+        let end = Time(
+            held.holder
+                .ends()
+                .max(promised)
+                .0
+                .saturating_sub(self.margin.0),
+        );
+        let valid = !held.holder.is_lost() && self.clock.now() < end;
+        valid.then(|| self.clock.instant(end))
     }
 
     /// Length of the lease.
@@ -91,7 +114,7 @@
     }
 
     /// Version of the lease object at the last renewal.
-    pub fn version(&self) -> Version {
+    pub fn version(&self) -> Option<Version> {
         self.held.lock().holder.version()
     }
 
@@ -104,12 +127,30 @@
     pub fn next_object(&self) -> Object {
         let mut held = self.held.lock();
         held.counter += 1;
-        Object { node: held.node.clone(), counter: held.counter, revoked: false }
+        Object {
+            node: held.node.clone(),
+            counter: held.counter,
+            revoked: false,
+        }
     }
 
-    /// Takes in a renewal, or a promise of all members, that was asked for at `sent`.
+    /// Takes in a renewal that was begun at `sent`.
     pub fn renewed(&self, sent: Time, version: Version) {
-        self.held.lock().holder.renewed(sent, version);
+        let mut held = self.held.lock();
+        held.holder.renewed(sent, version);
+        held.sent = sent;
+    }
+
+    /// Takes in the version of an earlier renewal whose reply was lost; extends nothing.
+    pub fn adopted(&self, version: Version) {
+        let mut held = self.held.lock();
+        let sent = held.sent;
+        held.holder.renewed(sent, version);
+    }
+
+    /// Takes in that all members, asked at `sent`, promised not to write the shard map.
+    pub fn promised(&self, sent: Time) {
+        self.held.lock().promised = Some(sent);
     }
 
     /// Starts over under a fresh name, without a lease.
@@ -117,6 +158,8 @@
         let mut held = self.held.lock();
         held.holder = Holder::new(self.duration, self.margin);
         held.node = node;
+        held.sent = Time(0);
+        held.promised = None;
     }
 }
 
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -46,7 +46,10 @@
     /// The channel to this address, connected at first use.
     pub fn channel(&self, address: SocketAddr) -> Channel {
         let mut channels = self.channels.lock();
-        channels.entry(address).or_insert_with(|| connect(address)).clone()
+        channels
+            .entry(address)
+            .or_insert_with(|| connect(address))
+            .clone()
     }
 
     /// Forgets the channels to addresses that are out of use.
--- /dev/null
+++ b/crates/entry/src/replicate.rs
@@ -0,0 +1,278 @@
+//! Records on their way from a shard's primary to its standby, and the standby's side.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use coord::id::Epoch;
+use coord::id::Shard;
+use coord::record::Record;
+use coord::replica::Replica;
+use futures::StreamExt;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use tonic::Status;
+use wire::ReplicateReply;
+use wire::ReplicateRequest;
+use wire::SyncChunk;
+
+use crate::shards::Link;
+use crate::shards::Phase;
+use crate::shards::Role;
+use crate::shards::Shards;
+use crate::shards::Slot;
+use crate::shards::State;
+
+/// Records in one request.
+const BATCH: usize = 1024;
+
+/// Bytes of records in one request.
+const BATCH_BYTES: usize = 2 * 1024 * 1024;
+
+/// Bytes of one part of a whole copy.
+const PART: usize = 1024 * 1024;
+
+/// Delay after a failed request.
+const RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// How long a standby may fail before the primary goes on without it.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// Sends a shard's pending records until there are none or the link is given up.
+pub async fn pump(shards: &Arc<Shards>, slot: &Arc<Slot>) {
+    let mut failing: Option<Instant> = None;
+    while let Some((address, request)) = next_request(shards, slot) {
+        let (epoch, first) = (Epoch(request.epoch), request.first);
+        let mut client = shards.peers().owner(address);
+        let reply = timeout(PATIENCE, client.replicate(request)).await;
+        let reply = reply
+            .ok()
+            .and_then(Result::ok)
+            .map(|reply| reply.into_inner());
+        match reply {
+            Some(reply) if reply.accepted => {
+                failing = None;
+                acknowledge(slot, epoch, first, reply.next);
+            }
+            _ => {
+                let since = *failing.get_or_insert_with(Instant::now);
+                if since.elapsed() >= PATIENCE {
+                    return give_up(shards, slot, epoch);
+                }
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+fn next_request(shards: &Shards, slot: &Slot) -> Option<(std::net::SocketAddr, ReplicateRequest)> {
+    let mut state = slot.state.lock();
+    let epoch = state.epoch;
+    let primary = state.role == Role::Primary;
+    let link = state.link.as_mut()?;
+    if !primary || link.broken || link.pending.is_empty() {
+        link.pumping = false;
+        return None;
+    }
+    let mut size = 0;
+    let fits = link.pending.iter().take(BATCH).take_while(|record| {
+        size += record.len();
+        size <= BATCH_BYTES || size == record.len()
+    });
+    let request = ReplicateRequest {
+        node: shards.lease().node().to_string(),
+        shard: u32::from(slot.shard.0),
+        epoch: epoch.0,
+        first: link.acked,
+        records: fits.cloned().collect(),
+    };
+    Some((link.address, request))
+}
+
+fn acknowledge(slot: &Slot, epoch: Epoch, first: u64, next: u64) {
+    let mut state = slot.state.lock();
+    if state.epoch != epoch || state.role != Role::Primary {
+        return;
+    }
+    let Some(link) = &mut state.link else { return };
+    if link.acked != first {
+        return;
+    }
+    let count = next.saturating_sub(first).min(link.pending.len() as u64);
+    link.pending.drain(..count as usize);
+    link.acked += count;
+    slot.publish(&mut state);
+}
+
+fn give_up(shards: &Shards, slot: &Slot, epoch: Epoch) {
+    let mut state = slot.state.lock();
+    let current = state.epoch == epoch;
+    match &mut state.link {
+        Some(link) if current && link.phase != Phase::Syncing => {
+            link.broken = true;
+            link.pumping = false;
+            link.pending.clear();
+        }
+        Some(_) if current => state.link = None,
+        _ => (),
+    }
+    drop(state);
+    shards.upkeep.notify_one();
+}
+
+/// Brings a node up to date with a shard, to become its standby; true: it holds everything and
+/// receives what follows.
+pub async fn bring_up(
+    shards: &Arc<Shards>,
+    slot: &Arc<Slot>,
+    node: &coord::id::Node,
+    address: std::net::SocketAddr,
+) -> bool {
+    let Some((epoch, next, copy)) = start_link(slot, node, address) else {
+        return false;
+    };
+    let chunks = chunks(shards, slot.shard, epoch, next, Bytes::from(copy));
+    let mut client = shards.peers().owner(address);
+    let sent = timeout(
+        shards.lease().duration(),
+        client.sync(futures::stream::iter(chunks)),
+    )
+    .await;
+    let accepted = matches!(&sent, Ok(Ok(reply)) if reply.get_ref().accepted);
+    let mut state = slot.state.lock();
+    let ours = state.epoch == epoch && state.role == Role::Primary;
+    let link = state
+        .link
+        .as_mut()
+        .filter(|link| ours && link.node == *node);
+    let Some(link) = link else { return false };
+    if !accepted {
+        state.link = None;
+        return false;
+    }
+    link.acked = next;
+    link.pumping = !link.pending.is_empty();
+    let pump = link.pumping;
+    slot.publish(&mut state);
+    drop(state);
+    if pump {
+        shards.start_pump(slot);
+    }
+    true
+}
+
+/// Takes the whole copy and keeps what follows for the new link.
+fn start_link(
+    slot: &Slot,
+    node: &coord::id::Node,
+    address: std::net::SocketAddr,
+) -> Option<(Epoch, u64, Vec<u8>)> {
+    let mut state = slot.state.lock();
+    if !state.decides() || state.link.is_some() {
+        return None;
+    }
+    let copy = state.replica.encode().ok()?;
+    let mut link = Link::new(node.clone(), address, Phase::Syncing, 0);
+    link.pumping = true;
+    state.link = Some(link);
+    Some((state.epoch, state.next, copy))
+}
+
+fn chunks(
+    shards: &Shards,
+    shard: Shard,
+    epoch: Epoch,
+    next: u64,
+    copy: Bytes,
+) -> impl Iterator<Item = SyncChunk> + Send + 'static {
+    let node = shards.lease().node().to_string();
+    let parts = copy.len().div_ceil(PART).max(1);
+    (0..parts).map(move |part| SyncChunk {
+        node: node.clone(),
+        shard: u32::from(shard.0),
+        epoch: epoch.0,
+        next,
+        part: copy.slice(part * PART..copy.len().min((part + 1) * PART)),
+    })
+}
+
+/// Appends a primary's records at its standby.
+pub fn append(shards: &Shards, request: &ReplicateRequest) -> ReplicateReply {
+    let slot = shards.slot(Shard(request.shard as u16));
+    let mut state = slot.state.lock();
+    let accepted = may_follow(shards, &state, request) && apply(shards, &mut state, request);
+    ReplicateReply {
+        accepted,
+        epoch: state.epoch.0,
+        next: state.next,
+    }
+}
+
+/// A standby whose lease has lapsed may have been taken out of the map already.
+fn may_follow(shards: &Shards, state: &State, request: &ReplicateRequest) -> bool {
+    state.role == Role::Standby
+        && state.epoch.0 == request.epoch
+        && request.first <= state.next
+        && shards.lease().authority().is_some()
+}
+
+fn apply(shards: &Shards, state: &mut State, request: &ReplicateRequest) -> bool {
+    let known = (state.next - request.first) as usize;
+    let fresh: Result<Vec<Record>, postcard::Error> = request
+        .records
+        .iter()
+        .skip(known)
+        .map(|bytes| postcard::from_bytes(bytes))
+        .collect();
+    let Ok(fresh) = fresh else { return false };
+    fresh.iter().for_each(|record| state.replica.apply(record));
+    state.next += fresh.len() as u64;
+    state.replica.tick(shards.lease().clock().now());
+    true
+}
+
+/// Replaces this node's copy of a shard by the primary's.
+///
+/// # Errors
+///
+/// The stream breaks, is empty or too large.
+pub async fn install(
+    shards: &Shards,
+    mut stream: impl futures::Stream<Item = Result<SyncChunk, Status>> + Unpin,
+) -> Result<ReplicateReply, Status> {
+    let mut copy = Vec::new();
+    let mut head: Option<SyncChunk> = None;
+    while let Some(chunk) = stream.next().await {
+        let chunk = chunk?;
+        copy.extend_from_slice(&chunk.part);
+        head.get_or_insert(chunk);
+    }
+    let Some(head) = head else {
+        return Err(Status::invalid_argument("no chunk"));
+    };
+    let Ok(replica) = Replica::decode(&copy, shards.limits()) else {
+        return Err(Status::invalid_argument("damaged copy"));
+    };
+    Ok(replace(shards, &head, replica))
+}
+
+fn replace(shards: &Shards, head: &SyncChunk, replica: Replica) -> ReplicateReply {
+    let slot = shards.slot(Shard(head.shard as u16));
+    let mut state = slot.state.lock();
+    let free = matches!(state.role, Role::None | Role::Standby);
+    let accepted = free && head.epoch >= state.epoch.0 && shards.lease().authority().is_some();
+    if accepted {
+        state.reset(shards.limits());
+        state.role = Role::Standby;
+        state.epoch = Epoch(head.epoch);
+        state.replica = replica;
+        state.replica.tick(shards.lease().clock().now());
+        state.next = head.next;
+    }
+    ReplicateReply {
+        accepted,
+        epoch: state.epoch.0,
+        next: state.next,
+    }
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -29,6 +29,9 @@
     pub listen: Listen,
     /// Base URL of the platform's object API.
     pub platform: String,
+    /// Other entries to ask for news when the platform can't tell who they are.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Salted hashes of operators' keys.
     #[serde(default)]
     pub operators: Vec<Operator>,
--- a/crates/entry/src/shards.rs
+++ b/crates/entry/src/shards.rs
@@ -18,6 +18,7 @@
 use coord::id::SHARDS;
 use coord::id::Shard;
 use coord::record::Record;
+use coord::replica::Limits;
 use coord::replica::Replica;
 use tokio::sync::Notify;
 use tokio::sync::broadcast;
@@ -29,9 +30,9 @@
 pub use self::slot::Link;
 pub use self::slot::Phase;
 pub use self::slot::Role;
+pub use self::slot::Slot;
 pub use self::slot::State;
 
-use self::slot::Slot;
 use crate::journal::Journal;
 use crate::journal::Mark;
 use crate::lease::Authority;
@@ -60,6 +61,7 @@
 #[derive(Debug)]
 pub struct Shards {
     slots: Vec<Arc<Slot>>,
+    limits: Limits,
     lease: Arc<Lease>,
     journal: Arc<Journal>,
     peers: Arc<Peers>,
@@ -70,10 +72,16 @@
 
 impl Shards {
     /// Holds no copy of any shard.
-    pub fn new(lease: Arc<Lease>, journal: Arc<Journal>, peers: Arc<Peers>) -> Arc<Shards> {
-        let slots = (0..SHARDS).map(|number| Arc::new(Slot::new(Shard(number))));
+    pub fn new(
+        lease: Arc<Lease>,
+        journal: Arc<Journal>,
+        peers: Arc<Peers>,
+        limits: Limits,
+    ) -> Arc<Shards> {
+        let slots = (0..SHARDS).map(|number| Arc::new(Slot::new(Shard(number), limits)));
         Arc::new(Shards {
             slots: slots.collect(),
+            limits,
             lease,
             journal,
             peers,
@@ -105,7 +113,10 @@
         }
         let until = state.next;
         drop(state);
-        Ok((value, Durable::new(Arc::clone(slot), Arc::clone(&self.lease), epoch, until)))
+        Ok((
+            value,
+            Durable::new(Arc::clone(slot), Arc::clone(&self.lease), epoch, until),
+        ))
     }
 
     /// Authority over a shard at this very moment.
@@ -113,7 +124,11 @@
         let state = self.slot(shard).state.lock();
         let until = self.lease.authority()?;
         let (epoch, cautious) = (state.epoch, state.cautious);
-        state.decides().then_some(Authority { epoch, until, cautious })
+        state.decides().then_some(Authority {
+            epoch,
+            until,
+            cautious,
+        })
     }
 
     /// Looks at a copy, whatever the role; none: this node holds no copy.
@@ -133,21 +148,24 @@
 
     pub(crate) fn all(&self) -> impl Iterator<Item = (Shard, &Arc<Slot>)> {
         let number = |index: usize| Shard(index as u16);
-        self.slots.iter().enumerate().map(move |(index, slot)| (number(index), slot))
+        self.slots
+            .iter()
+            .enumerate()
+            .map(move |(index, slot)| (number(index), slot))
     }
 
     pub(crate) fn announce(&self, gained: Gained) {
         let _ = self.gained.send(gained);
     }
 
-    pub(crate) fn journal(&self) -> &Journal {
-        &self.journal
-    }
-
     pub(crate) fn lease(&self) -> &Lease {
         &self.lease
     }
 
+    pub(crate) fn limits(&self) -> Limits {
+        self.limits
+    }
+
     pub(crate) fn peers(&self) -> &Peers {
         &self.peers
     }
@@ -155,9 +173,12 @@
     fn append(self: &Arc<Self>, slot: &Arc<Slot>, state: &mut State, records: Vec<Record>) {
         let first = state.next;
         let encoded: Vec<Bytes> = records.iter().map(encode).collect();
-        records.iter().for_each(|record| state.replica.apply(record));
+        records
+            .iter()
+            .for_each(|record| state.replica.apply(record));
         state.next += records.len() as u64;
-        self.journal.append(slot.shard, state.epoch, first, encoded.clone());
+        self.journal
+            .append(slot.shard, state.epoch, first, encoded.clone());
         if state.send(encoded) {
             self.start_pump(slot);
         }
@@ -190,8 +211,12 @@
     }
 
     pub(crate) fn queue_checkpoint(&self, shard: Shard, state: &State) {
-        let bytes = Bytes::from(state.replica.encode());
-        self.journal.checkpoint(shard, state.epoch, state.next, bytes);
+        match state.replica.encode() {
+            Ok(bytes) => self
+                .journal
+                .checkpoint(shard, state.epoch, state.next, bytes.into()),
+            Err(error) => log::error!(step = "encode checkpoint"; "{error}"),
+        }
     }
 
     /// Becomes the primary with the copy that the slot holds. The log is to hold the whole state
@@ -199,12 +224,15 @@
     pub(crate) fn promote(&self, slot: &Slot, state: &mut State, epoch: Epoch) {
         state.role = Role::Primary;
         state.change_epoch(epoch);
-        state.link = None;
+        state.replica.tick(self.lease.clock().now());
         state.frozen = false;
         state.journalled = 0;
         self.queue_checkpoint(slot.shard, state);
         slot.publish(state);
-        self.announce(Gained { shard: slot.shard, epoch });
+        self.announce(Gained {
+            shard: slot.shard,
+            epoch,
+        });
     }
 
     /// Drops every copy: this node has lost its lease.
@@ -212,7 +240,7 @@
         self.journal.clear();
         for slot in &self.slots {
             let mut state = slot.state.lock();
-            state.reset();
+            state.reset(self.limits);
             slot.publish(&mut state);
         }
     }
--- a/crates/entry/src/shards/durable.rs
+++ b/crates/entry/src/shards/durable.rs
@@ -37,7 +37,12 @@
 
 impl Durable {
     pub(super) fn new(slot: Arc<Slot>, lease: Arc<Lease>, epoch: Epoch, until: u64) -> Durable {
-        Durable { slot, lease, epoch, until }
+        Durable {
+            slot,
+            lease,
+            epoch,
+            until,
+        }
     }
 
     /// The epoch in which the decision was made.
@@ -51,7 +56,10 @@
     ///
     /// This node lost the shard or its lease first, or found no second place.
     pub async fn wait(self) -> Result<(), Lost> {
-        let lost = Lost { shard: self.slot.shard, epoch: self.epoch };
+        let lost = Lost {
+            shard: self.slot.shard,
+            epoch: self.epoch,
+        };
         let mut progress = self.slot.progress.subscribe();
         let settled = progress.wait_for(|now| now.covers(self.epoch, self.until).is_some());
         let covered = match timeout(self.lease.duration(), settled).await {
--- a/crates/entry/src/shards/slot.rs
+++ b/crates/entry/src/shards/slot.rs
@@ -7,6 +7,7 @@
 use coord::id::Epoch;
 use coord::id::Node;
 use coord::id::Shard;
+use coord::replica::Limits;
 use coord::replica::Replica;
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -93,9 +94,7 @@
     /// Whether the standby in the map holds everything.
     pub fn is_complete(&self) -> bool {
         match &self.link {
-            Some(link) => {
-                link.phase == Phase::Joined && !link.broken && link.acked == self.next
-            }
+            Some(link) => link.phase == Phase::Joined && !link.broken && link.acked == self.next,
             None => false,
         }
     }
@@ -122,13 +121,13 @@
     }
 
     /// Drops the copy.
-    pub fn reset(&mut self) {
+    pub fn reset(&mut self, limits: Limits) {
         let epoch = self.epoch;
         if self.role != Role::None {
             self.change_epoch(epoch);
         }
         self.role = Role::None;
-        self.replica = Replica::default();
+        self.replica = Replica::new(limits);
         self.next = 0;
         self.journalled = 0;
         self.link = None;
@@ -136,6 +135,13 @@
         self.cautious = false;
     }
 
+    /// Whether the standby holds all that counts as durable.
+    pub fn standby_holds_durable(&self) -> bool {
+        self.link
+            .as_ref()
+            .is_some_and(|link| link.acked >= self.durable)
+    }
+
     fn measure(&self) -> u64 {
         match &self.link {
             _ if self.role != Role::Primary => 0,
@@ -181,11 +187,11 @@
 
 impl Slot {
     /// Holds no copy.
-    pub fn new(shard: Shard) -> Slot {
+    pub fn new(shard: Shard, limits: Limits) -> Slot {
         let state = State {
             role: Role::None,
             epoch: Epoch(0),
-            replica: Replica::default(),
+            replica: Replica::new(limits),
             next: 0,
             journalled: 0,
             link: None,
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use coord::config::Change;
@@ -16,13 +17,17 @@
 use coord::id::Ticket;
 use coord::id::Version;
 use coord::id::fingerprint;
+use coord::shard;
 use node::platform::Error;
 use node::platform::Platform;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use tokio::sync::watch;
+use tokio::time::sleep;
 use wire::TicketBytes;
 
+use crate::member::Member;
+
 /// Prefix of the ticket objects.
 pub const PREFIX: &str = "ticket/";
 
@@ -76,7 +81,10 @@
     pub fn merge(&self, changes: &[Change]) -> bool {
         let mut snapshot = self.snapshot.write();
         let mut config = Config::clone(&snapshot.config);
-        let altered = changes.iter().filter(|change| !config.merge(change).is_empty()).count();
+        let altered = changes
+            .iter()
+            .filter(|change| !config.merge(change).is_empty())
+            .count();
         if altered == 0 {
             return false;
         }
@@ -126,8 +134,24 @@
             return Vec::new();
         }
         let differs = |bucket: &str| ours.get(bucket) != seen.get(bucket);
-        let entries = config.entries().filter(|(name, _)| differs(&bucket(name)));
-        encode(entries)
+        let mut buckets: BTreeMap<String, Vec<(&Name, &Entry)>> = BTreeMap::new();
+        for (name, entry) in config.entries() {
+            buckets.entry(bucket(name)).or_default().push((name, entry));
+        }
+        let mut size = 0;
+        let whole = buckets
+            .iter()
+            .filter(|(bucket, _)| differs(bucket))
+            .map(|(_, e)| encode(e));
+        let fits = |tickets: &Vec<TicketBytes>| {
+            let first = size == 0;
+            size += tickets
+                .iter()
+                .map(|ticket| ticket.body.len())
+                .sum::<usize>();
+            first || size <= NEWS_LIMIT
+        };
+        whole.take_while(fits).flatten().collect()
     }
 
     /// Joins tickets from a peer in; true: something was new.
@@ -139,27 +163,29 @@
 }
 
 /// Groups entries by the ticket that gave them.
-fn encode<'a>(entries: impl Iterator<Item = (&'a Name, &'a Entry)>) -> Vec<TicketBytes> {
+fn encode(entries: &[(&Name, &Entry)]) -> Vec<TicketBytes> {
     let mut changes: BTreeMap<Ticket, Change> = BTreeMap::new();
     for (name, entry) in entries {
         let number = entry.ticket;
-        let empty = Change { number, set: Vec::new(), remove: Vec::new() };
+        let empty = Change {
+            number,
+            set: Vec::new(),
+            remove: Vec::new(),
+        };
         let change = changes.entry(number).or_insert(empty);
         match &entry.object {
             Some(object) => change.set.push(object.clone()),
-            None => change.remove.push(name.clone()),
+            None => change.remove.push(Name::clone(name)),
         }
     }
-    let mut size = 0;
-    let tickets = changes.values().filter_map(|change| {
+    let ticket = |change: &Change| {
         let body = Bytes::from(serde_json::to_vec(change).ok()?);
-        Some(TicketBytes { number: change.number.0, body })
-    });
-    let fits = |ticket: &TicketBytes| {
-        size += ticket.body.len();
-        size <= NEWS_LIMIT || size == ticket.body.len()
+        Some(TicketBytes {
+            number: change.number.0,
+            body,
+        })
     };
-    tickets.take_while(fits).collect()
+    changes.values().filter_map(ticket).collect()
 }
 
 fn decode(body: &[u8]) -> Option<Change> {
@@ -185,3 +211,58 @@
     }
     digests
 }
+
+/// Longest time that one watch waits.
+const WATCH: Duration = Duration::from_secs(10);
+
+/// Nodes of a data centre that watch the platform; the others learn from them.
+const WATCHERS: usize = 2;
+
+/// Delay after a failed watch, and between looks at who is to watch.
+const WATCH_DELAY: Duration = Duration::from_millis(500);
+
+/// Time between two reads of the list of hosts.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Watches tickets while this node is one of its data centre's watchers.
+pub async fn watch_tickets(member: Arc<Member>) {
+    loop {
+        if !is_watcher(&member) {
+            sleep(WATCH_DELAY).await;
+            continue;
+        }
+        let since = member.store.revision();
+        match member.platform.watch(PREFIX, since, WATCH).await {
+            Ok(listing) if member.store.take_listing(&listing) => member.news.notify_one(),
+            Ok(_) => (),
+            Err(_) => sleep(WATCH_DELAY).await,
+        }
+    }
+}
+
+/// Reads the platform's list of hosts while this node is one of its data centre's watchers.
+pub async fn read_hosts(member: Arc<Member>) {
+    loop {
+        sleep(HOSTS_INTERVAL).await;
+        if !is_watcher(&member) {
+            continue;
+        }
+        if let Ok(hosts) = member.platform.hosts().await {
+            let leaving = hosts.iter().filter(|host| host.leaving);
+            member.set_leaving(leaving.filter_map(|host| host.name.parse().ok()).collect());
+        }
+    }
+}
+
+/// Whether this node reads news from the platform for its data centre.
+pub fn is_watcher(member: &Member) -> bool {
+    let map = member.map();
+    let me = member.node();
+    let here = |other: &&shard::Member| other.data_centre == member.settings.data_centre;
+    let rank = map
+        .members
+        .iter()
+        .filter(here)
+        .position(|other| other.node == me);
+    rank.is_some_and(|rank| rank < WATCHERS)
+}
