--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use coord::id;
+use coord::refusal::Code;
 use dropshot::Body;
 use futures::StreamExt;
 use http::HeaderName;
@@ -24,7 +25,6 @@
 use crate::message::Text;
 use crate::plain;
 use crate::refusal;
-use crate::refusal::code;
 use crate::request::Chat;
 use crate::stream;
 use crate::stream::Broken;
@@ -200,7 +200,7 @@
     match frames.next().await {
         Some(Frame::Reply(reply)) => Ok(with_type(StatusCode::OK, JSON, Body::from(reply))),
         Some(Frame::Refusal(refusal)) => Err(refusal),
-        _ => Err(refusal::unknown(code::BROKEN, STEP, "the reply broke off")),
+        _ => Err(refusal::unknown(Code::Broken, STEP, "the reply broke off")),
     }
 }
 
--- a/crates/entry/src/auth.rs
+++ b/crates/entry/src/auth.rs
@@ -5,12 +5,12 @@
 
 use coord::config::Config;
 use coord::id;
+use coord::refusal::Code;
 use http::HeaderMap;
 use http::header;
 use wire::Refusal;
 
 use crate::refusal;
-use crate::refusal::code;
 
 /// Customer of requests without a key on public routes.
 pub const PUBLIC: &str = "public";
@@ -75,7 +75,7 @@
 
 /// Refusal for a missing, unknown or withdrawn key.
 pub fn unauthorized(message: &str) -> Refusal {
-    refusal::not_run(code::UNAUTHORIZED, STEP, message)
+    refusal::not_run(Code::Unauthorized, STEP, message)
 }
 
 fn bearer(headers: &HeaderMap) -> Option<&str> {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use coord::id;
 use coord::id::Shard;
+use coord::refusal::Code;
 use dropshot::ApiDescription;
 use dropshot::Body;
 use dropshot::ConfigDropshot;
@@ -324,12 +325,12 @@
 }
 
 fn program(name: &str) -> Result<id::Program, Refusal> {
-    let missing = || refusal::not_run(refusal::code::NOT_FOUND, "read", "no such program");
+    let missing = || refusal::not_run(Code::NotFound, "read", "no such program");
     name.parse().map_err(|_| missing())
 }
 
 fn no_route() -> Refusal {
-    refusal::not_run(refusal::code::NOT_FOUND, "read", "no such route")
+    refusal::not_run(Code::NotFound, "read", "no such route")
 }
 
 fn no_key_inside(caller: &Caller, bytes: &[u8]) -> Result<(), Refusal> {
--- a/crates/entry/src/ingress.rs
+++ b/crates/entry/src/ingress.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use coord::id::Shard;
+use coord::refusal::Code;
 use coord::time::Millis;
 use futures::StreamExt;
 use rand::Rng;
@@ -26,7 +27,6 @@
 use crate::member::Member;
 use crate::member::Peer;
 use crate::refusal;
-use crate::refusal::code;
 use crate::request;
 use crate::stream;
 use crate::stream::Frames;
@@ -104,7 +104,7 @@
         match taken < self.requests {
             true => Ok(slot),
             false => Err(refusal::retry_after(
-                refusal::not_run(code::OVERLOADED, STEP, "too many requests in progress"),
+                refusal::not_run(Code::Overloaded, STEP, "too many requests in progress"),
                 RETRY_AFTER,
             )),
         }
@@ -228,8 +228,8 @@
 fn given_up(lost: bool, why: &str, peer: &str) -> Refusal {
     let message = format!("the owner can't be reached: {why}");
     let refusal = match lost {
-        true => refusal::unknown(code::UNAVAILABLE, STEP, message),
-        false => refusal::not_run(code::UNAVAILABLE, STEP, message),
+        true => refusal::unknown(Code::Unavailable, STEP, message),
+        false => refusal::not_run(Code::Unavailable, STEP, message),
     };
     refusal::at(refusal::retry_after(refusal, RETRY_AFTER), peer)
 }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -8,6 +8,7 @@
 use coord::id::Shard;
 use coord::id::Tokens;
 use coord::record::Call;
+use coord::refusal::Code;
 use http::Method;
 use tokio::time::Instant;
 use wire::CallRequest;
@@ -17,7 +18,6 @@
 use crate::place::Service;
 use crate::plain;
 use crate::refusal;
-use crate::refusal::code;
 use crate::request;
 
 /// Bytes of text that count as one token in estimates.
@@ -154,7 +154,7 @@
 }
 
 fn service(work: &Work, config: &Config) -> Result<Service, Refusal> {
-    let missing = |what| refusal::not_run(code::NOT_FOUND, STEP, what);
+    let missing = |what| refusal::not_run(Code::NotFound, STEP, what);
     match work {
         Work::Chat { model, .. } => match config.model(model) {
             Some(_) => Ok(Service::Model(model.clone())),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,12 +4,14 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod auth;
 pub mod controller;
 pub mod dispatch;
 pub mod flight;
 pub mod job;
 pub mod message;
 pub mod options;
+pub mod out;
 pub mod place;
 pub mod plain;
 pub mod refusal;
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -3,6 +3,7 @@
 //! A refusal says whether the request ran. `Ran::No` is only ever set where nothing was sent to a
 //! target, or where its sidecar confirmed that nothing started and nothing will.
 
+use coord::refusal::Code;
 use http::Response;
 use http::StatusCode;
 use http::header;
@@ -13,30 +14,10 @@
 /// Longest time that `Retry-After` names, in seconds.
 const RETRY_AFTER_LIMIT: u64 = 3600;
 
-/// Stable texts of refusals, as callers see them.
-pub mod code {
-    pub const BAD_REQUEST: &str = "bad-request";
-    pub const BROKEN: &str = "broken-stream";
-    pub const CONFLICT: &str = "conflict";
-    pub const DEADLINE: &str = "deadline";
-    pub const DRAINING: &str = "draining";
-    pub const EXPIRED: &str = "expired";
-    pub const FAILED: &str = "failed";
-    pub const NOT_FOUND: &str = "not-found";
-    pub const NOT_RUN: &str = "not-run";
-    pub const OUTCOME_UNKNOWN: &str = "outcome-unknown";
-    pub const OVERLOADED: &str = "overloaded";
-    pub const QUARANTINED: &str = "quarantined";
-    pub const RATE_LIMITED: &str = "rate-limited";
-    pub const TOO_LARGE: &str = "too-large";
-    pub const UNAUTHORIZED: &str = "unauthorized";
-    pub const UNAVAILABLE: &str = "unavailable";
-}
-
 /// A refusal of something that never ran.
-pub fn not_run(code: &str, step: &str, message: impl Into<String>) -> Refusal {
+pub fn not_run(code: Code, step: &str, message: impl Into<String>) -> Refusal {
     Refusal {
-        code: code.into(),
+        code: code.as_str().into(),
         ran: Ran::No.into(),
         message: message.into(),
         retry_after_ms: 0,
@@ -46,7 +27,7 @@
 }
 
 /// A refusal of something that may have run.
-pub fn unknown(code: &str, step: &str, message: impl Into<String>) -> Refusal {
+pub fn unknown(code: Code, step: &str, message: impl Into<String>) -> Refusal {
     Refusal {
         ran: Ran::Unknown.into(),
         ..not_run(code, step, message)
@@ -80,21 +61,33 @@
 
 /// HTTP status of a refusal.
 pub fn status(refusal: &Refusal) -> StatusCode {
-    match refusal.code.as_str() {
-        code::BAD_REQUEST => StatusCode::BAD_REQUEST,
-        code::UNAUTHORIZED => StatusCode::UNAUTHORIZED,
-        code::NOT_FOUND => StatusCode::NOT_FOUND,
-        code::TOO_LARGE => StatusCode::PAYLOAD_TOO_LARGE,
-        code::RATE_LIMITED => StatusCode::TOO_MANY_REQUESTS,
-        code::CONFLICT | "out-of-order" | "ended" | "looped" => StatusCode::CONFLICT,
-        "budget" => StatusCode::PAYMENT_REQUIRED,
-        code::QUARANTINED => StatusCode::UNPROCESSABLE_ENTITY,
-        code::DEADLINE | code::EXPIRED => StatusCode::GATEWAY_TIMEOUT,
-        code::OUTCOME_UNKNOWN | code::BROKEN | code::FAILED => StatusCode::BAD_GATEWAY,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
+    let code: Option<Code> = refusal.code.parse().ok();
+    let status = code.and_then(|code| StatusCode::from_u16(code.status()).ok());
+    status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+/// A decision's refusal as a message between processes.
+pub fn from_decision(refusal: coord::refusal::Refusal, step: &str) -> Refusal {
+    let ran = match refusal.ran {
+        coord::refusal::Ran::No => Ran::No,
+        coord::refusal::Ran::Yes => Ran::Yes,
+        coord::refusal::Ran::Unknown => Ran::Unknown,
+    };
+    Refusal {
+        code: refusal.code.as_str().into(),
+        ran: ran.into(),
+        message: refusal.message.to_string(),
+        retry_after_ms: refusal.retry_after.map_or(0, |wait| wait.0),
+        step: step.into(),
+        peer: String::new(),
     }
 }
 
+/// Whether a refusal has this code.
+pub fn is(refusal: &Refusal, code: Code) -> bool {
+    refusal.code == code.as_str()
+}
+
 /// Body of an error answer.
 #[derive(Debug, Serialize)]
 struct Body<'a> {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use coord::id;
+use coord::refusal::Code;
 use dropshot::StreamingBody;
 use futures::StreamExt;
 use http::HeaderMap;
@@ -16,7 +17,6 @@
 use wire::Refusal;
 
 use crate::refusal;
-use crate::refusal::code;
 use crate::settings::Limits;
 
 /// Names a request, so that it can be sent again.
@@ -103,7 +103,7 @@
     let gather = gather(body, limits);
     match tokio::time::timeout_at(deadline, gather).await {
         Ok(body) => body,
-        Err(_) => Err(refusal::not_run(code::DEADLINE, READ, "the body is late")),
+        Err(_) => Err(refusal::not_run(Code::Deadline, READ, "the body is late")),
     }
 }
 
@@ -174,7 +174,7 @@
 
 /// Refusal of a request that can't be understood.
 pub fn bad(message: impl Into<String>) -> Refusal {
-    refusal::not_run(code::BAD_REQUEST, READ, message)
+    refusal::not_run(Code::BadRequest, READ, message)
 }
 
 fn is_message(value: &Value) -> bool {
@@ -192,7 +192,7 @@
 
 fn too_large(limits: &Limits) -> Refusal {
     let message = format!("the body is larger than {} bytes", limits.body_bytes);
-    refusal::not_run(code::TOO_LARGE, READ, message)
+    refusal::not_run(Code::TooLarge, READ, message)
 }
 
 fn announced(headers: &HeaderMap) -> usize {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -1,5 +1,6 @@
 //! Frames of one call's answer, and bodies that stream out of them.
 
+use coord::refusal::Code;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::Context;
@@ -13,7 +14,6 @@
 use wire::call_frame::Frame;
 
 use crate::refusal;
-use crate::refusal::code;
 
 /// What comes back for one call, in order; whole if it ends in `Done` or `Reply`.
 pub type Frames = Pin<Box<dyn Stream<Item = Frame> + Send>>;
@@ -91,7 +91,7 @@
 
 /// Refusal in place of the rest of an answer.
 pub fn broken() -> Refusal {
-    refusal::unknown(code::BROKEN, "stream", "the answer broke off midway")
+    refusal::unknown(Code::Broken, "stream", "the answer broke off midway")
 }
 
 /// Parts that can't break.
