Show the whole way of a call at its owner

Cause: authority, key, ledger, admission, target, record, dispatch, outcome and last frame come in a fixed order. Ruled out: settling in the background after the last frame, since the caller would hold an answer that a fail-over forgets.

--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -50,6 +50,8 @@
     pub idempotent: bool,
     /// Whether the ledger keeps it: all but idempotent calls that nobody can name again.
     pub recorded: bool,
+    /// The name was made for this very try.
+    pub fresh: bool,
     pub program: Option<id::Program>,
     pub service: Service,
     pub work: Work,
@@ -88,6 +90,7 @@
             shard: shard(&call),
             deadline: Instant::now() + Duration::from_millis(request.deadline_ms),
             content: content(&work),
+            fresh: !named && request.hops == 0,
             recorded: !idempotent || named || program.is_some(),
             call,
             customer,
--- /dev/null
+++ b/crates/entry/src/ledger.rs
@@ -0,0 +1,279 @@
+//! The owner's decisions on a call, made at its shard and waited for until they stand in two places.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use coord::decision::Begin;
+use coord::decision::Decision;
+use coord::id;
+use coord::id::Attempt;
+use coord::id::Target;
+use coord::id::Tokens;
+use coord::record::Answer;
+use coord::record::Call;
+use coord::record::Outcome;
+use coord::refusal::Code;
+use coord::replica::Replica;
+use coord::segment::History;
+use wire::Refusal;
+
+use crate::clock::unix_ms;
+use crate::job;
+use crate::job::Job;
+use crate::job::Work;
+use crate::refusal;
+use crate::shards::Durable;
+use crate::shards::Moved;
+use crate::shards::Shards;
+
+const STEP: &str = "ledger";
+/// Tokens that an engine may count for each message beyond its text.
+const MESSAGE_TOKENS: u64 = 8;
+/// When to come back after records didn't reach a second place, in milliseconds.
+const RETRY_AFTER: u64 = 1000;
+
+/// Why a call goes no further here.
+#[derive(Debug)]
+pub enum Stop {
+    Refused(Refusal),
+    /// This node doesn't own the shard.
+    Moved(Moved),
+    /// Nobody waits for the answer any more.
+    Gone,
+}
+
+impl From<Moved> for Stop {
+    fn from(moved: Moved) -> Stop {
+        Stop::Moved(moved)
+    }
+}
+
+impl From<Refusal> for Stop {
+    fn from(refusal: Refusal) -> Stop {
+        Stop::Refused(refusal)
+    }
+}
+
+/// What becomes of a call.
+#[derive(Debug)]
+pub enum Turn {
+    /// It may be dispatched, with what came before.
+    Go(Prompt),
+    Replay(Arc<Answer>),
+    /// In flight already.
+    Attach,
+    /// Ahead of its turn.
+    Early,
+}
+
+/// What an engine is to read.
+#[derive(Debug, Clone, Default)]
+pub struct Prompt {
+    /// JSON array.
+    pub messages: Bytes,
+    pub tokens: Tokens,
+    /// Tokens that the program has been served.
+    pub attained: Tokens,
+}
+
+/// What becomes of a call before it has a target.
+pub async fn review(shards: &Arc<Shards>, job: &Job) -> Result<Turn, Stop> {
+    if !job.recorded {
+        return Ok(Turn::Go(prompt(job, None)?));
+    }
+    let ask = ask(job, unplaced(), id_of_no_target(), Tokens(0), Tokens(0));
+    let (turn, durable) = shards.decide(job.shard, |replica| {
+        let (records, decision) = split(replica.review(&ask));
+        let seen = decision.is_none().then(|| Seen::new(replica, job));
+        (records, (decision, seen))
+    })?;
+    match turn {
+        (Some(decision), _) => settled(decision, durable).await,
+        (None, seen) => Ok(Turn::Go(prompt(job, seen)?)),
+    }
+}
+
+/// Records the dispatch of an attempt; it may be sent once this returns `Go`.
+pub async fn begin(
+    shards: &Arc<Shards>,
+    job: &Job,
+    attempt: &Attempt,
+    target: &Target,
+    prompt: &Prompt,
+) -> Result<Turn, Stop> {
+    if !job.recorded {
+        return Ok(Turn::Go(prompt.clone()));
+    }
+    let attempt = attempt.clone();
+    let ask = ask(job, attempt, target.clone(), prompt.tokens, job.max_tokens());
+    let (decision, durable) = shards.decide(job.shard, |replica| {
+        let (records, decision) = split(Some(replica.begin(ask)));
+        (records, decision)
+    })?;
+    match decision {
+        Some(decision) => settled(decision, durable).await,
+        None => match durable.wait().await {
+            Ok(()) => Ok(Turn::Go(prompt.clone())),
+            Err(_) => Err(no_second_place().into()),
+        },
+    }
+}
+
+/// Records the outcome of an attempt.
+pub async fn settle(
+    shards: &Arc<Shards>,
+    job: &Job,
+    attempt: &Attempt,
+    outcome: Outcome,
+) -> Result<(), Stop> {
+    if !job.recorded {
+        return Ok(());
+    }
+    record_outcome(shards, &job.call, job.shard, attempt, outcome).await
+}
+
+/// Records the outcome of an attempt of any call.
+pub async fn record_outcome(
+    shards: &Arc<Shards>,
+    call: &Call,
+    shard: id::Shard,
+    attempt: &Attempt,
+    outcome: Outcome,
+) -> Result<(), Stop> {
+    let (awaited, durable) = shards.decide(shard, |replica| {
+        let records = replica.settle(call, attempt, outcome, unix_ms());
+        let awaited = !records.is_empty();
+        (records, awaited)
+    })?;
+    let lost = || refusal::unknown(Code::OutcomeUnknown, STEP, "the outcome wasn't recorded");
+    match durable.wait().await {
+        Ok(()) if awaited => Ok(()),
+        Ok(()) | Err(_) => Err(lost().into()),
+    }
+}
+
+/// Waits for what a decision rests on.
+async fn settled(decision: Decision, durable: Durable) -> Result<Turn, Stop> {
+    if durable.wait().await.is_err() {
+        return Err(no_second_place().into());
+    }
+    match decision {
+        Decision::Replay(answer) => Ok(Turn::Replay(answer)),
+        Decision::Attach => Ok(Turn::Attach),
+        Decision::Early => Ok(Turn::Early),
+        Decision::Refuse(refusal) | Decision::Close(_, refusal) => {
+            Err(refusal::from_decision(refusal, STEP).into())
+        }
+        Decision::Dispatch(_) => Err(no_second_place().into()),
+    }
+}
+
+/// Records to write, and the decision unless it is to dispatch.
+fn split(decision: Option<Decision>) -> (Vec<coord::record::Record>, Option<Decision>) {
+    match decision {
+        None => (Vec::new(), None),
+        Some(Decision::Dispatch(records)) => (records, None),
+        Some(Decision::Close(records, refusal)) => (records, Some(Decision::Refuse(refusal))),
+        Some(decision) => (Vec::new(), Some(decision)),
+    }
+}
+
+/// What a program's state holds for its next step.
+struct Seen {
+    history: Option<History>,
+    attained: Tokens,
+}
+
+impl Seen {
+    fn new(replica: &Replica, job: &Job) -> Seen {
+        let program = job.program.as_ref();
+        let history = program.and_then(|program| replica.snapshot(program));
+        let state = program.and_then(|program| replica.program(program));
+        Seen {
+            history,
+            attained: state.map_or(Tokens(0), |state| state.spent),
+        }
+    }
+}
+
+fn prompt(job: &Job, seen: Option<Seen>) -> Result<Prompt, Refusal> {
+    let Work::Chat { messages, .. } = &job.work else {
+        return Ok(Prompt::default());
+    };
+    let attained = seen.as_ref().map_or(Tokens(0), |seen| seen.attained);
+    let history = seen.and_then(|seen| seen.history);
+    let messages = match history.map(|history| history.messages()) {
+        None => messages.clone(),
+        Some(Ok(history)) => join(&history, messages),
+        Some(Err(broken)) => {
+            let message = broken.to_string();
+            return Err(refusal::not_run(Code::Unavailable, STEP, message));
+        }
+    };
+    Ok(Prompt {
+        tokens: estimate(&messages),
+        messages,
+        attained,
+    })
+}
+
+/// Upper bound of the tokens of some messages.
+fn estimate(messages: &[u8]) -> Tokens {
+    let count = messages.split(|byte| *byte == b'{').count() as u64;
+    Tokens(job::estimate(messages).0 + count * MESSAGE_TOKENS)
+}
+
+/// Two JSON arrays in one.
+fn join(first: &[u8], second: &[u8]) -> Bytes {
+    let first = first.trim_ascii();
+    let second = second.trim_ascii();
+    match (first, second) {
+        (b"[]", second) => Bytes::copy_from_slice(second),
+        (first, b"[]") => Bytes::copy_from_slice(first),
+        (first, second) => {
+            let head = first.strip_suffix(b"]").unwrap_or(first);
+            let tail = second.strip_prefix(b"[").unwrap_or(second);
+            [head, b",", tail].concat().into()
+        }
+    }
+}
+
+fn ask(
+    job: &Job,
+    attempt: Attempt,
+    target: Target,
+    estimate: Tokens,
+    max_tokens: Tokens,
+) -> Begin {
+    Begin {
+        call: job.call.clone(),
+        customer: job.customer.clone(),
+        attempt,
+        target,
+        content: job.content,
+        input: job.input(),
+        model: job.model(),
+        estimate,
+        max_tokens,
+        idempotent: job.idempotent,
+        fresh: job.fresh,
+        at_ms: unix_ms(),
+    }
+}
+
+fn unplaced() -> Attempt {
+    crate::attempt::fresh(None)
+}
+
+fn id_of_no_target() -> Target {
+    match "none".parse() {
+        Ok(target) => target,
+        Err(_) => unreachable!("a valid name"),
+    }
+}
+
+fn no_second_place() -> Refusal {
+    let message = "the decision doesn't stand in two places";
+    let refusal = refusal::not_run(Code::Unavailable, STEP, message);
+    refusal::retry_after(refusal, RETRY_AFTER)
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -33,7 +33,7 @@
 use crate::dispatch::Fence;
 use crate::job::Job;
 use crate::job::Work;
-use crate::member::Authority;
+use crate::lease::Authority;
 use crate::out::Out;
 use crate::refusal;
 
