--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod auth;
+pub mod command;
 pub mod controller;
 pub mod dispatch;
 pub mod flight;
