--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,7 +4,9 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod auth;
 pub mod clock;
+pub mod command;
 pub mod controller;
 pub mod dispatch;
 pub mod fence;
@@ -17,6 +19,7 @@
 pub mod member;
 pub mod message;
 pub mod options;
+pub mod out;
 pub mod peer;
 pub mod place;
 pub mod plain;
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -259,7 +259,7 @@
         shard::Member {
             node: self.node(),
             data_centre: self.settings.data_centre.clone(),
-            peers: listen.peers,
+            peers: listen.advertised.unwrap_or(listen.peers),
             callers: listen.callers,
             leaving: false,
         }
