Serve operators and the whole entry from one controller

Cause: the parts of the entry need the flow that starts and stops them, and operators their tickets and the state dump.

--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -2,15 +2,26 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
 
 use node::command;
 use node::command::Exit;
+use node::metrics::Metrics;
 use node::settings;
+use node::shutdown;
 
+use crate::member::Member;
+use crate::operators;
+use crate::operators::Operators;
 use crate::options::Command;
 use crate::options::Options;
+use crate::service::Service;
 use crate::settings::Settings;
 
+/// Time for operators' open connections to close.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Does what the command line asks.
 pub fn run(options: Options) -> ExitCode {
     if options.version {
@@ -55,6 +66,19 @@
     }
 }
 
-async fn daemon(_settings: Settings) -> eyre::Result<()> {
-    eyre::bail!("the entry doesn't serve yet")
+async fn daemon(settings: Settings) -> eyre::Result<()> {
+    node::log::start(settings.node.as_str(), settings.log_level)?;
+    let metrics = Arc::new(Metrics::new()?);
+    let address = settings.listen.admin;
+    let limit = Duration::from_millis(settings.limits.timeout_max_ms.0);
+    let member = Member::start(settings);
+    let service = Service::start(Arc::clone(&member), &metrics.meter()).await?;
+    let admission = Arc::clone(&service.admission);
+    let operators = Operators { member, admission, metrics };
+    let admin = operators::serve(operators, address)?;
+    shutdown::requested().await?;
+    log::info!("stopping as planned");
+    service.stop(limit).await;
+    let _ = tokio::time::timeout(CLOSE_TIMEOUT, admin.close()).await;
+    Ok(())
 }
