--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -6,7 +6,6 @@
 //! leaves; any other is cancelled.
 
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
 
 use coord::Set;
@@ -176,7 +175,7 @@
             let end = run::run(self, job, &attempt, out).await;
             match self.finish(job, &attempt, end, out).await? {
                 None => return Ok(()),
-                Some(again) => self.pause(job, &attempt, &mut trials, again).await?,
+                Some(again) => self.pause(job, &attempt, &mut trials, again, out).await?,
             }
             prompt = attempt.into_prompt();
         }
@@ -247,6 +246,7 @@
         self.check(job)?;
         let choice = self.place(job, trials, &prompt)?;
         let name = attempt::fresh(choice.incarnation.as_deref());
+        let own = self.flight.claim(&name);
         let target = &choice.target.id;
         let shards = self.member.shards();
         let turn = match ledger::begin(shards, job, &name, target, &prompt).await {
@@ -265,6 +265,7 @@
                 self.table.sent(target, id::Tokens(cost), Instant::now());
                 Ok(Begun::Attempt(Attempt {
                     name,
+                    own,
                     alone: self.verdict(job) == Verdict::Suspect,
                     target: choice.target,
                     authority,
@@ -303,7 +304,12 @@
             barred: &trials.barred,
         };
         let leaving = |target: &id::Target| self.member.leaving(target);
-        let choice = self.table.choose(&question, leaving, Instant::now());
+        let now = Instant::now();
+        let choice = self.table.choose(&question, leaving, now).or_else(|| {
+            let barred = &Set::default();
+            let all = Question { barred, ..question };
+            self.table.choose(&all, leaving, now)
+        });
         choice.ok_or_else(|| no_target().into())
     }
 
@@ -391,7 +397,11 @@
         attempt: &Attempt,
         trials: &mut Trials,
         again: Again,
+        out: &Out,
     ) -> Result<(), Stop> {
+        if out.is_closed() && job.idempotent {
+            return Err(Stop::Gone);
+        }
         trials.count += 1;
         trials.barred.insert(attempt.target.id.clone());
         let delay = crate::clock::duration(trials.delay.next(rand::rng().random()));
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! One attempt at a target: the stream to its sidecar, and what comes back.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use coord::id::Attempt;
@@ -34,6 +35,9 @@
 /// Longest wait for the reply to a cancel.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// A way to a sidecar.
+pub type Client = TargetClient<Channel>;
+
 /// What an attempt reports.
 #[derive(Debug)]
 pub enum Event {
@@ -58,7 +62,7 @@
     /// Sends the work to the sidecar.
     ///
     /// Errors: the stream wasn't opened; the work may have arrived all the same.
-    pub async fn start(channel: Channel, start: Start) -> Result<Dispatch, tonic::Status> {
+    pub async fn start(mut client: Client, start: Start) -> Result<Dispatch, tonic::Status> {
         let (messages, queue) = mpsc::channel(MESSAGES);
         let first = DispatchMessage {
             message: Some(Message::Start(start)),
@@ -66,9 +70,6 @@
         messages
             .try_send(first)
             .map_err(|_| tonic::Status::internal("the first message found no room"))?;
-        let mut client = TargetClient::new(channel)
-            .max_decoding_message_size(wire::MESSAGE_LIMIT)
-            .max_encoding_message_size(wire::MESSAGE_LIMIT);
         let frames = client.dispatch(ReceiverStream::new(queue)).await?;
         Ok(Dispatch {
             messages,
@@ -105,6 +106,18 @@
     }
 }
 
+/// Whether a stream wasn't opened because nobody listens, so that nothing was sent.
+pub fn is_refused(status: &tonic::Status) -> bool {
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        match error.downcast_ref::<std::io::Error>() {
+            Some(error) if error.kind() == ErrorKind::ConnectionRefused => return true,
+            _ => source = error.source(),
+        }
+    }
+    false
+}
+
 fn event(frame: Frame) -> Event {
     match frame {
         Frame::Started(started) => Event::Started(started),
@@ -130,7 +143,7 @@
 
 /// Cancels an attempt, or fences it off before it arrives.
 pub async fn cancel(
-    channel: Channel,
+    mut client: Client,
     attempt: &Attempt,
     fence: &Fence,
 ) -> Result<CancelReply, tonic::Status> {
@@ -141,7 +154,6 @@
         epoch: fence.epoch.0,
         keep_ms: TOMBSTONE.as_millis() as u64,
     };
-    let mut client = TargetClient::new(channel);
     match tokio::time::timeout(CANCEL_TIMEOUT, client.cancel(request)).await {
         Ok(reply) => reply.map(tonic::Response::into_inner),
         Err(_) => Err(tonic::Status::deadline_exceeded("no reply to the cancel")),
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -6,8 +6,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use coord::Set;
+use coord::id::Attempt;
 use coord::id::SHARDS;
 use coord::id::Shard;
+use parking_lot::Mutex;
 use tokio::sync::Notify;
 
 /// Longest wait before a waiting call looks again by itself.
@@ -23,6 +26,20 @@
 #[derive(Debug, Clone)]
 pub struct Flight {
     slots: Arc<[Slot]>,
+    own: Arc<Mutex<Set<Attempt>>>,
+}
+
+/// An attempt of this process, until dropped.
+#[derive(Debug)]
+pub struct Own {
+    flight: Flight,
+    attempt: Attempt,
+}
+
+impl Drop for Own {
+    fn drop(&mut self) {
+        self.flight.own.lock().remove(&self.attempt);
+    }
 }
 
 /// A call in progress, until dropped.
@@ -45,6 +62,7 @@
         let slots = (0..SHARDS).map(|_| Slot::default());
         Flight {
             slots: slots.collect(),
+            own: Arc::default(),
         }
     }
 }
@@ -59,6 +77,20 @@
         }
     }
 
+    /// Claims an attempt for a call of this process.
+    pub fn claim(&self, attempt: &Attempt) -> Own {
+        self.own.lock().insert(attempt.clone());
+        Own {
+            flight: self.clone(),
+            attempt: attempt.clone(),
+        }
+    }
+
+    /// Whether a call of this process follows an attempt.
+    pub fn is_own(&self, attempt: &Attempt) -> bool {
+        self.own.lock().contains(attempt)
+    }
+
     /// Calls in progress in one shard.
     pub fn calls(&self, shard: Shard) -> usize {
         self.slot(shard).calls.load(Ordering::Relaxed)
--- a/crates/entry/src/ingress.rs
+++ b/crates/entry/src/ingress.rs
@@ -13,7 +13,7 @@
 use coord::refusal::Code;
 use coord::time::Millis;
 use futures::StreamExt;
-use rand::Rng;
+use rand::RngExt;
 use sched::retry::Delay;
 use tokio::time::Instant;
 use wire::CallFrame;
--- a/crates/entry/src/out.rs
+++ b/crates/entry/src/out.rs
@@ -49,6 +49,11 @@
         self.ended.load(Ordering::Relaxed)
     }
 
+    /// Whether nobody waits for the answer any more.
+    pub fn is_closed(&self) -> bool {
+        self.frames.is_closed()
+    }
+
     /// Resolves when nobody waits for the answer any more.
     pub async fn closed(&self) {
         self.frames.closed().await;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -24,6 +24,8 @@
     header::PROXY_AUTHENTICATE,
 ];
 
+/// Names the request to the target, the same in every attempt.
+const REQUEST_ID: &str = "x-request-id";
 const KEEP_ALIVE: &str = "keep-alive";
 
 /// Whether a method is idempotent on any route.
@@ -43,8 +45,12 @@
 }
 
 /// Headers for the target.
-pub fn headers(headers: &HeaderMap, customer: &Customer) -> Vec<wire::Header> {
+pub fn headers(headers: &HeaderMap, customer: &Customer, request: &str) -> Vec<wire::Header> {
     let named = nominated(headers);
+    let own = (!headers.contains_key(REQUEST_ID)).then(|| wire::Header {
+        name: REQUEST_ID.to_string(),
+        value: format!("{customer}:{request}").into(),
+    });
     headers
         .iter()
         .filter(|(name, _)| passes(name) && !named.iter().any(|other| other == name.as_str()))
@@ -52,6 +58,7 @@
             name: name.to_string(),
             value: scoped(name, value.as_bytes(), customer),
         })
+        .chain(own)
         .collect()
 }
 
--- /dev/null
+++ b/crates/entry/src/resolve.rs
@@ -0,0 +1,103 @@
+//! Calls that a former owner of a shard had in flight, resolved by the new one.
+//!
+//! Each attempt is fenced off at the sidecar that it was sent to. What surely never ran may be sent
+//! again; what may have run is final, unless it may be repeated.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::decision::Flight;
+use coord::id::Epoch;
+use coord::id::Shard;
+use coord::record::Outcome;
+use futures::StreamExt;
+use tokio::sync::broadcast::error::RecvError;
+
+use crate::call::Call;
+use crate::dispatch;
+use crate::dispatch::Fence;
+use crate::ledger;
+use crate::run;
+use crate::shards::Gained;
+
+const STEP: &str = "resolve";
+/// Attempts resolved at once in one shard.
+const CONCURRENCY: usize = 16;
+/// Tries to reach the sidecar of an attempt.
+const TRIES: u32 = 4;
+/// Pause between two tries.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Resolves each shard that this node gains, until the process ends.
+pub async fn keep(call: Arc<Call>) {
+    let mut gained = call.member.shards().gained();
+    loop {
+        match gained.recv().await {
+            Ok(Gained { shard, epoch }) => start(&call, shard, epoch),
+            Err(RecvError::Lagged(_)) => all(&call),
+            Err(RecvError::Closed) => return,
+        }
+    }
+}
+
+/// Resolves all shards that this node owns at present.
+pub fn all(call: &Arc<Call>) {
+    for number in 0..coord::id::SHARDS {
+        let shard = Shard(number);
+        if let Some(authority) = call.member.authority(shard) {
+            start(call, shard, authority.epoch);
+        }
+    }
+}
+
+fn start(call: &Arc<Call>, shard: Shard, epoch: Epoch) {
+    let call = Arc::clone(call);
+    tokio::spawn(async move { resolve(&call, shard, epoch).await });
+}
+
+async fn resolve(call: &Call, shard: Shard, epoch: Epoch) {
+    let flights = call.member.shards().inspect(shard, |state| state.replica.in_flight());
+    let fence = Fence {
+        node: call.member.node(),
+        shard,
+        epoch,
+    };
+    let flights = flights.unwrap_or_default().into_iter();
+    let flights = flights.filter(|flight| !call.flight.is_own(&flight.attempt));
+    let resolved = flights.map(|flight| settle(call, &fence, flight));
+    let resolved = futures::stream::iter(resolved).buffer_unordered(CONCURRENCY);
+    resolved.collect::<Vec<()>>().await;
+}
+
+async fn settle(call: &Call, fence: &Fence, flight: Flight) {
+    let fenced = is_fenced(call, fence, &flight).await;
+    let outcome = match fenced || flight.idempotent {
+        true => Outcome::NotRun,
+        false => Outcome::Unknown,
+    };
+    let shards = call.member.shards();
+    let settled =
+        ledger::record_outcome(shards, &flight.call, fence.shard, &flight.attempt, outcome).await;
+    if settled.is_err() {
+        log::warn!(step = STEP, peer = flight.target.as_str(); "the outcome wasn't recorded");
+    }
+    call.flight.settled(fence.shard);
+}
+
+async fn is_fenced(call: &Call, fence: &Fence, flight: &Flight) -> bool {
+    let config = call.member.config();
+    let Some(target) = config.target(&flight.target) else {
+        return false;
+    };
+    for _ in 0..TRIES {
+        let client = call.member.peers().target(target.sidecar);
+        match dispatch::cancel(client, &flight.attempt, fence).await {
+            Ok(reply) => return run::never_ran(&flight.attempt, &reply),
+            Err(status) => {
+                log::warn!(step = STEP, peer = flight.target.as_str(); "{}", status.message());
+            }
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    false
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -13,7 +13,6 @@
 use coord::record::Answer;
 use coord::refusal::Code;
 use tokio::time::MissedTickBehavior;
-use tonic::transport::Channel;
 use wire::CancelReply;
 use wire::Crashed;
 use wire::Done;
@@ -28,11 +27,14 @@
 use crate::auth;
 use crate::call::Call;
 use crate::dispatch;
+use crate::dispatch::Client;
 use crate::dispatch::Dispatch;
 use crate::dispatch::Event;
 use crate::dispatch::Fence;
+use crate::flight::Own;
 use crate::job::Job;
 use crate::job::Work;
+use crate::ledger::Prompt;
 use crate::lease::Authority;
 use crate::out::Out;
 use crate::refusal;
@@ -46,6 +48,8 @@
 const GRACE: Duration = Duration::from_secs(1);
 /// Time beyond the deadline for work that can't be repeated to be answered and recorded.
 const LINGER: Duration = Duration::from_secs(60);
+/// When to come back to a target that can't be reached, in milliseconds.
+const RETRY_AFTER: u64 = 1000;
 /// Largest answer that is kept for repeats, in bytes.
 const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
 
@@ -70,6 +74,7 @@
 #[derive(Debug)]
 pub struct Attempt {
     pub name: id::Attempt,
+    pub own: Own,
     pub target: config::Target,
     pub authority: Authority,
     /// The whole history, for chats.
@@ -85,6 +90,8 @@
     attempt: &'a Attempt,
     out: &'a Out,
     started: bool,
+    /// No connection could be opened.
+    unsent: bool,
     withdrawn: bool,
     cancelled: bool,
     head: Option<Head>,
@@ -100,6 +107,7 @@
         attempt,
         out,
         started: false,
+        unsent: false,
         withdrawn: false,
         cancelled: false,
         head: None,
@@ -111,21 +119,22 @@
 
 impl Run<'_> {
     async fn run(&mut self) -> End {
-        let channel = self.call.member.peers().target(self.attempt.target.sidecar);
+        let client = self.call.member.peers().target(self.attempt.target.sidecar);
         let start = self.start();
-        let sent = Dispatch::start(channel.clone(), start);
+        let sent = Dispatch::start(client.clone(), start);
         match tokio::time::timeout(START_TIMEOUT, sent).await {
             Ok(Ok(mut dispatch)) => match self.follow(&mut dispatch).await {
                 Some(end) => end,
-                None => self.lost(channel).await,
+                None => self.lost(client).await,
             },
             Ok(Err(status)) => {
+                self.unsent = dispatch::is_refused(&status);
                 self.unreachable(status.message());
-                self.lost(channel).await
+                self.lost(client).await
             }
             Err(_) => {
                 self.unreachable("the sidecar doesn't take the work");
-                self.lost(channel).await
+                self.lost(client).await
             }
         }
     }
@@ -146,8 +155,8 @@
             attained: self.attempt.attained.0,
             idempotent: self.job.idempotent,
             fingerprint: self.job.fingerprint(),
-            start_by_ms: self.start_by(authority).as_millis() as u64,
-            deadline_ms: self.job.left().as_millis() as u64,
+            start_by_ms: millis(self.start_by(authority)),
+            deadline_ms: millis(self.time_to_run()),
             prompt_tokens: self.attempt.prompt.0,
             alone: self.attempt.alone,
             work: Some(self.work()),
@@ -168,6 +177,14 @@
         }
     }
 
+    /// How long from now the work may run.
+    fn time_to_run(&self) -> Duration {
+        match self.job.idempotent {
+            true => self.job.left(),
+            false => self.job.left() + LINGER,
+        }
+    }
+
     /// How long from now the work may start.
     fn start_by(&self, authority: &Authority) -> Duration {
         let authority = authority.until.saturating_duration_since(Instant::now());
@@ -291,18 +308,17 @@
     }
 
     /// The stream broke: only a fence at the same incarnation shows that nothing ran.
-    async fn lost(&mut self, channel: Channel) -> End {
+    async fn lost(&mut self, client: Client) -> End {
         let fence = Fence {
             node: self.call.settings.node.clone(),
             shard: self.job.shard,
             epoch: self.attempt.authority.epoch,
         };
-        let reply = dispatch::cancel(channel, &self.attempt.name, &fence).await;
-        match reply {
-            Ok(reply) if !self.started && never_ran(&self.attempt.name, &reply) => {
-                let message = "the target can't be reached";
-                End::NotRun(self.located(refusal::not_run(Code::NotRun, STEP, message)))
-            }
+        if self.unsent {
+            return self.not_run();
+        }
+        match dispatch::cancel(client, &self.attempt.name, &fence).await {
+            Ok(reply) if !self.started && never_ran(&self.attempt.name, &reply) => self.not_run(),
             _ => {
                 let message = "the target was lost; the request may have run";
                 let refusal = refusal::unknown(Code::OutcomeUnknown, STEP, message);
@@ -311,6 +327,13 @@
         }
     }
 
+    fn not_run(&self) -> End {
+        let message = "the target can't be reached";
+        let refusal = refusal::not_run(Code::NotRun, STEP, message);
+        let refusal = refusal::retry_after(refusal, RETRY_AFTER);
+        End::NotRun(self.located(refusal))
+    }
+
     fn unreachable(&self, why: &str) {
         let target = &self.attempt.target.id;
         self.call.table.failed(target, Instant::now());
@@ -331,12 +354,28 @@
     Lost,
 }
 
+impl Attempt {
+    /// What the engine was to read, for another attempt.
+    pub fn into_prompt(self) -> Prompt {
+        Prompt {
+            messages: self.messages,
+            tokens: self.prompt,
+            attained: self.attained,
+        }
+    }
+}
+
 /// Whether a sidecar's reply to a cancel shows that the attempt never ran.
 pub fn never_ran(name: &id::Attempt, reply: &CancelReply) -> bool {
     let incarnation = attempt::incarnation(name);
     reply.state() == State::Fenced && incarnation == Some(reply.incarnation.as_str())
 }
 
+/// Milliseconds for a sidecar, to which 0 stands for no limit.
+fn millis(length: Duration) -> u64 {
+    (length.as_millis() as u64).max(1)
+}
+
 fn late() -> Refusal {
     let message = "the deadline has passed; the request goes on and its answer is recorded";
     refusal::unknown(Code::Deadline, STEP, message)
