Serve callers and other entries from one service

Ruled out: a handler task for each caller in detached mode; the owner's own task does that for what may not be repeated.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -32,8 +32,8 @@
 use crate::clock::unix_ms;
 use crate::job::Job;
 use crate::job::parse;
-use crate::ledger::Stop;
 use crate::lease::Authority;
+use crate::ledger::Stop;
 use crate::member::Member;
 use crate::refusal;
 
@@ -113,7 +113,11 @@
         loop {
             let request = AdmitRequest {
                 customer: job.customer.to_string(),
-                key_id: job.key.as_ref().map(ToString::to_string).unwrap_or_default(),
+                key_id: job
+                    .key
+                    .as_ref()
+                    .map(ToString::to_string)
+                    .unwrap_or_default(),
                 shard: shard.0.into(),
                 deadline_ms: job.left().as_millis() as u64,
                 public: job.key.is_none(),
@@ -174,7 +178,15 @@
             let limits = limits(&config, &customer, request)?;
             let authority = self.authority(shard)?;
             let left = end.saturating_duration_since(Instant::now());
-            match self.look(&slot, &customer, shard, authority, limits, left, &mut waiting)? {
+            match self.look(
+                &slot,
+                &customer,
+                shard,
+                authority,
+                limits,
+                left,
+                &mut waiting,
+            )? {
                 Look::Granted => {
                     return Ok(Granted {
                         weight: limits.weight,
@@ -208,9 +220,12 @@
         left: Duration,
         waiting: &mut Waiting<'_>,
     ) -> Result<Look, Stop> {
-        let now = self.member.clock().now();
+        let now = self.member.now();
         let mut held = slot.entry.lock();
-        if held.as_ref().is_none_or(|entry| entry.epoch != authority.epoch) {
+        if held
+            .as_ref()
+            .is_none_or(|entry| entry.epoch != authority.epoch)
+        {
             let (bucket, _durable) = self.member.shards().decide(shard, |replica| {
                 let bucket = replica.bucket(customer, limits.rate, limits.burst, now);
                 (Vec::new(), bucket)
@@ -256,7 +271,10 @@
         };
         let ((), durable) = self.member.shards().decide(shard, |_| (vec![record], ()))?;
         let epoch = durable.epoch();
-        durable.wait().await.map_err(|_| Stop::from(unreachable()))?;
+        durable
+            .wait()
+            .await
+            .map_err(|_| Stop::from(unreachable()))?;
         let mut held = slot.entry.lock();
         match held.as_mut() {
             Some(entry) if entry.epoch == epoch => entry.confirm(block.level),
@@ -268,7 +286,8 @@
     /// Whether another call had the block, or a newer one, confirmed meanwhile.
     fn is_confirmed(&self, slot: &Slot, block: Block) -> bool {
         let held = slot.entry.lock();
-        held.as_ref().is_some_and(|entry| entry.confirmed >= block.level)
+        held.as_ref()
+            .is_some_and(|entry| entry.confirmed >= block.level)
     }
 
     fn slot(&self, customer: &id::Customer) -> Arc<Slot> {
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -171,7 +171,7 @@
     let parts = async_stream::stream! {
         while let Some(frame) = frames.next().await {
             match frame {
-                Frame::Chunk(chunk) => yield Ok(Bytes::from(chunk)),
+                Frame::Chunk(chunk) => yield Ok(chunk),
                 Frame::Done(_) => return,
                 _ => break,
             }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -44,10 +44,7 @@
 }
 
 /// Starts serving callers.
-pub fn serve(
-    callers: Callers,
-    address: SocketAddr,
-) -> eyre::Result<HttpServer<Arc<Callers>>> {
+pub fn serve(callers: Callers, address: SocketAddr) -> eyre::Result<HttpServer<Arc<Callers>>> {
     let config = ConfigDropshot {
         bind_address: address,
         default_request_body_max_bytes: callers.body_limit() + BODY_MARGIN,
--- a/crates/entry/src/cache.rs
+++ b/crates/entry/src/cache.rs
@@ -58,7 +58,8 @@
     /// Where a program's history is cached, and how much of it.
     pub fn held(&self, program: &Program) -> Option<(Target, Tokens)> {
         let held = self.held.lock();
-        held.get(program).map(|held| (held.target.clone(), held.tokens))
+        held.get(program)
+            .map(|held| (held.target.clone(), held.tokens))
     }
 
     /// Number of histories held.
@@ -112,7 +113,9 @@
 
     fn programs(&self) -> Vec<(Program, Held)> {
         let held = self.held.lock();
-        let programs = held.iter().map(|(program, held)| (program.clone(), held.clone()));
+        let programs = held
+            .iter()
+            .map(|(program, held)| (program.clone(), held.clone()));
         programs.collect()
     }
 
@@ -145,13 +148,20 @@
     let hold = clock::duration(call.settings.limits.cache_hold_ms);
     let now = Instant::now();
     let due = call.caches.take_released();
-    let due = due.into_iter().filter(|(_, _, at)| now.saturating_duration_since(*at) < hold);
+    let due = due
+        .into_iter()
+        .filter(|(_, _, at)| now.saturating_duration_since(*at) < hold);
     let mut by_sidecar: Map<SocketAddr, Vec<(Program, Held, Instant)>> = Map::default();
     for release in due {
-        by_sidecar.entry(release.1.sidecar).or_default().push(release);
+        by_sidecar
+            .entry(release.1.sidecar)
+            .or_default()
+            .push(release);
     }
     for (sidecar, releases) in by_sidecar {
-        let leases = releases.iter().map(|(program, held, _)| lease(program, held, Duration::ZERO));
+        let leases = releases
+            .iter()
+            .map(|(program, held, _)| lease(program, held, Duration::ZERO));
         if !send(call, sidecar, leases.collect()).await {
             call.caches.keep_released(releases);
         }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -12,24 +12,19 @@
 use coord::id;
 use coord::id::Shard;
 use coord::record::Outcome;
-use coord::refusal::Code;
-use coord::time::Millis;
 use parking_lot::Mutex;
 use rand::RngExt;
 use sched::quarantine::Quarantine;
 use sched::quarantine::Verdict;
 use sched::retry::Budget;
-use sched::retry::Delay;
 use wire::CallRequest;
 use wire::Crashed;
 use wire::Done;
-use wire::Refusal;
 use wire::call_frame::Frame;
 use wire::call_request::What;
 
 use crate::admission::Admission;
 use crate::attempt;
-use crate::auth;
 use crate::cache::Caches;
 use crate::flight::Flight;
 use crate::instruments::Instruments;
@@ -38,7 +33,6 @@
 use crate::ledger::Prompt;
 use crate::ledger::Stop;
 use crate::ledger::Turn;
-use crate::lease::Authority;
 use crate::member::Member;
 use crate::out::Out;
 use crate::place::Choice;
@@ -54,15 +48,9 @@
 use crate::shards::Moved;
 use crate::stream;
 use crate::stream::Frames;
-
-const STEP: &str = "call";
-/// Bounds of the delay before another attempt.
-const DELAY_MIN: Millis = Millis(10);
-const DELAY_MAX: Millis = Millis(250);
-/// Attempts of one call at most.
-const ATTEMPTS: usize = 8;
-/// When to come back if no target can be had, in milliseconds.
-const RETRY_AFTER: u64 = 1000;
+use crate::trial;
+use crate::trial::Again;
+use crate::trial::Trials;
 
 /// Runs the calls of the shards that this node owns.
 pub struct Call {
@@ -77,13 +65,6 @@
     retries: Mutex<Budget>,
 }
 
-/// Attempts of one call so far.
-struct Trials {
-    count: usize,
-    barred: Set<id::Target>,
-    delay: Delay,
-}
-
 impl Call {
     /// Runs calls under a member's authority.
     pub fn new(
@@ -158,7 +139,7 @@
         };
         self.admission.admit(job).await?;
         self.retries.lock().sent();
-        let mut trials = Trials::new();
+        let mut trials = Trials::default();
         loop {
             let attempt = match self.begin(job, &trials, prompt).await? {
                 Begun::Attempt(attempt) => attempt,
@@ -181,47 +162,6 @@
         }
     }
 
-    /// Whether the call may go on: this node's authority, the caller's key, the quarantine.
-    fn check(&self, job: &Job) -> Result<Authority, Stop> {
-        let Some(authority) = self.member.authority(job.shard) else {
-            return Err(self.moved(job.shard));
-        };
-        self.allowed(job)?;
-        match self.verdict(job) {
-            Verdict::Quarantined => return Err(quarantined().into()),
-            Verdict::Free | Verdict::Suspect => {}
-        }
-        match authority.cautious && !job.idempotent {
-            true => Err(cautious().into()),
-            false => Ok(authority),
-        }
-    }
-
-    /// Whether the key, or the route without one, is still in force.
-    pub(crate) fn allowed(&self, job: &Job) -> Result<(), Refusal> {
-        let config = self.member.config();
-        let allowed = match (&job.key, &job.service) {
-            (Some(key), _) => auth::in_force(&config, &job.customer, key),
-            (None, Service::Route(route)) => config.route(route).is_some_and(|route| route.public),
-            (None, Service::Model(_)) => false,
-        };
-        match allowed {
-            true => Ok(()),
-            false => Err(auth::unauthorized("the key isn't in force")),
-        }
-    }
-
-    fn verdict(&self, job: &Job) -> Verdict {
-        let now = self.member.clock().now();
-        self.quarantine.lock().check(job.fingerprint(), now)
-    }
-
-    pub(crate) fn moved(&self, shard: Shard) -> Stop {
-        let owner = self.member.owner(shard);
-        let epoch = owner.map_or(id::Epoch(0), |owner| owner.epoch);
-        Stop::Moved(Moved { shard, epoch })
-    }
-
     /// Waits until the ledger lets the call go, or has its answer.
     async fn turn(&self, job: &Job, out: &Out) -> Result<Turn, Stop> {
         loop {
@@ -229,8 +169,8 @@
             let turn = ledger::review(self.member.shards(), job).await?;
             let refusal = match turn {
                 Turn::Go(_) | Turn::Replay(_) => return Ok(turn),
-                Turn::Attach => attached_too_long(),
-                Turn::Early => too_early(),
+                Turn::Attach => trial::attached_too_long(),
+                Turn::Early => trial::too_early(),
             };
             tokio::select! {
                 () = news => {}
@@ -263,7 +203,7 @@
             Ok(authority) => {
                 let cost = prompt.tokens.0 + job.max_tokens().0;
                 self.table.sent(target, id::Tokens(cost), Instant::now());
-                Ok(Begun::Attempt(Attempt {
+                Ok(Begun::Attempt(Box::new(Attempt {
                     name,
                     own,
                     alone: self.verdict(job) == Verdict::Suspect,
@@ -272,7 +212,7 @@
                     messages: prompt.messages,
                     prompt: prompt.tokens,
                     attained: prompt.attained,
-                }))
+                })))
             }
             Err(stop) => {
                 self.withdraw(job, &name).await;
@@ -310,7 +250,7 @@
             let all = Question { barred, ..question };
             self.table.choose(&all, leaving, now)
         });
-        choice.ok_or_else(|| no_target().into())
+        choice.ok_or_else(|| trial::no_target().into())
     }
 
     /// Records what came of an attempt; some refusal: the call may be tried again.
@@ -342,7 +282,7 @@
             }
             End::Unknown(refusal) => {
                 self.settle(job, attempt, Outcome::Unknown).await?;
-                Err(final_unknown(refusal).into())
+                Err(trial::final_unknown(refusal).into())
             }
             End::Crashed(crashed) => self.crashed(job, attempt, &crashed, out).await,
         }
@@ -360,7 +300,8 @@
         if let (Some(program), Service::Model(_)) = (&job.program, &job.service) {
             let tokens = id::Tokens(done.prompt_tokens + done.completion_tokens);
             let epoch = attempt.authority.epoch;
-            self.caches.note(program, &attempt.target, tokens, job.shard, epoch);
+            self.caches
+                .note(program, &attempt.target, tokens, job.shard, epoch);
         }
     }
 
@@ -372,7 +313,7 @@
         crashed: &Crashed,
         out: &Out,
     ) -> Result<Option<Again>, Stop> {
-        let now = self.member.clock().now();
+        let now = self.member.now();
         self.quarantine.lock().crashed(&crashed.fingerprints, now);
         self.instruments.crashed();
         let target = &attempt.target.id;
@@ -381,10 +322,10 @@
             true => self.settle(job, attempt, Outcome::NotRun).await?,
             false => self.settle(job, attempt, Outcome::Unknown).await?,
         }
-        let lost = refusal::at(crashed_under(), target);
+        let lost = refusal::at(trial::crashed_under(), target);
         match self.verdict(job) {
-            _ if !job.idempotent => Err(final_unknown(lost).into()),
-            Verdict::Quarantined => Err(ran_when(quarantined()).into()),
+            _ if !job.idempotent => Err(trial::final_unknown(lost).into()),
+            Verdict::Quarantined => Err(trial::ran_when(trial::quarantined()).into()),
             _ if out.begun() => Err(stream::broken().into()),
             Verdict::Free | Verdict::Suspect => Ok(Some(Again::lost(lost))),
         }
@@ -407,7 +348,7 @@
         let delay = crate::clock::duration(trials.delay.next(rand::rng().random()));
         let in_time = delay < job.left();
         let allowed = again.free || self.retries.lock().take();
-        match again.repeatable && in_time && allowed && trials.count < ATTEMPTS {
+        match again.repeatable && in_time && allowed && trials.count < trial::ATTEMPTS {
             true => {
                 self.instruments.retried();
                 tokio::time::sleep(delay).await;
@@ -419,96 +360,11 @@
 }
 
 enum Begun {
-    Attempt(Attempt),
+    Attempt(Box<Attempt>),
     Turn(Turn),
 }
 
-/// A call without an answer that may be tried again.
-struct Again {
-    refusal: Refusal,
-    /// Costs no target anything.
-    free: bool,
-    repeatable: bool,
-}
-
-impl Again {
-    /// Confirmed not to have run.
-    fn not_run(refusal: Refusal) -> Again {
-        let code: Option<Code> = refusal.code.parse().ok();
-        let hopeless = matches!(
-            code,
-            Some(Code::Unauthorized | Code::Deadline | Code::Quarantined | Code::BadRequest)
-        );
-        Again {
-            free: true,
-            repeatable: !hopeless,
-            refusal,
-        }
-    }
-
-    /// May have run, and may be repeated.
-    fn lost(refusal: Refusal) -> Again {
-        Again {
-            refusal: refusal::retry_after(refusal, RETRY_AFTER),
-            free: false,
-            repeatable: true,
-        }
-    }
-}
-
-impl Trials {
-    fn new() -> Trials {
-        Trials {
-            count: 0,
-            barred: Set::default(),
-            delay: Delay::new(DELAY_MIN, DELAY_MAX),
-        }
-    }
-}
-
 async fn replay(out: &Out, answer: &coord::record::Answer) -> Result<(), Stop> {
     out.replay(answer.clone()).await;
     Ok(())
 }
-
-fn quarantined() -> Refusal {
-    refusal::not_run(Code::Quarantined, STEP, "this request has crashed its targets")
-}
-
-fn ran_when(refusal: Refusal) -> Refusal {
-    Refusal {
-        ran: wire::Ran::Unknown.into(),
-        ..refusal
-    }
-}
-
-fn cautious() -> Refusal {
-    let message = "only requests that may be repeated are taken at present";
-    let refusal = refusal::not_run(Code::Unavailable, STEP, message);
-    refusal::retry_after(refusal, RETRY_AFTER)
-}
-
-fn no_target() -> Refusal {
-    let refusal = refusal::not_run(Code::Unavailable, STEP, "no target is in service");
-    refusal::retry_after(refusal, RETRY_AFTER)
-}
-
-fn crashed_under() -> Refusal {
-    refusal::unknown(Code::OutcomeUnknown, STEP, "the target died while it ran the request")
-}
-
-fn final_unknown(refusal: Refusal) -> Refusal {
-    Refusal {
-        code: Code::OutcomeUnknown.as_str().into(),
-        retry_after_ms: 0,
-        ..ran_when(refusal)
-    }
-}
-
-fn attached_too_long() -> Refusal {
-    refusal::unknown(Code::Deadline, STEP, "the same request is still in progress")
-}
-
-fn too_early() -> Refusal {
-    refusal::not_run(Code::OutOfOrder, STEP, "the step before has no answer yet")
-}
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -76,7 +76,12 @@
     }
 
     /// Opens a program, or a child of one.
-    pub async fn open(&self, headers: &HeaderMap, parent: Option<&str>, body: StreamingBody) -> Answer {
+    pub async fn open(
+        &self,
+        headers: &HeaderMap,
+        parent: Option<&str>,
+        body: StreamingBody,
+    ) -> Answer {
         let caller = self.authenticate(headers)?;
         let deadline = request::deadline(headers, &self.limits)?;
         let parent: Option<id::Program> = parent.map(program).transpose()?;
@@ -135,7 +140,12 @@
     }
 
     /// Passes a request on to a plain service.
-    pub async fn plain(&self, info: &RequestInfo, route: &str, body: Option<StreamingBody>) -> Answer {
+    pub async fn plain(
+        &self,
+        info: &RequestInfo,
+        route: &str,
+        body: Option<StreamingBody>,
+    ) -> Answer {
         let headers = info.headers();
         let route: id::Route = route.parse().map_err(|_| no_route())?;
         let caller = self.plain_caller(headers, &route)?;
@@ -153,7 +163,10 @@
             path: plain::path(info.uri()),
             headers: plain::headers(headers, &caller.customer, &name),
             body,
-            program: turn.as_ref().map(|turn| turn.program.to_string()).unwrap_or_default(),
+            program: turn
+                .as_ref()
+                .map(|turn| turn.program.to_string())
+                .unwrap_or_default(),
             step: turn.map_or(0, |turn| turn.step.0),
         };
         no_key_in_plain(&caller, &plain)?;
@@ -208,7 +221,9 @@
     if let Some(turn) = turn {
         return Ok(Shard::of_program(&turn.program));
     }
-    let name = name.parse().map_err(|_| request::bad("malformed request name"))?;
+    let name = name
+        .parse()
+        .map_err(|_| request::bad("malformed request name"))?;
     Ok(Shard::of_request(&caller.customer, &name))
 }
 
@@ -239,4 +254,3 @@
     let mut values = plain.headers.iter().map(|header| &header.value);
     values.try_for_each(|value| no_key_inside(caller, value))
 }
-
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -105,7 +105,13 @@
         return Ok(Turn::Go(prompt.clone()));
     }
     let attempt = attempt.clone();
-    let ask = ask(job, attempt, target.clone(), prompt.tokens, job.max_tokens());
+    let ask = ask(
+        job,
+        attempt,
+        target.clone(),
+        prompt.tokens,
+        job.max_tokens(),
+    );
     let (decision, durable) = shards.decide(job.shard, |replica| {
         let (records, decision) = split(Some(replica.begin(ask)));
         (records, decision)
@@ -238,13 +244,7 @@
     }
 }
 
-fn ask(
-    job: &Job,
-    attempt: Attempt,
-    target: Target,
-    estimate: Tokens,
-    max_tokens: Tokens,
-) -> Begin {
+fn ask(job: &Job, attempt: Attempt, target: Target, estimate: Tokens, max_tokens: Tokens) -> Begin {
     Begin {
         call: job.call.clone(),
         customer: job.customer.clone(),
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -48,11 +48,7 @@
     Ok(())
 }
 
-async fn root(
-    call: &Call,
-    customer: &id::Customer,
-    open: &wire::Open,
-) -> Result<String, Stop> {
+async fn root(call: &Call, customer: &id::Customer, open: &wire::Open) -> Result<String, Stop> {
     let name: id::Program = parse(&open.program)?;
     let budget = budget(open);
     let (opening, durable) = call.member.shards().decide(shard(&name), |replica| {
@@ -61,23 +57,20 @@
     opened(opening, durable, &name).await
 }
 
-async fn child(
-    call: &Call,
-    customer: &id::Customer,
-    open: &wire::Open,
-) -> Result<String, Stop> {
+async fn child(call: &Call, customer: &id::Customer, open: &wire::Open) -> Result<String, Stop> {
     let parent: id::Program = parse(&open.parent)?;
     let budget = budget(open);
-    let (reply, durable) = call.member.shards().decide(shard(&parent), |replica| {
-        match replica.next_child(&parent) {
-            None => (Vec::new(), Err(missing())),
-            Some(name) => {
-                let opening = replica.child(&name, customer, budget, unix_ms());
-                let (records, refused) = records_of(opening);
-                (records, Ok((name, refused)))
+    let (reply, durable) =
+        call.member.shards().decide(shard(&parent), |replica| {
+            match replica.next_child(&parent) {
+                None => (Vec::new(), Err(missing())),
+                Some(name) => {
+                    let opening = replica.child(&name, customer, budget, unix_ms());
+                    let (records, refused) = records_of(opening);
+                    (records, Ok((name, refused)))
+                }
             }
-        }
-    })?;
+        })?;
     let (name, refused) = reply?;
     opened(refused, durable, &name).await
 }
@@ -94,11 +87,7 @@
     }
 }
 
-async fn ended(
-    call: &Call,
-    customer: &id::Customer,
-    name: &id::Program,
-) -> Result<String, Stop> {
+async fn ended(call: &Call, customer: &id::Customer, name: &id::Program) -> Result<String, Stop> {
     let (result, durable) = call.member.shards().decide(shard(name), |replica| {
         match replica.end(name, customer, Ending::Finished, unix_ms()) {
             Ok(records) => {
@@ -115,17 +104,15 @@
     })?;
     stand(durable).await?;
     let ended = result.map_err(|refusal| refusal::from_decision(refusal, STEP))?;
-    ended.iter().for_each(|program| call.caches.release(program));
+    ended
+        .iter()
+        .for_each(|program| call.caches.release(program));
     cache::flush(call).await;
     call.flight.settled(shard(name));
     Ok(json!({ "program": name, "state": "ended" }).to_string())
 }
 
-async fn shown(
-    call: &Call,
-    customer: &id::Customer,
-    show: &wire::Show,
-) -> Result<String, Stop> {
+async fn shown(call: &Call, customer: &id::Customer, show: &wire::Show) -> Result<String, Stop> {
     let name: id::Program = parse(&show.program)?;
     let (result, durable) = call.member.shards().decide(shard(&name), |replica| {
         let program = replica.program_of(&name, customer);
@@ -136,11 +123,13 @@
     let (state, history) = result.map_err(|refusal| refusal::from_decision(refusal, STEP))?;
     match history {
         Some(history) if show.history => {
-            let messages = history.messages().map_err(|broken| {
-                refusal::not_run(Code::Unavailable, STEP, broken.to_string())
-            })?;
+            let messages = history
+                .messages()
+                .map_err(|broken| refusal::not_run(Code::Unavailable, STEP, broken.to_string()))?;
             let messages = String::from_utf8_lossy(&messages);
-            Ok(format!("{{\"program\":\"{name}\",\"messages\":{messages}}}"))
+            Ok(format!(
+                "{{\"program\":\"{name}\",\"messages\":{messages}}}"
+            ))
         }
         _ => Ok(state.to_string()),
     }
@@ -167,9 +156,7 @@
     match opening {
         Opening::New(records) => (records, None),
         Opening::Same => (Vec::new(), None),
-        Opening::Refuse(refusal) => {
-            (Vec::new(), Some(refusal::from_decision(refusal, STEP)))
-        }
+        Opening::Refuse(refusal) => (Vec::new(), Some(refusal::from_decision(refusal, STEP))),
     }
 }
 
--- a/crates/entry/src/resolve.rs
+++ b/crates/entry/src/resolve.rs
@@ -56,7 +56,10 @@
 }
 
 async fn resolve(call: &Call, shard: Shard, epoch: Epoch) {
-    let flights = call.member.shards().inspect(shard, |state| state.replica.in_flight());
+    let flights = call
+        .member
+        .shards()
+        .inspect(shard, |state| state.replica.in_flight());
     let fence = Fence {
         node: call.member.node(),
         shard,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -34,8 +34,8 @@
 use crate::flight::Own;
 use crate::job::Job;
 use crate::job::Work;
-use crate::ledger::Prompt;
 use crate::lease::Authority;
+use crate::ledger::Prompt;
 use crate::out::Out;
 use crate::refusal;
 
@@ -299,9 +299,7 @@
     fn refused(&self, refusal: Refusal) -> End {
         let refusal = self.located(refusal);
         match refusal.ran() {
-            Ran::No if self.withdrawn => {
-                End::NotRun(auth::unauthorized("the key was withdrawn"))
-            }
+            Ran::No if self.withdrawn => End::NotRun(auth::unauthorized("the key was withdrawn")),
             Ran::No => End::NotRun(refusal),
             Ran::Yes | Ran::Unknown => End::Unknown(refusal),
         }
--- /dev/null
+++ b/crates/entry/src/service.rs
@@ -0,0 +1,144 @@
+//! The calls' path of one entry: what serves callers and other entries, and the loops beside it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dropshot::HttpServer;
+use eyre::WrapErr;
+use opentelemetry::metrics::Meter;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport;
+use wire::owner_server::OwnerServer;
+
+use crate::admission::Admission;
+use crate::api;
+use crate::cache;
+use crate::call::Call;
+use crate::callers::Callers;
+use crate::ingress::Ingress;
+use crate::instruments::Instruments;
+use crate::member::Member;
+use crate::probe;
+use crate::resolve;
+use crate::rpc;
+use crate::sweep;
+
+/// Time between two looks at how far a planned stop has come.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Time for other entries' connections to close.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Serves callers and other entries.
+pub struct Service {
+    pub member: Arc<Member>,
+    pub call: Arc<Call>,
+    pub admission: Arc<Admission>,
+    pub ingress: Arc<Ingress>,
+    callers: HttpServer<Arc<Callers>>,
+    peers: JoinHandle<()>,
+    loops: Vec<JoinHandle<()>>,
+    stop: watch::Sender<bool>,
+}
+
+impl Service {
+    /// Starts serving on the addresses of the settings.
+    ///
+    /// Errors: an address can't be bound.
+    pub async fn start(member: Arc<Member>, meter: &Meter) -> eyre::Result<Service> {
+        let settings = member.settings().clone();
+        let limits = settings.limits.clone();
+        let admission = Admission::new(Arc::clone(&member), limits.admission_wait_ms);
+        let admission = Arc::new(admission);
+        let instruments = Arc::new(Instruments::new(meter));
+        let call = Call::new(
+            Arc::clone(&member),
+            Arc::new(settings.clone()),
+            Arc::clone(&admission),
+            instruments,
+        );
+        let ingress = Ingress::new(Arc::clone(&member), Arc::clone(&call), limits.requests);
+        let ingress = Arc::new(ingress);
+        let callers = Callers::new(Arc::clone(&member), Arc::clone(&ingress), limits);
+        let callers = api::serve(callers, settings.listen.callers)?;
+        let stop = watch::Sender::new(false);
+        let server = rpc::Server::new(
+            Arc::clone(&member),
+            Arc::clone(&call),
+            Arc::clone(&admission),
+        );
+        let peers = serve_peers(settings.listen.peers, server, stop.subscribe()).await?;
+        let loops = vec![
+            tokio::spawn(resolve::keep(Arc::clone(&call))),
+            tokio::spawn(probe::keep(Arc::clone(&call))),
+            tokio::spawn(cache::keep(Arc::clone(&call))),
+            tokio::spawn(sweep::keep(Arc::clone(&call))),
+        ];
+        Ok(Service {
+            member,
+            call,
+            admission,
+            ingress,
+            callers,
+            peers,
+            loops,
+            stop,
+        })
+    }
+
+    /// Where callers are served.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.local_addr()
+    }
+
+    /// Whether no call of a caller or of another entry is in progress here.
+    pub fn is_idle(&self) -> bool {
+        self.ingress.open() == 0 && self.call.flight.total() == 0
+    }
+
+    /// Stops as planned: hands the shards over, finishes the open answers, then ends. Takes up to
+    /// twice the limit.
+    pub async fn stop(self, limit: Duration) {
+        let leave = self.member.leave(limit);
+        let close = tokio::time::timeout(limit, self.callers.close());
+        let (_, closed) = tokio::join!(leave, close);
+        if let Ok(Err(error)) = closed {
+            log::warn!(step = "stop", peer = "callers"; "{error}");
+        }
+        let end = Instant::now() + limit;
+        while self.call.flight.total() > 0 && Instant::now() < end {
+            tokio::time::sleep(PAUSE).await;
+        }
+        self.loops.iter().for_each(JoinHandle::abort);
+        self.stop.send_replace(true);
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.peers).await;
+    }
+}
+
+async fn serve_peers(
+    address: SocketAddr,
+    server: rpc::Server,
+    mut stop: watch::Receiver<bool>,
+) -> eyre::Result<JoinHandle<()>> {
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.wrap_err_with(|| format!("binding {address}"))?;
+    let owner = OwnerServer::new(server)
+        .max_decoding_message_size(wire::MESSAGE_LIMIT)
+        .max_encoding_message_size(wire::MESSAGE_LIMIT);
+    let stopped = async move {
+        let _ = stop.wait_for(|stop| *stop).await;
+    };
+    let serving = transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(owner)
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), stopped);
+    Ok(tokio::spawn(async move {
+        if let Err(error) = serving.await {
+            log::error!(step = "serve", peer = address.to_string().as_str(); "{error}");
+        }
+    }))
+}
