--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::Stream;
@@ -29,6 +30,12 @@
 /// Exit status of a stand-in that a fault brings down.
 const CRASHED: i32 = 3;
 
+/// Tries to bind an address that is still in use.
+const REBIND_TRIES: u32 = 100;
+
+/// Pause between two tries.
+const REBIND_DELAY: Duration = Duration::from_millis(5);
+
 /// Body of a response.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -76,7 +83,7 @@
     handler: Arc<H>,
     switch: Switch,
 ) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind(listen).await?;
+    let listener = bind(listen).await?;
     let address = listener.local_addr()?;
     tokio::spawn(async move {
         tokio::select! {
@@ -87,6 +94,19 @@
     Ok(address)
 }
 
+/// Binds an address, waiting for an earlier life of the same server to let go of it.
+async fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
+    for _ in 0..REBIND_TRIES {
+        match TcpListener::bind(listen).await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
+                tokio::time::sleep(REBIND_DELAY).await;
+            }
+            bound => return bound,
+        }
+    }
+    TcpListener::bind(listen).await
+}
+
 async fn accept<H: Handler>(listener: TcpListener, handler: Arc<H>, switch: Switch) {
     while let Ok((stream, _)) = listener.accept().await {
         let handler = handler.clone();
--- /dev/null
+++ b/crates/sidecar/tests/dispatch.rs
@@ -0,0 +1,288 @@
+//! Attempts from arrival to end: at most once, fenced, in time, whole.
+
+mod support;
+
+use std::time::Duration;
+
+use fakes::fault::Faults;
+use fakes::tool;
+use rstest::rstest;
+use sidecar::settings::Kind;
+use support::*;
+use wire::Ran;
+use wire::Start;
+use wire::cancel_reply::State;
+
+fn slow_tool(ms: u64) -> tool::Settings {
+    tool::Settings {
+        work: Duration::from_millis(ms),
+        ..tool::Settings::default()
+    }
+}
+
+#[tokio::test]
+async fn each_caller_receives_the_answer_to_its_own_messages() {
+    let engine = engine(Default::default()).await;
+    let (_daemon, client) = before_engine(&engine).await;
+    let runs = (0..20).map(|n| {
+        let client = client.clone();
+        async move {
+            let content = format!("report {n}");
+            let answer = client.run(generate(&format!("a{n}"), &content)).await;
+            assert!(answer.started);
+            assert_eq!(answer.text, text(&content));
+            assert_eq!(answer.done().finish, "stop");
+        }
+    });
+    futures::future::join_all(runs).await;
+    assert_eq!(engine.stats.counts().list.len(), 20);
+    assert!(engine.stats.counts().running_most <= 4);
+}
+
+#[tokio::test]
+async fn attempt_that_comes_twice_runs_once() {
+    let tool = tool(slow_tool(100)).await;
+    let (_daemon, client) = before_tool(&tool).await;
+    let first = client.begin(plain("a1", "POST", "/fee", "1")).await;
+    let second = client.run(plain("a1", "POST", "/fee", "1")).await;
+    assert_eq!(second.refusal().code, "conflict");
+    assert_eq!(second.refusal().ran(), Ran::Unknown);
+    assert!(first.answer().await.is_done());
+    let third = client.run(plain("a1", "POST", "/fee", "1")).await;
+    assert_eq!(third.refusal().ran(), Ran::Unknown);
+    assert_eq!(tool.stats.counts().executions.get("a1"), Some(&1));
+}
+
+#[tokio::test]
+async fn attempt_cancelled_before_it_arrives_never_runs() {
+    let tool = tool(Default::default()).await;
+    let (_daemon, client) = before_tool(&tool).await;
+    assert_eq!(client.cancelled("a1").await, State::Fenced);
+    let answer = client.run(plain("a1", "POST", "/fee", "1")).await;
+    assert_eq!(answer.refusal().code, "not-run");
+    assert_eq!(answer.refusal().ran(), Ran::No);
+    assert!(tool.stats.counts().list.is_empty());
+}
+
+#[tokio::test]
+async fn waiting_attempt_is_fenced_by_a_cancel_and_a_running_one_is_not() {
+    let tool = tool(slow_tool(300)).await;
+    let mut settings = settings(tool.address, Kind::Plain);
+    settings.limits.slots = 1;
+    let (_daemon, client) = sidecar(settings).await;
+    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
+    running.started().await;
+    let waiting = client.begin(plain("a2", "POST", "/fee", "2")).await;
+    assert_eq!(client.cancelled("a2").await, State::Fenced);
+    assert_eq!(client.cancelled("a1").await, State::Running);
+    assert_eq!(waiting.answer().await.refusal().ran(), Ran::No);
+    assert!(running.answer().await.is_done());
+    assert_eq!(client.cancelled("a1").await, State::Done);
+    assert_eq!(tool.stats.counts().list.len(), 1);
+}
+
+#[tokio::test]
+async fn lower_epoch_than_seen_for_the_shard_is_refused() {
+    let tool = tool(Default::default()).await;
+    let (_daemon, client) = before_tool(&tool).await;
+    let newer = Start {
+        epoch: 7,
+        ..plain("a1", "POST", "/fee", "1")
+    };
+    assert!(client.run(newer).await.is_done());
+    let older = client.run(plain("a2", "POST", "/fee", "2")).await;
+    assert_eq!(older.refusal().code, "conflict");
+    assert_eq!(older.refusal().ran(), Ran::No);
+    assert_eq!(client.cancel("a1", 6).await.state(), State::Refused);
+    let other_shard = Start {
+        shard: 2,
+        ..plain("a3", "POST", "/fee", "3")
+    };
+    assert!(client.run(other_shard).await.is_done());
+    assert_eq!(tool.stats.counts().list.len(), 2);
+}
+
+#[tokio::test]
+async fn waiting_attempt_of_a_superseded_owner_never_starts() {
+    let tool = tool(slow_tool(200)).await;
+    let mut settings = settings(tool.address, Kind::Plain);
+    settings.limits.slots = 1;
+    let (_daemon, client) = sidecar(settings).await;
+    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
+    running.started().await;
+    let waiting = client.begin(plain("a2", "POST", "/fee", "2")).await;
+    assert_eq!(client.cancel("unknown", 2).await.state(), State::Fenced);
+    let refused = waiting.answer().await;
+    assert_eq!(refused.refusal().ran(), Ran::No);
+    assert!(running.answer().await.is_done());
+    assert_eq!(tool.stats.counts().executions.get("a2"), None);
+}
+
+#[rstest]
+#[case::expires(false)]
+#[case::extended(true)]
+#[tokio::test]
+async fn attempt_not_started_in_time_never_runs_unless_extended(#[case] extended: bool) {
+    let tool = tool(slow_tool(400)).await;
+    let mut settings = settings(tool.address, Kind::Plain);
+    settings.limits.slots = 1;
+    let (_daemon, client) = sidecar(settings).await;
+    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
+    running.started().await;
+    let late = Start {
+        start_by_ms: 100,
+        ..plain("a2", "POST", "/fee", "2")
+    };
+    let waiting = client.begin(late).await;
+    if extended {
+        let extend = wire::Extend {
+            start_by_ms: 10_000,
+        };
+        let message = Some(wire::dispatch_message::Message::Extend(extend));
+        waiting
+            .messages
+            .send(wire::DispatchMessage { message })
+            .unwrap();
+    }
+    let answer = waiting.answer().await;
+    running.answer().await;
+    match extended {
+        true => assert!(answer.is_done()),
+        false => {
+            assert_eq!(answer.refusal().code, "deadline");
+            assert_eq!(answer.refusal().ran(), Ran::No);
+            assert_eq!(tool.stats.counts().executions.get("a2"), None);
+        }
+    }
+}
+
+#[tokio::test]
+async fn waiting_attempt_whose_caller_leaves_never_runs() {
+    let tool = tool(slow_tool(300)).await;
+    let mut settings = settings(tool.address, Kind::Plain);
+    settings.limits.slots = 1;
+    let (daemon, client) = sidecar(settings).await;
+    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
+    running.started().await;
+    let waiting = client.begin(plain("a2", "POST", "/fee", "2")).await;
+    drop(waiting);
+    eventually("the queue is empty", || async {
+        daemon.state().queue.depth().queued == 0
+    })
+    .await;
+    assert_eq!(client.cancelled("a2").await, State::Fenced);
+    assert!(running.answer().await.is_done());
+    assert_eq!(tool.stats.counts().executions.get("a2"), None);
+}
+
+#[rstest]
+#[case::non_idempotent_runs_to_its_end(false, 0)]
+#[case::idempotent_is_stopped(true, 1)]
+#[tokio::test]
+async fn running_generation_whose_caller_leaves(#[case] idempotent: bool, #[case] stopped: u64) {
+    let settings = fakes::engine::Settings {
+        decode_rate: 50,
+        ..Default::default()
+    };
+    let engine = engine(settings).await;
+    let (daemon, client) = before_engine(&engine).await;
+    let start = Start {
+        idempotent,
+        ..generate("a1", "report")
+    };
+    let mut running = client.begin(start).await;
+    running.started().await;
+    eventually("it runs", || async { engine.stats.counts().running == 1 }).await;
+    drop(running);
+    eventually("it ends", || async { daemon.state().queue.is_idle() }).await;
+    assert_eq!(client.cancelled("a1").await, State::Done);
+    eventually("the engine is idle", || async {
+        engine.stats.counts().running == 0
+    })
+    .await;
+    assert_eq!(engine.stats.counts().cancelled, stopped);
+}
+
+#[tokio::test]
+async fn running_non_idempotent_request_ends_as_unknown_at_its_deadline() {
+    let tool = tool(Default::default()).await;
+    tool.set_faults(Faults {
+        hang_on: Some(String::new()),
+        ..Faults::default()
+    });
+    let (daemon, client) = before_tool(&tool).await;
+    let start = Start {
+        deadline_ms: 200,
+        ..plain("a1", "POST", "/fee", "1")
+    };
+    let answer = client.run(start).await;
+    assert_eq!(answer.refusal().code, "outcome-unknown");
+    assert_eq!(answer.refusal().ran(), Ran::Unknown);
+    assert!(daemon.state().queue.is_idle());
+}
+
+#[tokio::test]
+async fn refusal_by_a_target_that_is_away_says_truly_that_nothing_ran() {
+    let tool = tool(Default::default()).await;
+    let (_daemon, client) = before_tool(&tool).await;
+    tool.crash();
+    eventually("the port is closed", || async {
+        tokio::net::TcpStream::connect(tool.address).await.is_err()
+    })
+    .await;
+    let answer = client.run(plain("a1", "POST", "/fee", "1")).await;
+    assert_eq!(answer.refusal().code, "unavailable");
+    assert_eq!(answer.refusal().ran(), Ran::No);
+    assert!(tool.stats.counts().list.is_empty());
+}
+
+#[tokio::test]
+async fn full_queue_refuses_and_says_when_to_come_back() {
+    let tool = tool(slow_tool(300)).await;
+    let mut settings = settings(tool.address, Kind::Plain);
+    settings.limits.slots = 1;
+    settings.limits.queue = 1;
+    let (_daemon, client) = sidecar(settings).await;
+    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
+    running.started().await;
+    let _waiting = client.begin(plain("a2", "POST", "/fee", "2")).await;
+    let answer = client.run(plain("a3", "POST", "/fee", "3")).await;
+    assert_eq!(answer.refusal().code, "overloaded");
+    assert_eq!(answer.refusal().ran(), Ran::No);
+    assert!(answer.refusal().retry_after_ms > 0);
+}
+
+#[tokio::test]
+async fn drain_finishes_what_runs_and_waits_and_refuses_the_rest() {
+    let tool = tool(slow_tool(200)).await;
+    let mut settings = settings(tool.address, Kind::Plain);
+    settings.limits.slots = 1;
+    let (daemon, client) = sidecar(settings).await;
+    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
+    running.started().await;
+    let waiting = client.begin(plain("a2", "POST", "/fee", "2")).await;
+    daemon.state().drain();
+    let refused = client.run(plain("a3", "POST", "/fee", "3")).await;
+    assert_eq!(refused.refusal().code, "draining");
+    assert_eq!(refused.refusal().ran(), Ran::No);
+    let drained = tokio::spawn(daemon.drain());
+    assert!(running.answer().await.is_done());
+    assert!(waiting.answer().await.is_done());
+    drained.await.unwrap().unwrap();
+    assert_eq!(tool.stats.counts().list.len(), 2);
+}
+
+#[tokio::test]
+async fn plain_answer_passes_method_path_body_and_status() {
+    let tool = tool(Default::default()).await;
+    let (_daemon, client) = before_tool(&tool).await;
+    let answer = client
+        .run(plain("a1", "PUT", "/orders/7?x=1", "four"))
+        .await;
+    assert_eq!(answer.status, 200);
+    let echo: serde_json::Value = serde_json::from_str(&answer.text).unwrap();
+    assert_eq!(echo["method"], "PUT");
+    assert_eq!(echo["path"], "/orders/7?x=1");
+    assert_eq!(echo["length"], 4);
+    assert!(answer.is_done());
+}
--- /dev/null
+++ b/crates/sidecar/tests/faults.rs
@@ -0,0 +1,217 @@
+//! Streams that break, targets that die, caches that would stay behind.
+
+mod support;
+
+use std::time::Duration;
+
+use fakes::engine;
+use fakes::engine::Engine;
+use fakes::fault::Faults;
+use rstest::rstest;
+use support::*;
+use wire::Ran;
+use wire::Start;
+use wire::cancel_reply::State;
+use wire::start::Work;
+
+async fn slow_engine() -> Engine {
+    let settings = engine::Settings {
+        decode_rate: 100,
+        ..engine::Settings::default()
+    };
+    engine(settings).await
+}
+
+#[rstest]
+#[case::broken(Faults { break_streams: 2, ..Faults::default() })]
+#[case::crossed(Faults { cross_streams: 2, ..Faults::default() })]
+#[tokio::test]
+async fn stream_that_goes_wrong_is_resumed_and_whole(#[case] faults: Faults) {
+    let engine = slow_engine().await;
+    engine.set_faults(faults);
+    let (_daemon, client) = before_engine(&engine).await;
+    let answer = client.run(generate("a1", "report")).await;
+    assert_eq!(answer.text, text("report"));
+    assert!(answer.is_done());
+    let counts = engine.stats.counts();
+    assert_eq!(counts.executions.get("a1"), Some(&1));
+    assert!(counts.resumed > 0);
+}
+
+#[tokio::test]
+async fn stream_that_cannot_be_resumed_never_looks_complete() {
+    let engine = slow_engine().await;
+    engine.set_faults(Faults {
+        break_streams: 1,
+        no_resume: true,
+        ..Faults::default()
+    });
+    let (_daemon, client) = before_engine(&engine).await;
+    let answer = client.run(generate("a1", "report")).await;
+    assert!(text("report").starts_with(&answer.text));
+    assert_ne!(answer.refusal().ran(), Ran::No);
+    assert_eq!(engine.stats.counts().executions.get("a1"), Some(&1));
+}
+
+#[tokio::test]
+async fn broken_plain_answer_ends_as_unknown_and_is_not_repeated() {
+    let tool = tool(Default::default()).await;
+    tool.set_faults(Faults {
+        break_streams: 1,
+        ..Faults::default()
+    });
+    let (_daemon, client) = before_tool(&tool).await;
+    let answer = client.run(plain("a1", "POST", "/fee", "1")).await;
+    assert_eq!(answer.refusal().code, "outcome-unknown");
+    assert_eq!(answer.refusal().ran(), Ran::Unknown);
+    assert_eq!(tool.stats.counts().executions.get("a1"), Some(&1));
+}
+
+#[tokio::test]
+async fn crash_is_reported_to_all_that_ran_with_all_fingerprints() {
+    let engine = slow_engine().await;
+    engine.set_faults(Faults {
+        crash_on: Some("poison".to_owned()),
+        ..Faults::default()
+    });
+    let (_daemon, client) = before_engine(&engine).await;
+    let innocent = client.begin(generate("a1", "report")).await;
+    eventually("it runs", || async { engine.stats.counts().running == 1 }).await;
+    let poison = client.run(generate("a2", "poison")).await;
+    let innocent = innocent.answer().await;
+    let mut expected = [
+        generate("a1", "").fingerprint,
+        generate("a2", "").fingerprint,
+    ];
+    expected.sort();
+    for crashed in [poison.crashed(), innocent.crashed()] {
+        let mut fingerprints = crashed.fingerprints.clone();
+        fingerprints.sort();
+        assert_eq!(fingerprints, expected);
+        assert!(!crashed.alone);
+    }
+    assert_eq!(poison.crashed().crash, innocent.crashed().crash);
+}
+
+#[rstest]
+#[case::down(false)]
+#[case::back_at_once(true)]
+#[tokio::test]
+async fn crash_of_a_target_that_ran_one_request_names_it_alone(#[case] restarted: bool) {
+    let mut engine = slow_engine().await;
+    let (_daemon, client) = before_engine(&engine).await;
+    let running = client.begin(generate("a1", "report")).await;
+    eventually("it runs", || async { engine.stats.counts().running == 1 }).await;
+    match restarted {
+        true => engine.restart().await.unwrap(),
+        false => engine.crash(),
+    }
+    let answer = running.answer().await;
+    assert!(answer.crashed().alone);
+    assert_eq!(answer.crashed().fingerprints.len(), 1);
+    assert_eq!(client.cancelled("a1").await, State::Done);
+}
+
+#[tokio::test]
+async fn suspect_runs_with_no_companion() {
+    let tool = support::tool(fakes::tool::Settings {
+        work: Duration::from_millis(100),
+        ..Default::default()
+    })
+    .await;
+    let (daemon, client) = before_tool(&tool).await;
+    let first = client.begin(plain("a1", "POST", "/fee", "1")).await;
+    let alone = Start {
+        alone: true,
+        ..plain("a2", "POST", "/fee", "2")
+    };
+    let mut suspect = client.begin(alone).await;
+    let others = [
+        client.begin(plain("a3", "POST", "/fee", "3")).await,
+        client.begin(plain("a4", "POST", "/fee", "4")).await,
+    ];
+    suspect.started().await;
+    assert_eq!(daemon.state().queue.depth().running, 1);
+    assert!(suspect.answer().await.is_done());
+    assert!(first.answer().await.is_done());
+    for other in others {
+        assert!(other.answer().await.is_done());
+    }
+    let list = tool.stats.counts().list;
+    let at = |request: &str| {
+        list.iter()
+            .find(|run| run.request == request)
+            .unwrap()
+            .at_ms
+    };
+    // Each takes 100 ms, so no two overlap that start as far apart.
+    assert!(at("a2") >= at("a1") + 100);
+    assert!(at("a3").min(at("a4")) >= at("a2") + 100);
+}
+
+#[tokio::test]
+async fn history_is_cached_between_turns_and_dropped_at_the_end() {
+    let engine = engine(Default::default()).await;
+    let (_daemon, client) = before_engine(&engine).await;
+    assert!(client.run(turn("a1", "p1", "report")).await.is_done());
+    let again = client.run(turn("a2", "p1", "report")).await;
+    assert!(again.done().cached_tokens > 0);
+    assert_eq!(engine.cached().len(), 1);
+    assert_eq!(client.lease("p1", 0).await, ["p1"]);
+    assert!(engine.cached().is_empty());
+}
+
+#[tokio::test]
+async fn history_is_dropped_although_the_engine_loses_deletions_and_events() {
+    let engine = engine(Default::default()).await;
+    engine.set_faults(Faults {
+        ignore_deletes: 2,
+        drop_events: true,
+        ..Faults::default()
+    });
+    let (_daemon, client) = before_engine(&engine).await;
+    assert!(client.run(turn("a1", "p1", "report")).await.is_done());
+    assert!(client.lease("p1", 0).await.is_empty());
+    eventually("dropped", || async { engine.cached().is_empty() }).await;
+}
+
+#[tokio::test]
+async fn history_is_dropped_when_its_lease_runs_out() {
+    let engine = engine(Default::default()).await;
+    let (daemon, client) = before_engine(&engine).await;
+    assert!(client.run(turn("a1", "p1", "report")).await.is_done());
+    let held = || {
+        let now = daemon.state().clock.now();
+        !daemon.state().leases.lock().may_drop("p1", now)
+    };
+    assert!(held());
+    assert!(client.lease("p1", 100).await.is_empty());
+    eventually("dropped", || async { engine.cached().is_empty() }).await;
+    assert!(!held());
+}
+
+#[tokio::test]
+async fn history_that_no_further_turn_wants_is_dropped_at_once() {
+    let engine = engine(Default::default()).await;
+    let (_daemon, client) = before_engine(&engine).await;
+    let mut last = turn("a1", "p1", "report");
+    if let Some(Work::Generate(work)) = &mut last.work {
+        work.keep = false;
+    }
+    assert!(client.run(last).await.is_done());
+    eventually("dropped", || async { engine.cached().is_empty() }).await;
+}
+
+#[tokio::test]
+async fn history_left_by_an_earlier_sidecar_is_dropped() {
+    let engine = engine(Default::default()).await;
+    let (daemon, client) = before_engine(&engine).await;
+    assert!(client.run(turn("a1", "p1", "report")).await.is_done());
+    assert!(client.run(turn("a2", "p2", "report")).await.is_done());
+    daemon.drain().await.unwrap();
+    assert_eq!(engine.cached().len(), 2);
+    let (_daemon, client) = before_engine(&engine).await;
+    client.lease("p2", 60_000).await;
+    eventually("dropped", || async { engine.cached().len() == 1 }).await;
+    assert_eq!(engine.cached()[0].0, "p2");
+}
