--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -74,7 +74,11 @@
     let member = Member::start(settings);
     let service = Service::start(Arc::clone(&member), &metrics.meter()).await?;
     let admission = Arc::clone(&service.admission);
-    let operators = Operators { member, admission, metrics };
+    let operators = Operators {
+        member,
+        admission,
+        metrics,
+    };
     let admin = operators::serve(operators, address)?;
     shutdown::requested().await?;
     log::info!("stopping as planned");
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -97,17 +97,23 @@
 }
 
 fn buckets(admission: &Admission, page: &Page) -> Vec<Value> {
-    let levels = admission.levels().into_iter().skip(page.skip).take(page.limit);
-    let shown = levels.map(|(customer, held, spent)| {
-        json!({ "customer": customer, "held": held, "spent": spent })
-    });
+    let levels = admission
+        .levels()
+        .into_iter()
+        .skip(page.skip)
+        .take(page.limit);
+    let shown = levels.map(
+        |(customer, held, spent)| json!({ "customer": customer, "held": held, "spent": spent }),
+    );
     shown.collect()
 }
 
 fn programs(member: &Member, page: &Page) -> Vec<Value> {
     let shown = |state: &State| -> Vec<Value> {
         let programs = state.replica.programs();
-        programs.map(|(name, program)| summary(name, program)).collect()
+        programs
+            .map(|(name, program)| summary(name, program))
+            .collect()
     };
     (0..SHARDS)
         .map(Shard)
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -14,6 +14,7 @@
 use coord::config::Config;
 use coord::id::Epoch;
 use coord::id::Node;
+use coord::id::SHARDS;
 use coord::id::Shard;
 use coord::id::Target;
 use coord::id::Ticket;
@@ -173,6 +174,16 @@
         self.lease.authority().is_some()
     }
 
+    /// Whether callers are served: a valid lease, an owner for every shard, no planned stop.
+    pub fn serves(&self) -> bool {
+        let owned = || {
+            (0..SHARDS)
+                .map(Shard)
+                .all(|shard| self.owner(shard).is_some())
+        };
+        self.fresh() && !self.is_stopping() && owned()
+    }
+
     /// Authority over a shard at this very moment; checked right before each effect.
     pub fn authority(&self, shard: Shard) -> Option<Authority> {
         self.shards.authority(shard)
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -64,8 +64,10 @@
 /// Errors: the address can't be bound.
 pub fn serve(operators: Operators, address: SocketAddr) -> eyre::Result<HttpServer<Operators>> {
     let mut api: ApiDescription<Operators> = admin::describe();
-    api.register(put_ticket).map_err(|error| eyre::eyre!("{error}"))?;
-    api.register(get_ticket).map_err(|error| eyre::eyre!("{error}"))?;
+    api.register(put_ticket)
+        .map_err(|error| eyre::eyre!("{error}"))?;
+    api.register(get_ticket)
+        .map_err(|error| eyre::eyre!("{error}"))?;
     admin::serve(address, api, operators)
 }
 
@@ -111,9 +113,9 @@
 fn parse(body: serde_json::Value, number: u64) -> Result<Change, HttpError> {
     let change: Change = serde_json::from_value(body).map_err(|error| bad(error.to_string()))?;
     match change.number {
-        Ticket(other) if other != number => {
-            Err(bad(format!("the path says ticket {number}, the body {other}")))
-        }
+        Ticket(other) if other != number => Err(bad(format!(
+            "the path says ticket {number}, the body {other}"
+        ))),
         Ticket(0) => Err(bad("ticket numbers start at 1".to_owned())),
         _ => Ok(change),
     }
--- a/crates/entry/src/shards.rs
+++ b/crates/entry/src/shards.rs
@@ -7,7 +7,7 @@
 //! neither reading of the map loses anything.
 
 mod durable;
-mod slot;
+pub(crate) mod slot;
 
 use std::sync::Arc;
 use std::time::Duration;
