Say what may have run after several attempts; test the calls' path

Cause: a refusal after a lost attempt that may be repeated said that nothing ran; such attempts are recorded as unknown now, and later refusals say so.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -132,7 +132,7 @@
     async fn job(&self, job: &Job, out: &Out) -> Result<(), Stop> {
         let _counted = self.flight.enter(job.shard);
         self.check(job)?;
-        let mut prompt = match self.turn(job, out).await? {
+        let prompt = match self.turn(job, out).await? {
             Turn::Replay(answer) => return replay(out, &answer).await,
             Turn::Go(prompt) => prompt,
             Turn::Attach | Turn::Early => return Err(Stop::Gone),
@@ -140,8 +140,20 @@
         self.admission.admit(job).await?;
         self.retries.lock().sent();
         let mut trials = Trials::default();
+        let result = self.attempts(job, prompt, &mut trials, out).await;
+        result.map_err(|stop| trials.honest(stop, job.recorded))
+    }
+
+    /// Attempts until there is an outcome.
+    async fn attempts(
+        &self,
+        job: &Job,
+        mut prompt: Prompt,
+        trials: &mut Trials,
+        out: &Out,
+    ) -> Result<(), Stop> {
         loop {
-            let attempt = match self.begin(job, &trials, prompt).await? {
+            let attempt = match self.begin(job, trials, prompt).await? {
                 Begun::Attempt(attempt) => attempt,
                 Begun::Turn(Turn::Replay(answer)) => return replay(out, &answer).await,
                 Begun::Turn(_) => match self.turn(job, out).await? {
@@ -156,7 +168,7 @@
             let end = run::run(self, job, &attempt, out).await;
             match self.finish(job, &attempt, end, out).await? {
                 None => return Ok(()),
-                Some(again) => self.pause(job, &attempt, &mut trials, again, out).await?,
+                Some(again) => self.pause(job, &attempt, trials, again, out).await?,
             }
             prompt = attempt.into_prompt();
         }
@@ -271,10 +283,10 @@
             }
             End::NotRun(refusal) => {
                 self.settle(job, attempt, Outcome::NotRun).await?;
-                Ok(Some(Again::not_run(refusal)))
+                Ok(Some(Again::not_run(refusal, job.left())))
             }
             End::Unknown(refusal) if job.idempotent => {
-                self.settle(job, attempt, Outcome::NotRun).await?;
+                self.settle(job, attempt, Outcome::Unknown).await?;
                 match out.begun() {
                     true => Err(stream::broken().into()),
                     false => Ok(Some(Again::lost(refusal))),
@@ -318,10 +330,7 @@
         self.instruments.crashed();
         let target = &attempt.target.id;
         self.table.failed(target, Instant::now());
-        match job.idempotent {
-            true => self.settle(job, attempt, Outcome::NotRun).await?,
-            false => self.settle(job, attempt, Outcome::Unknown).await?,
-        }
+        self.settle(job, attempt, Outcome::Unknown).await?;
         let lost = refusal::at(trial::crashed_under(), target);
         match self.verdict(job) {
             _ if !job.idempotent => Err(trial::final_unknown(lost).into()),
@@ -344,6 +353,7 @@
             return Err(Stop::Gone);
         }
         trials.count += 1;
+        trials.may_have_run |= !again.free;
         trials.barred.insert(attempt.target.id.clone());
         let delay = crate::clock::duration(trials.delay.next(rand::rng().random()));
         let in_time = delay < job.left();
--- a/crates/entry/src/resolve.rs
+++ b/crates/entry/src/resolve.rs
@@ -74,7 +74,7 @@
 
 async fn settle(call: &Call, fence: &Fence, flight: Flight) {
     let fenced = is_fenced(call, fence, &flight).await;
-    let outcome = match fenced || flight.idempotent {
+    let outcome = match fenced {
         true => Outcome::NotRun,
         false => Outcome::Unknown,
     };
--- a/crates/entry/src/trial.rs
+++ b/crates/entry/src/trial.rs
@@ -1,19 +1,25 @@
 //! Attempts after the first one: when a call may be tried again, where not, and the refusals that
 //! end it.
 
+use std::time::Duration;
+
 use coord::Set;
 use coord::id;
 use coord::refusal::Code;
 use coord::time::Millis;
 use sched::retry::Delay;
+use wire::Ran;
 use wire::Refusal;
 
+use crate::ledger::Stop;
 use crate::refusal;
 
 const STEP: &str = "call";
 /// Bounds of the delay before another attempt.
 const DELAY_MIN: Millis = Millis(10);
 const DELAY_MAX: Millis = Millis(250);
+/// A call with less time than this isn't tried again.
+const LATE: Duration = Duration::from_millis(50);
 /// Attempts of one call at most.
 pub const ATTEMPTS: usize = 8;
 /// When to come back if no target can be had, in milliseconds.
@@ -23,9 +29,25 @@
 pub struct Trials {
     pub count: usize,
     pub barred: Set<id::Target>,
+    /// Whether one of them may have run.
+    pub may_have_run: bool,
     pub delay: Delay,
 }
 
+impl Trials {
+    /// What a refusal says after these attempts.
+    pub fn honest(&self, stop: Stop, recorded: bool) -> Stop {
+        match stop {
+            // The next owner knows only of what was recorded.
+            Stop::Moved(_) if self.may_have_run && !recorded => Stop::Refused(moved_midway()),
+            Stop::Refused(refusal) if self.may_have_run && refusal.ran() == Ran::No => {
+                Stop::Refused(ran_when(refusal))
+            }
+            stop => stop,
+        }
+    }
+}
+
 /// A call without an answer that may be tried again.
 pub struct Again {
     pub refusal: Refusal,
@@ -36,12 +58,13 @@
 
 impl Again {
     /// Confirmed not to have run.
-    pub fn not_run(refusal: Refusal) -> Again {
-        let code: Option<Code> = refusal.code.parse().ok();
-        let hopeless = matches!(
-            code,
-            Some(Code::Unauthorized | Code::Deadline | Code::Quarantined | Code::BadRequest)
-        );
+    pub fn not_run(refusal: Refusal, left: Duration) -> Again {
+        let hopeless = match refusal.code.parse() {
+            Ok(Code::Unauthorized | Code::Quarantined | Code::BadRequest) => true,
+            // Otherwise it was this node's authority that ran out, not the call's time.
+            Ok(Code::Deadline) => left < LATE,
+            Ok(_) | Err(_) => false,
+        };
         Again {
             free: true,
             repeatable: !hopeless,
@@ -64,11 +87,19 @@
         Trials {
             count: 0,
             barred: Set::default(),
+            may_have_run: false,
             delay: Delay::new(DELAY_MIN, DELAY_MAX),
         }
     }
 }
 
+/// The shard moved after an attempt that isn't recorded.
+fn moved_midway() -> Refusal {
+    let message = "the shard has moved; the request may have run";
+    let refusal = refusal::unknown(Code::Unavailable, STEP, message);
+    refusal::retry_after(refusal, RETRY_AFTER)
+}
+
 /// The request has crashed targets.
 pub fn quarantined() -> Refusal {
     refusal::not_run(
@@ -81,7 +112,7 @@
 /// The same for a request that may have run.
 pub fn ran_when(refusal: Refusal) -> Refusal {
     Refusal {
-        ran: wire::Ran::Unknown.into(),
+        ran: Ran::Unknown.into(),
         ..refusal
     }
 }
