--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -328,6 +328,7 @@
             std::future::pending::<()>().await;
         }
         if fault::spend(&mut self.faults.lock().unavailable) {
+            self.stats.change(|counts| counts.turned_away += 1);
             return Some(server::error(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "unavailable",
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -27,6 +27,8 @@
     pub ignore_deletes: u32,
     /// Answers this many requests with status 503 without running them.
     pub unavailable: u32,
+    /// Runs this many requests and closes their connections without an answer.
+    pub lose_answers: u32,
 }
 
 impl Faults {
--- a/crates/fakes/src/main.rs
+++ b/crates/fakes/src/main.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use fakes::engine;
+use fakes::fault::Faults;
 use fakes::platform::Platform;
 use fakes::tool;
 use fakes::weights;
@@ -61,6 +62,8 @@
     weights: Option<SocketAddr>,
     #[options(help = "file that executions are appended to")]
     record: Option<PathBuf>,
+    #[options(help = "text in a request that crashes the process")]
+    crash_on: Option<String>,
 }
 
 #[derive(Debug, Options)]
@@ -73,6 +76,8 @@
     work_ms: u64,
     #[options(help = "file that executions are appended to")]
     record: Option<PathBuf>,
+    #[options(help = "text in a request that crashes the process")]
+    crash_on: Option<String>,
 }
 
 #[derive(Debug, Options)]
@@ -100,6 +105,13 @@
     listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))
 }
 
+fn crashing(crash_on: Option<String>) -> Faults {
+    Faults {
+        crash_on,
+        ..Faults::default()
+    }
+}
+
 async fn run_platform(args: Plain) -> io::Result<()> {
     let platform = Platform::start(address(args.listen)).await?;
     println!("listening on {}", platform.address());
@@ -126,6 +138,7 @@
         ..defaults
     };
     let engine = engine::Engine::start(settings).await?;
+    engine.set_faults(crashing(args.crash_on));
     println!("listening on {}", engine.address);
     engine.downed().await;
     Ok(())
@@ -139,6 +152,7 @@
         record: args.record,
     };
     let tool = tool::Tool::start(settings).await?;
+    tool.set_faults(crashing(args.crash_on));
     println!("listening on {}", tool.address);
     tool.downed().await;
     Ok(())
--- a/crates/fakes/src/stats.rs
+++ b/crates/fakes/src/stats.rs
@@ -44,6 +44,8 @@
     pub list: Vec<Execution>,
     /// Places in which a caller's key was seen.
     pub keys_seen: Vec<String>,
+    /// Requests answered with status 503 without running.
+    pub turned_away: u64,
     /// Requests cancelled while they ran or waited.
     pub cancelled: u64,
     /// Requests running now, and the most at once.
--- a/crates/fakes/src/tool.rs
+++ b/crates/fakes/src/tool.rs
@@ -127,6 +127,7 @@
     async fn execute(&self, head: &Parts, body: &Bytes) -> Reply {
         let faults = self.faults.lock().clone();
         if fault::spend(&mut self.faults.lock().unavailable) {
+            self.stats.change(|counts| counts.turned_away += 1);
             return server::error(StatusCode::SERVICE_UNAVAILABLE, "unavailable");
         }
         let request = head.headers.get("x-request-id");
@@ -144,6 +145,9 @@
         let late = Duration::from_millis(faults.late_ms);
         tokio::time::sleep(late + self.work * faults.slowness()).await;
         self.stats.ended();
+        if fault::spend(&mut self.faults.lock().lose_answers) {
+            return Err(io::Error::from(io::ErrorKind::ConnectionReset));
+        }
         match fault::spend(&mut self.faults.lock().break_streams) {
             true => broken(),
             false => self.echo(head, body),
--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -1,6 +1,7 @@
 //! A caller and an operator over HTTP.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Method;
@@ -19,6 +20,9 @@
 
 use crate::fleet::MODEL;
 
+/// Longest wait for an answer; a frozen process gives none.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 /// A pooled HTTP client.
 #[derive(Debug, Clone)]
 pub struct Http(Client<HttpConnector, Full<Bytes>>);
@@ -117,6 +121,7 @@
     pub entry: SocketAddr,
     key: String,
     headers: Vec<(String, String)>,
+    patience: Duration,
 }
 
 impl Caller {
@@ -127,6 +132,15 @@
             entry,
             key: key.to_owned(),
             headers: Vec::new(),
+            patience: PATIENCE,
+        }
+    }
+
+    /// The same caller, who leaves a request that has no answer after this time.
+    pub fn leaving_after(&self, patience: Duration) -> Caller {
+        Caller {
+            patience,
+            ..self.clone()
         }
     }
 
@@ -160,10 +174,14 @@
         let request = request
             .body(Full::new(body.into()))
             .expect("a sound request");
-        match self.http.send(request).await {
-            Ok(reply) => read(reply).await,
-            Err(_) => Answer::broken(),
-        }
+        let answer = async {
+            match self.http.send(request).await {
+                Ok(reply) => read(reply).await,
+                Err(_) => Answer::broken(),
+            }
+        };
+        let answer = tokio::time::timeout(self.patience, answer).await;
+        answer.unwrap_or_else(|_| Answer::broken())
     }
 
     /// Opens a program; returns its name.
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -1,80 +1,51 @@
 //! The whole system as processes: stand-ins, entries, sidecars.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use coord::id::Program;
+use coord::id::Shard;
+use coord::shard::Map;
 use eyre::WrapErr;
 use http::Method;
 use serde_json::Value;
 use serde_json::json;
-use sha2::Digest;
-use sha2::Sha256;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 
 use crate::caller::Caller;
 use crate::caller::Http;
 use crate::cut::Cut;
+use crate::object::OPERATOR;
+use crate::object::customer_object;
+use crate::object::key_object;
+use crate::object::operator_hash;
+use crate::object::presented;
+pub use crate::plan::Plan;
+use crate::plan::lay_over;
 use crate::port;
 use crate::process::Process;
+use crate::target;
+use crate::target::Kind;
+use crate::target::Target;
 
 /// Longest wait for a condition that must come about.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
-/// The operator's key of every process.
-pub const OPERATOR: &str = "tests-operator";
-
 /// The model of every engine.
 pub const MODEL: &str = "small";
 
 const POLL: Duration = Duration::from_millis(25);
-const SALT: &str = "00ff";
-
-static FOLDERS: AtomicU32 = AtomicU32::new(0);
 
-/// What to start.
-#[derive(Debug, Clone)]
-pub struct Plan {
-    /// One entry in each, named by its data centre.
-    pub data_centres: Vec<&'static str>,
-    /// Each with one key and far more rate than it uses.
-    pub customers: Vec<&'static str>,
-    pub engines: usize,
-    pub tools: usize,
-    pub lease_ms: u64,
-    pub slots: usize,
-    /// Prompt tokens a second of an engine.
-    pub prefill_rate: u64,
-    /// Answer tokens a second and request of an engine.
-    pub decode_rate: u64,
-    /// Time that a tool works on a request.
-    pub work_ms: u64,
-    /// Laid over every entry's settings.
-    pub entry: Value,
-    /// Laid over every sidecar's settings.
-    pub sidecar: Value,
-}
+/// Fleets that run at a time in one test program.
+const FLEETS: usize = 4;
 
-impl Default for Plan {
-    fn default() -> Self {
-        Self {
-            data_centres: vec!["dc-1", "dc-2", "dc-3"],
-            customers: vec!["large", "small"],
-            engines: 2,
-            tools: 1,
-            lease_ms: 1_500,
-            slots: 8,
-            prefill_rate: 100_000,
-            decode_rate: 2_000,
-            work_ms: 5,
-            entry: json!({}),
-            sidecar: json!({}),
-        }
-    }
-}
+static FOLDERS: AtomicU32 = AtomicU32::new(0);
+static TURNS: Semaphore = Semaphore::const_new(FLEETS);
 
 /// An entry and the switches on the paths that lead to and from it.
 #[derive(Debug)]
@@ -90,28 +61,6 @@
     pub platform: Cut,
 }
 
-/// A target, its sidecar and the switch on the path from the entries.
-#[derive(Debug)]
-pub struct Target {
-    pub name: String,
-    pub fake: Process,
-    pub url: SocketAddr,
-    /// Arguments to start the target again.
-    pub args: Vec<String>,
-    pub sidecar: Process,
-    pub settings: PathBuf,
-    pub admin: SocketAddr,
-    /// From entries to the sidecar.
-    pub inward: Cut,
-    kind: Kind,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Kind {
-    Engine,
-    Plain,
-}
-
 /// All processes of one run; they end with it.
 #[derive(Debug)]
 pub struct Fleet {
@@ -123,6 +72,7 @@
     pub tools: Vec<Target>,
     pub http: Http,
     ticket: u64,
+    _turn: SemaphorePermit<'static>,
 }
 
 impl Fleet {
@@ -130,6 +80,7 @@
     ///
     /// Errors: a process doesn't start, or doesn't serve in time.
     pub async fn start(plan: &Plan) -> eyre::Result<Fleet> {
+        let turn = TURNS.acquire().await?;
         let folder = folder()?;
         let store = port::free();
         let listen = store.to_string();
@@ -144,6 +95,7 @@
             tools: Vec::new(),
             http: Http::default(),
             ticket: 0,
+            _turn: turn,
         };
         fleet.wait_for_port(store).await?;
         for data_centre in &plan.data_centres {
@@ -161,12 +113,13 @@
         fleet.wait_healthy().await?;
         let objects = fleet.objects(plan);
         fleet.change(objects, json!([])).await?;
+        fleet.wait_replicated().await?;
         Ok(fleet)
     }
 
     /// A caller of a customer at one entry.
     pub fn caller(&self, entry: usize, customer: &str) -> Caller {
-        let key = format!("tk.{customer}-key.{customer}-secret");
+        let key = presented(&format!("{customer}-key"));
         Caller::new(self.http.clone(), self.entries[entry].callers, &key)
     }
 
@@ -291,16 +244,12 @@
     ///
     /// Errors: it doesn't start.
     pub fn restart_sidecar(&mut self, index: usize, plain: bool) -> eyre::Result<()> {
-        let targets = if plain {
-            &mut self.tools
-        } else {
-            &mut self.engines
-        };
-        let target = &mut targets[index];
+        let folder = self.folder.clone();
+        let target = self.target(index, plain);
         let settings = target.settings.to_string_lossy().into_owned();
         let name = format!("sidecar-{}", target.name);
         let args = ["serve", settings.as_str()];
-        target.sidecar = Process::start(&self.folder, &name, "teasellever-sidecar", &args)?;
+        target.sidecar = Process::start(&folder, &name, "teasellever-sidecar", &args)?;
         Ok(())
     }
 
@@ -308,17 +257,88 @@
     ///
     /// Errors: it doesn't start.
     pub fn restart_target(&mut self, index: usize, plain: bool) -> eyre::Result<()> {
-        let targets = if plain {
-            &mut self.tools
-        } else {
-            &mut self.engines
-        };
-        let target = &mut targets[index];
+        let folder = self.folder.clone();
+        let target = self.target(index, plain);
         let args: Vec<&str> = target.args.iter().map(String::as_str).collect();
-        target.fake = Process::start(&self.folder, &target.name, "teasellever-fakes", &args)?;
+        target.fake = Process::start(&folder, &target.name, "teasellever-fakes", &args)?;
         Ok(())
     }
 
+    /// A target by its place among those of its kind.
+    pub fn target(&mut self, index: usize, plain: bool) -> &mut Target {
+        match plain {
+            true => &mut self.tools[index],
+            false => &mut self.engines[index],
+        }
+    }
+
+    /// The shard map in the platform.
+    ///
+    /// Errors: there is none.
+    pub async fn map(&self) -> eyre::Result<Map> {
+        let path = "/v1/objects/shard-map";
+        let null = Value::Null;
+        let (status, map) = self.http.json(Method::GET, self.store, path, "", &null).await?;
+        eyre::ensure!(status == 200, "shard map: {status}");
+        Ok(serde_json::from_value(map)?)
+    }
+
+    /// Waits until every shard has a primary and a standby that run.
+    ///
+    /// Errors: not in time.
+    pub async fn wait_replicated(&self) -> eyre::Result<()> {
+        self.until("every shard has two owners", async || {
+            let map = self.map().await;
+            map.is_ok_and(|map| {
+                let mut owners = map.shards.iter();
+                owners.all(|owner| owner.primary.is_some() && owner.standby.is_some() && !owner.lost)
+            })
+        })
+        .await
+    }
+
+    /// Place of the entry that is primary of a shard, as the map says.
+    ///
+    /// Errors: there is none.
+    pub async fn primary(&self, shard: Shard) -> eyre::Result<usize> {
+        let map = self.map().await?;
+        let owner = map.owner(shard).and_then(|owner| owner.primary.clone());
+        let owner = owner.ok_or_else(|| eyre::eyre!("shard {shard} has no primary"))?;
+        let place = self.entries.iter().position(|entry| entry.name == owner.as_str());
+        place.ok_or_else(|| eyre::eyre!("{owner} isn't an entry of this fleet"))
+    }
+
+    /// Place of the entry that is primary of a program's shard.
+    ///
+    /// Errors: there is none.
+    pub async fn primary_of(&self, program: &str) -> eyre::Result<usize> {
+        let program: Program = program.parse()?;
+        self.primary(Shard::of_program(&program)).await
+    }
+
+    /// Waits until a shard has another primary than the entry at this place.
+    ///
+    /// Errors: not in time.
+    pub async fn wait_replaced(&self, shard: Shard, former: usize) -> eyre::Result<()> {
+        self.until("the shard has a new primary", async || {
+            let primary = self.primary(shard).await;
+            primary.is_ok_and(|primary| primary != former)
+        })
+        .await
+    }
+
+    /// Cuts an entry off from the platform and from other entries.
+    pub fn cut_off(&self, entry: usize) {
+        self.entries[entry].platform.cut();
+        self.entries[entry].inward.cut();
+    }
+
+    /// Connects an entry again.
+    pub fn connect(&self, entry: usize) {
+        self.entries[entry].platform.heal();
+        self.entries[entry].inward.heal();
+    }
+
     /// The objects of the first ticket.
     fn objects(&self, plan: &Plan) -> Value {
         let customers = plan.customers.iter().flat_map(|customer| {
@@ -402,7 +422,7 @@
         };
         let [url, peers, admin] = [port::free(), port::free(), port::free()];
         let record = self.folder.join(format!("{name}.executions"));
-        let args = target_args(plan, kind, url, &record);
+        let args = target::args(plan, kind, url, &record);
         let words: Vec<&str> = args.iter().map(String::as_str).collect();
         let fake = Process::start(&self.folder, &name, "teasellever-fakes", &words)?;
         let inward = Cut::new(peers).await?;
@@ -430,7 +450,7 @@
             name,
             fake,
             url,
-            args: words_owned(&words),
+            args: words.iter().map(|word| (*word).to_owned()).collect(),
             sidecar,
             settings,
             admin,
@@ -453,68 +473,6 @@
     }
 }
 
-/// A customer of the configuration.
-pub fn customer_object(customer: &str, rate: f64, burst: u32) -> Value {
-    json!({ "customer": { "id": customer, "rate": rate, "burst": burst } })
-}
-
-/// The key of a customer that [`Fleet::caller`] presents.
-pub fn key_object(customer: &str) -> Value {
-    let hash = hash(SALT, &format!("{customer}-secret"));
-    let id = format!("{customer}-key");
-    json!({ "key": { "id": id, "customer": customer, "salt": SALT, "hash": hash } })
-}
-
-fn target_args(plan: &Plan, kind: Kind, url: SocketAddr, record: &Path) -> Vec<String> {
-    let record = record.to_string_lossy().into_owned();
-    let words = match kind {
-        Kind::Engine => vec![
-            ("engine", String::new()),
-            ("--listen", url.to_string()),
-            ("--model", MODEL.to_owned()),
-            ("--slots", plan.slots.to_string()),
-            ("--prefill-rate", plan.prefill_rate.to_string()),
-            ("--decode-rate", plan.decode_rate.to_string()),
-            ("--record", record),
-        ],
-        Kind::Plain => vec![
-            ("tool", String::new()),
-            ("--listen", url.to_string()),
-            ("--work-ms", plan.work_ms.to_string()),
-            ("--record", record),
-        ],
-    };
-    let words = words
-        .into_iter()
-        .flat_map(|(name, value)| [name.to_owned(), value]);
-    words.filter(|word| !word.is_empty()).collect()
-}
-
-fn words_owned(words: &[&str]) -> Vec<String> {
-    words.iter().map(|word| (*word).to_owned()).collect()
-}
-
-fn lay_over(settings: &mut Value, over: &Value) {
-    match (settings, over) {
-        (Value::Object(settings), Value::Object(over)) => over
-            .iter()
-            .for_each(|(key, value)| lay_over(settings.entry(key).or_insert(Value::Null), value)),
-        (settings, over) => *settings = over.clone(),
-    }
-}
-
-fn operator_hash() -> String {
-    format!("{SALT}:{}", hash(SALT, OPERATOR))
-}
-
-fn hash(salt: &str, secret: &str) -> String {
-    let digest = Sha256::new()
-        .chain_update(salt)
-        .chain_update(secret)
-        .finalize();
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 fn folder() -> eyre::Result<PathBuf> {
     let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
     let name = format!("teasellever-{}-{number}", std::process::id());
