Test joining, takeover, handover and recovery from the log over loopback

A lease that isn't renewed is fenced also while its holder still answers heartbeats: the first run of these tests showed a member whose loops had ended but whose connections were open, and which nobody replaced.

--- a/crates/entry/src/fence.rs
+++ b/crates/entry/src/fence.rs
@@ -16,12 +16,14 @@
 use crate::renewal;
 use crate::upkeep::change;
 
-/// Fences silent members and takes them out of the map.
+/// Fences members whose lease has run out and takes them out of the map.
 pub async fn dead_members(member: &Arc<Member>) -> Result<(), Error> {
     let me = member.node();
     for other in &member.map().members {
-        let silent = other.node != me && member.heard.is_silent(member, &other.node);
-        if silent && fence(member, &other.node).await? {
+        let heard = &member.heard;
+        let suspect =
+            heard.is_silent(member, &other.node) || heard.expired(member, &other.node).is_some();
+        if suspect && other.node != me && fence(member, &other.node).await? {
             log::warn!(step = "fence", peer = other.node.as_str(); "lease ran out unrenewed");
             bury(member, &other.node).await?;
         }
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -22,6 +22,7 @@
 use coord::shard::Map;
 use coord::time::Millis;
 use coord::time::Time;
+use futures::Stream;
 use node::platform::Platform;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
@@ -30,6 +31,13 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tonic::Status;
+use wire::Digest;
+use wire::PromiseReply;
+use wire::PromiseRequest;
+use wire::ReplicateReply;
+use wire::ReplicateRequest;
+use wire::SyncChunk;
 
 use crate::clock::Clock;
 use crate::handover;
@@ -41,6 +49,7 @@
 use crate::peer::Peers;
 use crate::promise;
 use crate::renewal;
+use crate::replicate;
 use crate::settings::Settings;
 use crate::shards::Gained;
 use crate::shards::Shards;
@@ -238,6 +247,33 @@
         self.platform.stats()
     }
 
+    /// Answers a primary that sends records of a shard.
+    pub fn replicate(&self, request: &ReplicateRequest) -> ReplicateReply {
+        replicate::append(&self.shards, request)
+    }
+
+    /// Takes in the whole copy of a shard from its primary.
+    ///
+    /// # Errors
+    ///
+    /// The stream breaks or holds no sound copy.
+    pub async fn install(
+        &self,
+        stream: impl Stream<Item = Result<SyncChunk, Status>> + Unpin,
+    ) -> Result<ReplicateReply, Status> {
+        replicate::install(&self.shards, stream).await
+    }
+
+    /// Answers another member's heartbeat.
+    pub fn exchange(self: &Arc<Self>, digest: &Digest) -> Digest {
+        heartbeat::answer(self, digest)
+    }
+
+    /// Answers a member that asks for a promise.
+    pub fn promise(&self, request: &PromiseRequest) -> PromiseReply {
+        promise::answer(self, request)
+    }
+
     pub(crate) fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
     }
--- a/crates/entry/src/promise.rs
+++ b/crates/entry/src/promise.rs
@@ -1,7 +1,6 @@
 //! Going on while the platform is away: every registered member promises not to write the shard map
 //! for the length of a lease, which takes the place of a renewal.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use coord::time::Millis;
@@ -82,7 +81,7 @@
 }
 
 /// Answers another member's question.
-pub fn answer(member: &Arc<Member>, request: &PromiseRequest) -> PromiseReply {
+pub fn answer(member: &Member, request: &PromiseRequest) -> PromiseReply {
     let map = member.map();
     let same = map.version.0 == request.map_version;
     let known = map
--- /dev/null
+++ b/crates/entry/tests/member_common/mod.rs
@@ -0,0 +1,278 @@
+//! Members over loopback with the platform's stand-in in the same process.
+
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::config::Change;
+use coord::id::Shard;
+use coord::record::Budget;
+use coord::record::Record;
+use entry::member::Member;
+use entry::settings::Settings;
+use entry::shards::Durable;
+use entry::shards::Moved;
+use entry::shards::Role;
+use fakes::platform::Faults;
+use fakes::platform::Platform;
+use futures::stream::Empty;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+use tonic::Streaming;
+use wire::owner_server::Owner;
+use wire::owner_server::OwnerServer;
+
+/// Longest wait for a condition that must come about.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Length of a lease, in milliseconds.
+pub const LEASE: u64 = 1_500;
+
+const POLL: Duration = Duration::from_millis(10);
+
+/// The members' part of the service between entries.
+#[derive(Debug)]
+struct Service(Arc<Member>);
+
+#[tonic::async_trait]
+impl Owner for Service {
+    type CallStream = Empty<Result<wire::CallFrame, Status>>;
+
+    async fn call(
+        &self,
+        _: Request<wire::CallRequest>,
+    ) -> Result<Response<Self::CallStream>, Status> {
+        Err(Status::unimplemented("members only"))
+    }
+
+    async fn admit(
+        &self,
+        _: Request<wire::AdmitRequest>,
+    ) -> Result<Response<wire::AdmitReply>, Status> {
+        Err(Status::unimplemented("members only"))
+    }
+
+    async fn replicate(
+        &self,
+        request: Request<wire::ReplicateRequest>,
+    ) -> Result<Response<wire::ReplicateReply>, Status> {
+        Ok(Response::new(self.0.replicate(request.get_ref())))
+    }
+
+    async fn sync(
+        &self,
+        request: Request<Streaming<wire::SyncChunk>>,
+    ) -> Result<Response<wire::ReplicateReply>, Status> {
+        Ok(Response::new(self.0.install(request.into_inner()).await?))
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<wire::Digest>,
+    ) -> Result<Response<wire::Digest>, Status> {
+        Ok(Response::new(self.0.exchange(request.get_ref())))
+    }
+
+    async fn promise(
+        &self,
+        request: Request<wire::PromiseRequest>,
+    ) -> Result<Response<wire::PromiseReply>, Status> {
+        Ok(Response::new(self.0.promise(request.get_ref())))
+    }
+}
+
+/// A member and its server.
+pub struct Node {
+    pub member: Arc<Member>,
+    runtime: Option<Runtime>,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Node {
+    /// Starts a member in a data centre; `seeds` are asked when the platform is away.
+    pub async fn start(platform: &Platform, name: &str, data_centre: &str) -> Node {
+        Node::start_with(platform, name, data_centre, json!([])).await
+    }
+
+    pub async fn start_with(
+        platform: &Platform,
+        name: &str,
+        data_centre: &str,
+        seeds: serde_json::Value,
+    ) -> Node {
+        let peers = free_address().await;
+        let settings = json!({
+            "node": name,
+            "data_centre": data_centre,
+            "listen": { "callers": "127.0.0.1:1", "peers": peers, "admin": "127.0.0.1:2" },
+            "platform": format!("http://{}", platform.address()),
+            "lease": { "duration_ms": LEASE, "margin_ms": LEASE / 10 },
+            "seeds": seeds,
+        });
+        let settings: Settings =
+            node::settings::parse(Path::new("test"), &settings.to_string()).unwrap();
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let member = runtime.spawn(serve(settings)).await.unwrap();
+        Node {
+            member,
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Ends all that it runs at once, open connections too, as a crash would.
+    pub fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    pub fn address(&self) -> String {
+        self.member.settings().listen.peers.to_string()
+    }
+
+    /// Shards of which it is the primary with authority.
+    pub fn led(&self) -> Vec<Shard> {
+        let all = (0..coord::id::SHARDS).map(Shard);
+        all.filter(|shard| self.member.authority(*shard).is_some())
+            .collect()
+    }
+
+    /// Opens a program in its shard; the name tells them apart.
+    pub fn open(&self, program: &str) -> Result<Durable, Moved> {
+        let program: coord::id::Program = program.parse().unwrap();
+        let shard = Shard::of_program(&program);
+        let decision = |_: &_| (vec![opened(&program)], ());
+        let ((), durable) = self.member.shards().decide(shard, decision)?;
+        Ok(durable)
+    }
+
+    /// Whether its copy, as primary, holds a program.
+    pub fn holds(&self, program: &str) -> bool {
+        let program: coord::id::Program = program.parse().unwrap();
+        let shard = Shard::of_program(&program);
+        let look = |state: &entry::shards::State| {
+            state.role == Role::Primary && state.replica.program(&program).is_some()
+        };
+        self.member.shards().inspect(shard, look).unwrap_or(false)
+    }
+}
+
+async fn serve(settings: Settings) -> Arc<Member> {
+    let listener = TcpListener::bind(settings.listen.peers).await.unwrap();
+    let member = Member::start(settings);
+    let service = OwnerServer::new(Service(Arc::clone(&member)))
+        .max_decoding_message_size(wire::MESSAGE_LIMIT);
+    let server = tonic::transport::Server::builder()
+        .add_service(service)
+        .serve_with_incoming(TcpListenerStream::new(listener));
+    tokio::spawn(server);
+    member
+}
+
+async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn opened(program: &coord::id::Program) -> Record {
+    let budget = Budget {
+        tokens: coord::id::Tokens(1_000),
+        calls: 10,
+        wall_ms: 60_000,
+    };
+    let customer = "customer".parse().unwrap();
+    Record::Opened {
+        program: program.clone(),
+        customer,
+        budget,
+        at_ms: entry::clock::unix_ms(),
+    }
+}
+
+/// The platform's stand-in.
+pub async fn platform() -> Platform {
+    Platform::start("127.0.0.1:0".parse().unwrap())
+        .await
+        .unwrap()
+}
+
+/// Waits for a condition that must come about.
+pub async fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "not in time: {what}");
+        sleep(POLL).await;
+    }
+}
+
+/// Waits until all shards have a primary with authority and a standby, evenly spread.
+pub async fn settled(nodes: &[&Node]) {
+    let count = usize::from(coord::id::SHARDS);
+    until("a settled shard map", || {
+        let map = nodes[0].member.map();
+        let led: usize = nodes.iter().map(|node| node.led().len()).sum();
+        let paired = map.shards.iter().all(|owner| owner.standby.is_some());
+        let least = nodes.iter().map(|node| node.led().len()).min();
+        led == count && paired && least >= Some(count / nodes.len() / 2)
+    })
+    .await;
+}
+
+/// Programs named so that they fall on shards that this node leads.
+pub fn programs_of(node: &Node, prefix: &str, count: usize) -> Vec<String> {
+    let led = node.led();
+    let names = (0..).map(|number| format!("{prefix}-{number}"));
+    let here = |name: &String| led.contains(&Shard::of_program(&name.parse().unwrap()));
+    names.filter(here).take(count).collect()
+}
+
+/// Opens programs and waits until each stands in two places.
+pub async fn open_all(node: &Node, programs: &[String]) {
+    for program in programs {
+        node.open(program).unwrap().wait().await.unwrap();
+    }
+}
+
+/// A ticket that sets one customer's rate.
+pub fn ticket(number: u64, customer: &str, rate: f64) -> Change {
+    let change = json!({
+        "number": number,
+        "set": [{ "customer": { "id": customer, "rate": rate, "burst": 10 } }],
+    });
+    serde_json::from_value(change).unwrap()
+}
+
+/// The rate of a customer as a node has it.
+pub fn rate(node: &Node, customer: &str) -> Option<f64> {
+    let config = node.member.config();
+    let customer = config.customer(&customer.parse().unwrap())?;
+    Some(customer.rate.per_second())
+}
+
+/// Faults with the platform down.
+pub fn down() -> Faults {
+    Faults {
+        down: true,
+        ..Faults::default()
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/member_shards.rs
@@ -0,0 +1,135 @@
+//! Shards: joining, standbys, takeover, handover, recovery from the log.
+
+mod member_common;
+
+use member_common::Node;
+use member_common::down;
+use member_common::open_all;
+use member_common::platform;
+use member_common::programs_of;
+use member_common::settled;
+use member_common::until;
+
+const PROGRAMS: usize = 40;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn members_share_the_shards_with_standbys_in_other_data_centres() {
+    let platform = platform().await;
+    let a = Node::start(&platform, "a", "dc-1").await;
+    let b = Node::start(&platform, "b", "dc-2").await;
+    let c = Node::start(&platform, "c", "dc-3").await;
+    settled(&[&a, &b, &c]).await;
+    let map = a.member.map();
+    for owner in &map.shards {
+        let (primary, standby) = (
+            owner.primary.clone().unwrap(),
+            owner.standby.clone().unwrap(),
+        );
+        let centre = |node| map.member(&node).unwrap().data_centre.clone();
+        assert_ne!(centre(primary), centre(standby));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn takeover_keeps_all_acknowledged_records() {
+    let platform = platform().await;
+    let mut a = Node::start(&platform, "a", "dc-1").await;
+    let b = Node::start(&platform, "b", "dc-2").await;
+    let c = Node::start(&platform, "c", "dc-3").await;
+    settled(&[&a, &b, &c]).await;
+    let programs = programs_of(&a, "p", PROGRAMS);
+    open_all(&a, &programs).await;
+    a.kill();
+    until("every program at a new primary", || {
+        programs
+            .iter()
+            .all(|program| b.holds(program) || c.holds(program))
+    })
+    .await;
+    settled(&[&b, &c]).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_log_gives_back_records_when_both_owners_are_gone() {
+    let platform = platform().await;
+    let mut a = Node::start(&platform, "a", "dc-1").await;
+    let mut b = Node::start(&platform, "b", "dc-2").await;
+    settled(&[&a, &b]).await;
+    let programs = programs_of(&a, "p", PROGRAMS);
+    open_all(&a, &programs).await;
+    until("a written log", || a.member.journal().is_idle()).await;
+    let c = Node::start(&platform, "c", "dc-3").await;
+    until("the third member", || c.member.map().members.len() == 3).await;
+    a.kill();
+    b.kill();
+    until("every program read back", || {
+        programs.iter().all(|program| c.holds(program))
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_planned_stop_hands_over_every_shard() {
+    let platform = platform().await;
+    let a = Node::start(&platform, "a", "dc-1").await;
+    let b = Node::start(&platform, "b", "dc-2").await;
+    let c = Node::start(&platform, "c", "dc-3").await;
+    settled(&[&a, &b, &c]).await;
+    let programs = programs_of(&a, "p", PROGRAMS);
+    open_all(&a, &programs).await;
+    a.member.leave(member_common::PATIENCE).await;
+    assert!(a.led().is_empty());
+    until("the map without it", || b.member.map().members.len() == 2).await;
+    assert!(
+        programs
+            .iter()
+            .all(|program| b.holds(program) || c.holds(program))
+    );
+    let never_lost = b.member.map().shards.iter().all(|owner| !owner.lost);
+    assert!(never_lost);
+    settled(&[&b, &c]).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn records_count_by_the_log_while_there_is_no_standby() {
+    let platform = platform().await;
+    let a = Node::start(&platform, "a", "dc-1").await;
+    until("authority", || {
+        a.led().len() == usize::from(coord::id::SHARDS)
+    })
+    .await;
+    open_all(&a, &programs_of(&a, "p", PROGRAMS)).await;
+    platform.set_faults(down());
+    let program = programs_of(&a, "q", 1).remove(0);
+    let durable = a.open(&program);
+    if let Ok(durable) = durable {
+        assert!(durable.wait().await.is_err());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_dead_standby_gives_way_to_another() {
+    let platform = platform().await;
+    let mut a = Node::start(&platform, "a", "dc-1").await;
+    let mut b = Node::start(&platform, "b", "dc-2").await;
+    settled(&[&a, &b]).await;
+    b.kill();
+    let programs = programs_of(&a, "p", PROGRAMS);
+    open_all(&a, &programs).await;
+    let c = Node::start(&platform, "c", "dc-3").await;
+    until("the dead member out", || {
+        let map = c.member.map();
+        map.members.len() == 2
+            && map
+                .members
+                .iter()
+                .all(|m| !m.node.as_str().starts_with('b'))
+    })
+    .await;
+    settled(&[&a, &c]).await;
+    a.kill();
+    until("every program at the new standby", || {
+        programs.iter().all(|program| c.holds(program))
+    })
+    .await;
+}
