Let the member tests wait until no plan moves a shard

Twice in five runs a test opened a program while its shard was being moved to balance the fleet, and met the refusal that is due then. The condition is now that no node's plan is left.

--- a/crates/entry/tests/member_common/mod.rs
+++ b/crates/entry/tests/member_common/mod.rs
@@ -11,6 +11,7 @@
 use coord::id::Shard;
 use coord::record::Budget;
 use coord::record::Record;
+use coord::shard;
 use entry::member::Member;
 use entry::settings::Settings;
 use entry::shards::Durable;
@@ -225,15 +226,19 @@
     }
 }
 
-/// Waits until all shards have a primary with authority and a standby, evenly spread.
+/// Waits until all shards have a primary with authority and a standby, and no plan moves any.
 pub async fn settled(nodes: &[&Node]) {
     let count = usize::from(coord::id::SHARDS);
     until("a settled shard map", || {
         let map = nodes[0].member.map();
         let led: usize = nodes.iter().map(|node| node.led().len()).sum();
         let paired = map.shards.iter().all(|owner| owner.standby.is_some());
-        let least = nodes.iter().map(|node| node.led().len()).min();
-        led == count && paired && least >= Some(count / nodes.len() / 2)
+        let at_rest = nodes.iter().all(|node| {
+            let name = node.member.node();
+            let moves = shard::recruits(&map, &name).len() + shard::transfers(&map, &name).len();
+            node.member.map().version == map.version && moves == 0
+        });
+        map.members.len() == nodes.len() && led == count && paired && at_rest
     })
     .await;
 }
