Reconcile an engine's models by fenced orders under a lock

Cause: operators state which models a target serves, and not every engine checks who orders. The lock's write gives the fencing number; for engines that ignore it a successor waits out the lease and the longest order. Ruled out: a lease per target renewed at all times, thousands of writes that nobody needs while nothing is to be ordered; and a platform watch per sidecar, since entries probe sidecars anyway: the probe now carries what is wanted, by ticket.

--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::dump::Dump;
+use crate::order::Reconciler;
 use crate::release;
 use crate::rpc;
 use crate::settings::Settings;
@@ -71,11 +72,13 @@
         look(&state).await;
         let (stop, stopped) = watch::channel(false);
         let server = tokio::spawn(serve(state.clone(), listener, stopped));
-        let watches = vec![
+        let mut watches = vec![
             tokio::spawn(watch_target(state.clone())),
             tokio::spawn(watch_cache(state.clone())),
             tokio::spawn(sweep(state.clone())),
         ];
+        let reconciler = Reconciler::new(state.clone()).filter(|_| state.is_engine());
+        watches.extend(reconciler.map(|reconciler| tokio::spawn(reconciler.run())));
         log::info!(peer = state.settings.target.as_str(); "serving entries on {peers}");
         Ok(Daemon {
             state,
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -36,6 +36,7 @@
 use crate::refusal;
 use crate::state::Control;
 use crate::state::State;
+use crate::state::Use;
 
 /// When to come back to a target that has too much to do.
 const OVERLOAD_DELAY: Millis = Millis(500);
@@ -61,6 +62,8 @@
     cost: Tokens,
     keep: bool,
     request: Request,
+    /// Keeps the model loaded.
+    _model: Option<Use>,
     start: Start,
     arrived: Time,
 }
@@ -80,6 +83,10 @@
         let authority = authority(start.shard, start.epoch)?;
         let cost = expected_cost(&state, &start);
         let keep = matches!(&start.work, Some(Work::Generate(work)) if work.keep);
+        let model = match &start.work {
+            Some(Work::Generate(work)) => Some(state.use_model(&work.model)),
+            _ => None,
+        };
         let request = request(&state, &attempt, &mut start)?;
         Ok(Dispatch {
             arrived: state.clock.now(),
@@ -91,6 +98,7 @@
             cost,
             keep,
             request,
+            _model: model,
             start,
         })
     }
--- a/crates/sidecar/src/dump.rs
+++ b/crates/sidecar/src/dump.rs
@@ -28,6 +28,7 @@
             "reach": format!("{:?}", state.health.reach()).to_lowercase(),
             "life": state.health.life(),
             "models": *state.models.lock(),
+            "wanted": wanted(state),
             "queue": {
                 "queued": depth.queued,
                 "queued_tokens": depth.queued_tokens.0,
@@ -59,6 +60,13 @@
     }
 }
 
+fn wanted(state: &State) -> Value {
+    match state.wanted() {
+        Some(wanted) => json!({ "ticket": wanted.ticket.0, "models": wanted.models }),
+        None => Value::Null,
+    }
+}
+
 fn epochs(state: &State) -> Value {
     let ledger = state.ledger.lock();
     let epochs = ledger.epochs();
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use coord::id::Attempt;
+use coord::id::Ticket;
 use coord::time::Millis;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::Request;
@@ -27,6 +28,7 @@
 use crate::frame::Outcome;
 use crate::frame::Output;
 use crate::ledger::Cancelled;
+use crate::order::Wanted;
 use crate::release;
 use crate::state::Control;
 use crate::state::State;
@@ -126,7 +128,13 @@
         Ok(Response::new(CacheReply { released }))
     }
 
-    async fn probe(&self, _request: Request<ProbeRequest>) -> Result<Response<Load>, Status> {
+    async fn probe(&self, request: Request<ProbeRequest>) -> Result<Response<Load>, Status> {
+        if let Some(wanted) = request.into_inner().wanted {
+            self.state.want(Wanted {
+                ticket: Ticket(wanted.ticket),
+                models: wanted.models,
+            });
+        }
         Ok(Response::new(self.state.load()))
     }
 }
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -22,6 +22,7 @@
 use crate::load::Sources;
 use crate::meter::Meter;
 use crate::metrics::Instruments;
+use crate::order::Wanted;
 use crate::queue::Queue;
 use crate::settings::Kind;
 use crate::settings::Settings;
@@ -65,6 +66,8 @@
     pub models: Mutex<Vec<String>>,
     /// Wakes the release of cached histories.
     pub release: Notify,
+    wanted: Mutex<Option<Wanted>>,
+    uses: Mutex<Map<String, usize>>,
     controls: Mutex<Map<Attempt, mpsc::UnboundedSender<Control>>>,
     failures: Mutex<VecDeque<Failure>>,
     draining: AtomicBool,
@@ -89,6 +92,8 @@
             leases: Mutex::new(Leases::new(clock.now())),
             models: Mutex::default(),
             release: Notify::new(),
+            wanted: Mutex::default(),
+            uses: Mutex::default(),
             controls: Mutex::default(),
             failures: Mutex::default(),
             draining: AtomicBool::new(false),
@@ -108,7 +113,7 @@
             draining: self.is_draining(),
             slots: self.queue.slots(),
             depth: self.queue.depth(),
-            models: self.models.lock().clone(),
+            models: self.models(),
             report: self.health.report(),
             meter: &self.meter,
         })
@@ -129,6 +134,45 @@
         self.settings.kind == Kind::Engine
     }
 
+    /// What the engine is to serve, if it is known.
+    pub fn wanted(&self) -> Option<Wanted> {
+        self.wanted.lock().clone()
+    }
+
+    /// Takes in what the engine is to serve, unless something newer is known.
+    pub fn want(&self, news: Wanted) {
+        let mut wanted = self.wanted.lock();
+        if wanted
+            .as_ref()
+            .is_none_or(|known| known.ticket < news.ticket)
+        {
+            *wanted = Some(news);
+        }
+    }
+
+    /// Models that the engine serves and is to serve.
+    pub fn models(&self) -> Vec<String> {
+        let mut models = self.models.lock().clone();
+        if let Some(wanted) = self.wanted() {
+            models.retain(|model| wanted.models.contains(model));
+        }
+        models
+    }
+
+    /// Notes that a request needs a model, until the use is dropped.
+    pub fn use_model(self: &Arc<Self>, model: &str) -> Use {
+        *self.uses.lock().entry(model.to_owned()).or_default() += 1;
+        Use {
+            state: self.clone(),
+            model: model.to_owned(),
+        }
+    }
+
+    /// Whether a request that waits or runs needs a model.
+    pub fn uses(&self, model: &str) -> bool {
+        self.uses.lock().contains_key(model)
+    }
+
     /// Whether a program runs here at present.
     pub fn runs(&self, program: &str) -> bool {
         self.leases.lock().is_running(program)
@@ -175,3 +219,22 @@
         self.failures.lock().iter().cloned().collect()
     }
 }
+
+/// A request's need of a model.
+#[derive(Debug)]
+pub struct Use {
+    state: Arc<State>,
+    model: String,
+}
+
+impl Drop for Use {
+    fn drop(&mut self) {
+        let mut uses = self.state.uses.lock();
+        if let Some(count) = uses.get_mut(&self.model) {
+            *count -= 1;
+            if *count == 0 {
+                uses.remove(&self.model);
+            }
+        }
+    }
+}
--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -19,6 +19,8 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
+use crate::order::Fenced;
+
 /// Time to connect to the target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -198,6 +200,15 @@
         Ok(models.data.into_iter().map(|model| model.id).collect())
     }
 
+    /// Gives the engine an order; its time limit is the caller's.
+    ///
+    /// Errors: no answer, or an error status.
+    pub async fn order(&self, order: &Fenced) -> Result<(), Error> {
+        let body = serde_json::to_vec(order).map_err(|error| Error::Unsent(error.to_string()))?;
+        let send = self.send(Method::POST, "/v1/orders", json_headers(), body.into());
+        accept(send.await?).map(drop)
+    }
+
     async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
         let body = self.short(Method::GET, path).await?;
         serde_json::from_slice(&body).map_err(|error| Error::Broken(error.to_string()))
