Report outcomes to the shard's new owner instead of losing them in a handover

Ruled out: waiting until a shard is idle, as a busy shard never is at the size aimed for. Now the dispatch record names its node; while that node is a member the new owner waits, and the node reports the outcome by Owner.Settle; a stopping node stays a member until its answers are finished.

--- a/crates/coord/src/apply.rs
+++ b/crates/coord/src/apply.rs
@@ -84,6 +84,7 @@
             call,
             attempt,
             target,
+            by,
             content,
             input,
             reserved,
@@ -97,6 +98,7 @@
         let entry = Entry {
             attempt: attempt.clone(),
             target: target.clone(),
+            by: by.clone(),
             content: *content,
             idempotent: *idempotent,
             state: State::InFlight,
--- a/crates/coord/src/decision.rs
+++ b/crates/coord/src/decision.rs
@@ -5,6 +5,7 @@
 use crate::id::Attempt;
 use crate::id::Customer;
 use crate::id::Model;
+use crate::id::Node;
 use crate::id::Target;
 use crate::id::Tokens;
 use crate::record::Answer;
@@ -21,6 +22,8 @@
     /// The dispatch, if it comes to one.
     pub attempt: Attempt,
     pub target: Target,
+    /// The node that sends it.
+    pub by: Node,
     /// Hash of what is asked.
     pub content: u64,
     /// New messages, JSON array; empty for a plain service.
@@ -50,6 +53,7 @@
             call: self.call,
             attempt: self.attempt,
             target: self.target,
+            by: self.by,
             content: self.content,
             input: self.input,
             model: self.model,
@@ -107,6 +111,8 @@
     pub call: Call,
     pub attempt: Attempt,
     pub target: Target,
+    /// The node that sent it and reports its outcome while it is a member.
+    pub by: Node,
     pub idempotent: bool,
     pub content: u64,
 }
--- a/crates/coord/src/ledger.rs
+++ b/crates/coord/src/ledger.rs
@@ -15,6 +15,7 @@
 use crate::decision::Flight;
 use crate::id::Attempt;
 use crate::id::Customer;
+use crate::id::Node;
 use crate::id::Request;
 use crate::id::Target;
 use crate::record::Answer;
@@ -35,6 +36,8 @@
 pub struct Entry {
     pub attempt: Attempt,
     pub target: Target,
+    /// The node that sent it.
+    pub by: Node,
     pub content: u64,
     pub idempotent: bool,
     pub state: State,
@@ -86,6 +89,7 @@
                 call: call(),
                 attempt: self.attempt.clone(),
                 target: self.target.clone(),
+                by: self.by.clone(),
                 idempotent: self.idempotent,
                 content: self.content,
             }),
--- a/crates/coord/src/record.rs
+++ b/crates/coord/src/record.rs
@@ -11,6 +11,7 @@
 use crate::id::Attempt;
 use crate::id::Customer;
 use crate::id::Model;
+use crate::id::Node;
 use crate::id::Program;
 use crate::id::Request;
 use crate::id::Step;
@@ -90,6 +91,8 @@
         call: Call,
         attempt: Attempt,
         target: Target,
+        /// The node that sent it and reports its outcome while it is a member.
+        by: Node,
         /// Hash of what was asked, to tell a repeat from another request of the same name.
         content: u64,
         /// The new messages of a program's step, JSON array.
--- a/crates/coord/tests/common/mod.rs
+++ b/crates/coord/tests/common/mod.rs
@@ -37,6 +37,7 @@
 /// A call of customer `ana` with content 1, a prompt of 10 tokens and an answer of 10 at most.
 pub fn ask(call: Call, attempt: &str) -> Begin {
     Begin {
+        by: "node-1".parse().expect("valid name"),
         call,
         customer: name("ana"),
         attempt: name(attempt),
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -35,6 +35,7 @@
 use crate::ledger::Turn;
 use crate::member::Member;
 use crate::out::Out;
+use crate::outcome;
 use crate::place::Choice;
 use crate::place::Question;
 use crate::place::Service;
@@ -178,7 +179,7 @@
     async fn turn(&self, job: &Job, out: &Out) -> Result<Turn, Stop> {
         loop {
             let news = self.flight.news(job.shard);
-            let turn = ledger::review(self.member.shards(), job).await?;
+            let turn = ledger::review(&self.member, job).await?;
             let refusal = match turn {
                 Turn::Go(_) | Turn::Replay(_) => return Ok(turn),
                 Turn::Attach => trial::attached_too_long(),
@@ -200,8 +201,7 @@
         let name = attempt::fresh(choice.incarnation.as_deref());
         let own = self.flight.claim(&name);
         let target = &choice.target.id;
-        let shards = self.member.shards();
-        let turn = match ledger::begin(shards, job, &name, target, &prompt).await {
+        let turn = match ledger::begin(&self.member, job, &name, target, &prompt).await {
             Ok(turn) => turn,
             Err(stop) => {
                 self.withdraw(job, &name).await;
@@ -235,9 +235,7 @@
 
     /// Records that an attempt was never sent, if this node still can.
     async fn withdraw(&self, job: &Job, name: &id::Attempt) {
-        let shards = self.member.shards();
-        let _ = ledger::settle(shards, job, name, Outcome::NotRun).await;
-        self.flight.settled(job.shard);
+        let _ = self.settle(job, name, Outcome::NotRun).await;
     }
 
     fn place(&self, job: &Job, trials: &Trials, prompt: &Prompt) -> Result<Choice, Stop> {
@@ -276,33 +274,35 @@
         match end {
             End::Answered { done, answer } => {
                 let outcome = answer.map_or(Outcome::Unknown, Outcome::Answered);
-                self.settle(job, attempt, outcome).await?;
+                self.settle(job, &attempt.name, outcome).await?;
                 self.completed(job, attempt, &done);
                 out.last(Frame::Done(done)).await;
                 Ok(None)
             }
             End::NotRun(refusal) => {
-                self.settle(job, attempt, Outcome::NotRun).await?;
+                self.settle(job, &attempt.name, Outcome::NotRun).await?;
                 Ok(Some(Again::not_run(refusal, job.left())))
             }
             End::Unknown(refusal) if job.idempotent => {
-                self.settle(job, attempt, Outcome::Unknown).await?;
+                self.settle(job, &attempt.name, Outcome::Unknown).await?;
                 match out.begun() {
                     true => Err(stream::broken().into()),
                     false => Ok(Some(Again::lost(refusal))),
                 }
             }
             End::Unknown(refusal) => {
-                self.settle(job, attempt, Outcome::Unknown).await?;
+                self.settle(job, &attempt.name, Outcome::Unknown).await?;
                 Err(trial::final_unknown(refusal).into())
             }
             End::Crashed(crashed) => self.crashed(job, attempt, &crashed, out).await,
         }
     }
 
-    async fn settle(&self, job: &Job, attempt: &Attempt, outcome: Outcome) -> Result<(), Stop> {
-        let shards = self.member.shards();
-        let settled = ledger::settle(shards, job, &attempt.name, outcome).await;
+    async fn settle(&self, job: &Job, name: &id::Attempt, outcome: Outcome) -> Result<(), Stop> {
+        let settled = match job.recorded {
+            true => outcome::report(&self.member, &job.call, job.shard, name, outcome).await,
+            false => Ok(()),
+        };
         self.flight.settled(job.shard);
         settled
     }
@@ -330,7 +330,7 @@
         self.instruments.crashed();
         let target = &attempt.target.id;
         self.table.failed(target, Instant::now());
-        self.settle(job, attempt, Outcome::Unknown).await?;
+        self.settle(job, &attempt.name, Outcome::Unknown).await?;
         let lost = refusal::at(trial::crashed_under(), target);
         match self.verdict(job) {
             _ if !job.idempotent => Err(trial::final_unknown(lost).into()),
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -57,15 +57,16 @@
     })
 }
 
-/// Leaves the fleet: hands over every shard, writes out the log, gives up the lease.
-/// Returns when that is done or the limit is over.
-pub async fn leave(member: &Arc<Member>, limit: Duration) {
+/// Leaves the fleet: hands over every shard, waits for `idle`, writes out the log, gives up the
+/// lease. Returns when that is done or the limit is over.
+pub async fn leave(member: &Arc<Member>, limit: Duration, idle: impl Future<Output = ()>) {
     let end = Instant::now() + limit;
     member.stop();
     while Instant::now() < end && !has_left(member) {
         step(member).await;
         sleep(PAUSE).await;
     }
+    idle.await;
     while Instant::now() < end && !member.journal().is_idle() {
         sleep(PAUSE).await;
     }
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -21,6 +21,7 @@
 use crate::job;
 use crate::job::Job;
 use crate::job::Work;
+use crate::member::Member;
 use crate::refusal;
 use crate::shards::Durable;
 use crate::shards::Moved;
@@ -77,12 +78,12 @@
 }
 
 /// What becomes of a call before it has a target.
-pub async fn review(shards: &Arc<Shards>, job: &Job) -> Result<Turn, Stop> {
+pub async fn review(member: &Member, job: &Job) -> Result<Turn, Stop> {
     if !job.recorded {
         return Ok(Turn::Go(prompt(job, None)?));
     }
-    let ask = ask(job, unplaced(), id_of_no_target(), Tokens(0), Tokens(0));
-    let (turn, durable) = shards.decide(job.shard, |replica| {
+    let ask = ask(member, job, unplaced(), id_of_no_target(), [Tokens(0); 2]);
+    let (turn, durable) = member.shards().decide(job.shard, |replica| {
         let (records, decision) = split(replica.review(&ask));
         let seen = decision.is_none().then(|| Seen::new(replica, job));
         (records, (decision, seen))
@@ -95,7 +96,7 @@
 
 /// Records the dispatch of an attempt; it may be sent once this returns `Go`.
 pub async fn begin(
-    shards: &Arc<Shards>,
+    member: &Member,
     job: &Job,
     attempt: &Attempt,
     target: &Target,
@@ -105,14 +106,9 @@
         return Ok(Turn::Go(prompt.clone()));
     }
     let attempt = attempt.clone();
-    let ask = ask(
-        job,
-        attempt,
-        target.clone(),
-        prompt.tokens,
-        job.max_tokens(),
-    );
-    let (decision, durable) = shards.decide(job.shard, |replica| {
+    let tokens = [prompt.tokens, job.max_tokens()];
+    let ask = ask(member, job, attempt, target.clone(), tokens);
+    let (decision, durable) = member.shards().decide(job.shard, |replica| {
         let (records, decision) = split(Some(replica.begin(ask)));
         (records, decision)
     })?;
@@ -125,19 +121,6 @@
     }
 }
 
-/// Records the outcome of an attempt.
-pub async fn settle(
-    shards: &Arc<Shards>,
-    job: &Job,
-    attempt: &Attempt,
-    outcome: Outcome,
-) -> Result<(), Stop> {
-    if !job.recorded {
-        return Ok(());
-    }
-    record_outcome(shards, &job.call, job.shard, attempt, outcome).await
-}
-
 /// Records the outcome of an attempt of any call.
 pub async fn record_outcome(
     shards: &Arc<Shards>,
@@ -151,13 +134,17 @@
         let awaited = !records.is_empty();
         (records, awaited)
     })?;
-    let lost = || refusal::unknown(Code::OutcomeUnknown, STEP, "the outcome wasn't recorded");
     match durable.wait().await {
         Ok(()) if awaited => Ok(()),
-        Ok(()) | Err(_) => Err(lost().into()),
+        Ok(()) | Err(_) => Err(not_awaited().into()),
     }
 }
 
+/// The refusal of a call whose outcome came too late to count.
+pub fn not_awaited() -> Refusal {
+    refusal::unknown(Code::OutcomeUnknown, STEP, "the outcome wasn't recorded")
+}
+
 /// Waits for what a decision rests on.
 async fn settled(decision: Decision, durable: Durable) -> Result<Turn, Stop> {
     if durable.wait().await.is_err() {
@@ -244,12 +231,19 @@
     }
 }
 
-fn ask(job: &Job, attempt: Attempt, target: Target, estimate: Tokens, max_tokens: Tokens) -> Begin {
+fn ask(
+    member: &Member,
+    job: &Job,
+    attempt: Attempt,
+    target: Target,
+    [estimate, max_tokens]: [Tokens; 2],
+) -> Begin {
     Begin {
         call: job.call.clone(),
         customer: job.customer.clone(),
         attempt,
         target,
+        by: member.node(),
         content: job.content,
         input: job.input(),
         model: job.model(),
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -150,11 +150,12 @@
         self.loops.lock().extend(loops);
     }
 
-    /// Leaves the fleet for good: hands over every shard, writes out the log, gives up the lease.
-    /// Takes up to `limit`; calls for shards handed over are answered `moved` until the process
-    /// ends.
-    pub async fn leave(self: &Arc<Self>, limit: Duration) {
-        handover::leave(self, limit).await;
+    /// Leaves the fleet for good: hands over every shard, writes out the log, waits until `idle`,
+    /// as the outcomes of calls in progress are reported by members only, and gives up the lease.
+    /// Takes up to `limit` beside the wait; calls for shards handed over are answered `moved`
+    /// until the process ends.
+    pub async fn leave(self: &Arc<Self>, limit: Duration, idle: impl Future<Output = ()>) {
+        handover::leave(self, limit, idle).await;
         self.abort();
     }
 
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -7,6 +7,7 @@
 use coord::config;
 use futures::StreamExt;
 use wire::ProbeRequest;
+use wire::Wanted;
 
 use crate::call::Call;
 
@@ -36,9 +37,20 @@
     probes.collect::<Vec<()>>().await;
 }
 
+/// What a model engine is to serve.
+fn wanted(call: &Call, target: &config::Target) -> Option<Wanted> {
+    let name = config::Name::Target(target.id.clone());
+    let ticket = call.member.config().entry(&name)?.ticket.0;
+    let models = target.models.iter().map(ToString::to_string).collect();
+    Some(Wanted { ticket, models })
+}
+
 async fn probe(call: &Call, target: config::Target) {
     let mut client = call.member.peers().target(target.sidecar);
-    let reply = tokio::time::timeout(TIMEOUT, client.probe(ProbeRequest {})).await;
+    let request = ProbeRequest {
+        wanted: wanted(call, &target),
+    };
+    let reply = tokio::time::timeout(TIMEOUT, client.probe(request)).await;
     let now = Instant::now();
     match reply {
         Ok(Ok(load)) => call.table.report(&target.id, load.into_inner(), now),
--- a/crates/entry/src/resolve.rs
+++ b/crates/entry/src/resolve.rs
@@ -73,6 +73,9 @@
 }
 
 async fn settle(call: &Call, fence: &Fence, flight: Flight) {
+    if !is_orphan(call, fence, &flight).await {
+        return;
+    }
     let fenced = is_fenced(call, fence, &flight).await;
     let outcome = match fenced {
         true => Outcome::NotRun,
@@ -87,6 +90,33 @@
     call.flight.settled(fence.shard);
 }
 
+/// Waits until the attempt's node reports its outcome or is no member any more; false: nothing is
+/// left to resolve here.
+async fn is_orphan(call: &Call, fence: &Fence, flight: &Flight) -> bool {
+    let mut maps = call.member.map_changes();
+    loop {
+        let news = call.flight.news(fence.shard);
+        let shards = call.member.shards();
+        let held = shards
+            .authority(fence.shard)
+            .is_some_and(|held| held.epoch == fence.epoch);
+        let awaited = || {
+            shards.inspect(fence.shard, |state| {
+                state.replica.awaits(&flight.call, &flight.attempt)
+            })
+        };
+        match maps.borrow_and_update().member(&flight.by) {
+            _ if !held || awaited() != Some(true) => return false,
+            None => return true,
+            Some(_) => {}
+        }
+        tokio::select! {
+            () = news => {}
+            Ok(()) = maps.changed() => {}
+        }
+    }
+}
+
 async fn is_fenced(call: &Call, fence: &Fence, flight: &Flight) -> bool {
     let config = call.member.config();
     let Some(target) = config.target(&flight.target) else {
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -18,6 +18,8 @@
 use wire::PromiseRequest;
 use wire::ReplicateReply;
 use wire::ReplicateRequest;
+use wire::SettleReply;
+use wire::SettleRequest;
 use wire::SyncChunk;
 use wire::owner_server::Owner;
 
@@ -25,6 +27,7 @@
 use crate::call::Call;
 use crate::heartbeat;
 use crate::member::Member;
+use crate::outcome;
 use crate::promise;
 use crate::replicate;
 
@@ -65,6 +68,15 @@
         ))
     }
 
+    async fn settle(
+        &self,
+        request: Request<SettleRequest>,
+    ) -> Result<Response<SettleReply>, Status> {
+        let request = request.into_inner();
+        let reply = outcome::take(&self.member, &self.call.flight, request).await;
+        Ok(Response::new(reply))
+    }
+
     async fn replicate(
         &self,
         request: Request<ReplicateRequest>,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -242,6 +242,8 @@
                 dispatch.extend(Duration::ZERO);
             }
             Some(authority) => dispatch.extend(self.start_by(&authority)),
+            // The shard was handed over: what waits is for the new owner to place.
+            None if self.call.member.fresh() => dispatch.extend(Duration::ZERO),
             None => {}
         }
     }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -20,6 +20,7 @@
 use crate::cache;
 use crate::call::Call;
 use crate::callers::Callers;
+use crate::clock;
 use crate::ingress::Ingress;
 use crate::instruments::Instruments;
 use crate::member::Member;
@@ -40,6 +41,7 @@
     pub admission: Arc<Admission>,
     pub ingress: Arc<Ingress>,
     callers: HttpServer<Arc<Callers>>,
+    grace: Duration,
     peers: JoinHandle<()>,
     loops: Vec<JoinHandle<()>>,
     stop: watch::Sender<bool>,
@@ -52,6 +54,7 @@
     pub async fn start(member: Arc<Member>, meter: &Meter) -> eyre::Result<Service> {
         let settings = member.settings().clone();
         let limits = settings.limits.clone();
+        let grace = clock::duration(limits.grace_ms);
         let admission = Admission::new(Arc::clone(&member), limits.admission_wait_ms);
         let admission = Arc::new(admission);
         let instruments = Arc::new(Instruments::new(meter));
@@ -84,6 +87,7 @@
             admission,
             ingress,
             callers,
+            grace,
             peers,
             loops,
             stop,
@@ -103,22 +107,26 @@
     /// Stops as planned: hands the shards over, finishes the open answers, then ends. Takes up to
     /// twice the limit.
     pub async fn stop(self, limit: Duration) {
-        let leave = self.member.leave(limit);
-        let close = tokio::time::timeout(limit, self.callers.close());
-        let (_, closed) = tokio::join!(leave, close);
-        if let Ok(Err(error)) = closed {
-            log::warn!(step = "stop", peer = "callers"; "{error}");
-        }
-        let end = Instant::now() + limit;
-        while self.call.flight.total() > 0 && Instant::now() < end {
-            tokio::time::sleep(PAUSE).await;
-        }
+        let idle = finish(self.callers, &self.call, self.grace, limit);
+        self.member.leave(limit, idle).await;
         self.loops.iter().for_each(JoinHandle::abort);
         self.stop.send_replace(true);
         let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.peers).await;
     }
 }
 
+/// Serves callers until the balancer had time to notice, then finishes all that is in progress.
+async fn finish(callers: HttpServer<Arc<Callers>>, call: &Call, grace: Duration, limit: Duration) {
+    tokio::time::sleep(grace).await;
+    if let Ok(Err(error)) = tokio::time::timeout(limit, callers.close()).await {
+        log::warn!(step = "stop", peer = "callers"; "{error}");
+    }
+    let end = Instant::now() + limit;
+    while call.flight.total() > 0 && Instant::now() < end {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
 async fn serve_peers(
     address: SocketAddr,
     server: rpc::Server,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -91,6 +91,8 @@
     pub idle_ms: Millis,
     /// Time that answers are kept for repeats.
     pub retention_ms: Millis,
+    /// Time that callers are served after a planned stop began, for the balancer to notice.
+    pub grace_ms: Millis,
     /// Time that a target keeps an open program's cache without renewal.
     pub cache_hold_ms: Millis,
 }
@@ -121,6 +123,7 @@
             requests: 4_096,
             idle_ms: Millis(900_000),
             retention_ms: Millis(600_000),
+            grace_ms: Millis(3_000),
             cache_hold_ms: Millis(10_000),
         }
     }
--- a/crates/entry/tests/call/fleet.rs
+++ b/crates/entry/tests/call/fleet.rs
@@ -206,7 +206,7 @@
 
     /// Executions that the tool has counted.
     pub fn executions(&self) -> u64 {
-        self.tool.stats.counts().started
+        self.tool.stats.counts().executions.values().sum()
     }
 }
 
--- a/crates/entry/tests/member_shards.rs
+++ b/crates/entry/tests/member_shards.rs
@@ -77,7 +77,7 @@
     settled(&[&a, &b, &c]).await;
     let programs = programs_of(&a, "p", PROGRAMS);
     open_all(&a, &programs).await;
-    a.member.leave(member_common::PATIENCE).await;
+    a.member.leave(member_common::PATIENCE, async {}).await;
     assert!(a.led().is_empty());
     until("the map without it", || b.member.map().members.len() == 2).await;
     assert!(
