Let a planned stop finish what it began

Cause: a new owner fenced off what the former one had in flight, also when the shard was handed over as planned. Now the former owner goes on and sends the outcome to the new one (Owner.Settle), which waits while that node is in the fleet; a node leaves the fleet only when its calls are through. Ruled out: handing over idle shards only, as a busy shard is never idle. Probes carry what a target is to serve.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -35,6 +35,7 @@
 use crate::ledger::Turn;
 use crate::member::Member;
 use crate::out::Out;
+use crate::outcome;
 use crate::place::Choice;
 use crate::place::Question;
 use crate::place::Service;
@@ -58,7 +59,7 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) admission: Arc<Admission>,
     pub(crate) instruments: Arc<Instruments>,
-    pub(crate) table: Table,
+    pub table: Table,
     pub(crate) caches: Caches,
     pub(crate) flight: Flight,
     pub(crate) quarantine: Mutex<Quarantine>,
@@ -301,8 +302,7 @@
     }
 
     async fn settle(&self, job: &Job, attempt: &Attempt, outcome: Outcome) -> Result<(), Stop> {
-        let shards = self.member.shards();
-        let settled = ledger::settle(shards, job, &attempt.name, outcome).await;
+        let settled = outcome::settle(&self.member, job, &attempt.name, outcome).await;
         self.flight.settled(job.shard);
         settled
     }
@@ -353,7 +353,7 @@
             return Err(Stop::Gone);
         }
         trials.count += 1;
-        trials.may_have_run |= !again.free;
+        trials.may_have_run |= again.may_have_run;
         trials.barred.insert(attempt.target.id.clone());
         let delay = crate::clock::duration(trials.delay.next(rand::rng().random()));
         let in_time = delay < job.left();
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -57,15 +57,20 @@
     })
 }
 
-/// Leaves the fleet: hands over every shard, writes out the log, gives up the lease.
-/// Returns when that is done or the limit is over.
-pub async fn leave(member: &Arc<Member>, limit: Duration) {
+/// Hands over every shard. Returns when that is done or the limit is over.
+pub async fn shed(member: &Arc<Member>, limit: Duration) {
     let end = Instant::now() + limit;
     member.stop();
     while Instant::now() < end && !has_left(member) {
         step(member).await;
         sleep(PAUSE).await;
     }
+}
+
+/// Leaves the fleet: writes out the log, gives up the lease.
+/// Returns when that is done or the limit is over.
+pub async fn depart(member: &Arc<Member>, limit: Duration) {
+    let end = Instant::now() + limit;
     while Instant::now() < end && !member.journal().is_idle() {
         sleep(PAUSE).await;
     }
--- a/crates/entry/src/ingress.rs
+++ b/crates/entry/src/ingress.rs
@@ -124,7 +124,7 @@
             request.deadline_ms = left.as_millis() as u64;
             let owner = self.member.owner(shard);
             let sent = match &owner {
-                Some(owner) if !left.is_zero() => self.send(&request, shard, owner, deadline).await,
+                Some(owner) if !left.is_zero() => self.send(&request, owner, deadline).await,
                 _ => Sent::Elsewhere("the shard has no owner at present".to_string()),
             };
             let why = match sent {
@@ -148,13 +148,7 @@
         }
     }
 
-    async fn send(
-        &self,
-        request: &CallRequest,
-        shard: Shard,
-        owner: &Peer,
-        deadline: Instant,
-    ) -> Sent {
+    async fn send(&self, request: &CallRequest, owner: &Peer, deadline: Instant) -> Sent {
         let frames = match owner.me {
             true => self.call.run(request.clone()),
             false => match self.forward(request, owner, deadline).await {
@@ -164,17 +158,17 @@
         };
         tokio::select! {
             sent = first_frame(frames) => sent,
-            () = self.replaced(shard, owner) => Sent::Lost("the owner was replaced".to_string()),
+            () = self.replaced(owner) => Sent::Lost("the owner was replaced".to_string()),
         }
     }
 
-    /// Resolves when the shard has another owner.
-    async fn replaced(&self, shard: Shard, owner: &Peer) {
+    /// Resolves when the shard's owner is out of the fleet. One that has handed the shard over
+    /// finishes what it began.
+    async fn replaced(&self, owner: &Peer) {
         loop {
             tokio::time::sleep(OWNER_CHECK).await;
-            match self.member.owner(shard) {
-                Some(now) if now.epoch != owner.epoch => return,
-                _ => {}
+            if self.member.map().member(&owner.node).is_none() {
+                return;
             }
         }
     }
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -125,17 +125,17 @@
     }
 }
 
-/// Records the outcome of an attempt.
+/// Records the outcome of an attempt here, if this node owns the shard.
 pub async fn settle(
     shards: &Arc<Shards>,
     job: &Job,
     attempt: &Attempt,
     outcome: Outcome,
 ) -> Result<(), Stop> {
-    if !job.recorded {
-        return Ok(());
+    match job.recorded {
+        true => record_outcome(shards, &job.call, job.shard, attempt, outcome).await,
+        false => Ok(()),
     }
-    record_outcome(shards, &job.call, job.shard, attempt, outcome).await
 }
 
 /// Records the outcome of an attempt of any call.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod operators;
 pub mod options;
 pub mod out;
+pub mod outcome;
 pub mod peer;
 pub mod place;
 pub mod plain;
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -154,7 +154,20 @@
     /// Takes up to `limit`; calls for shards handed over are answered `moved` until the process
     /// ends.
     pub async fn leave(self: &Arc<Self>, limit: Duration) {
-        handover::leave(self, limit).await;
+        self.shed(limit).await;
+        self.depart(limit).await;
+    }
+
+    /// Hands over every shard; calls that are in progress go on, and their outcomes go to the new
+    /// owners. Takes up to `limit`.
+    pub async fn shed(self: &Arc<Self>, limit: Duration) {
+        handover::shed(self, limit).await;
+    }
+
+    /// Writes out the log and gives up the lease; only once no call is in progress any more.
+    /// Takes up to `limit`.
+    pub async fn depart(self: &Arc<Self>, limit: Duration) {
+        handover::depart(self, limit).await;
         self.abort();
     }
 
@@ -193,6 +206,11 @@
         self.fresh() && !self.is_stopping() && owned()
     }
 
+    /// Length of a lease.
+    pub fn lease_duration(&self) -> Duration {
+        self.lease.duration()
+    }
+
     /// Authority over a shard at this very moment; checked right before each effect.
     pub fn authority(&self, shard: Shard) -> Option<Authority> {
         self.shards.authority(shard)
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -5,8 +5,10 @@
 use std::time::Instant;
 
 use coord::config;
+use coord::config::Name;
 use futures::StreamExt;
 use wire::ProbeRequest;
+use wire::Wanted;
 
 use crate::call::Call;
 
@@ -36,9 +38,20 @@
     probes.collect::<Vec<()>>().await;
 }
 
+/// What the newest ticket says of a target.
+fn wanted(call: &Call, target: &config::Target) -> Option<Wanted> {
+    let config = call.member.config();
+    let entry = config.entry(&Name::Target(target.id.clone()))?;
+    Some(Wanted {
+        ticket: entry.ticket.0,
+        models: target.models.iter().map(ToString::to_string).collect(),
+    })
+}
+
 async fn probe(call: &Call, target: config::Target) {
     let mut client = call.member.peers().target(target.sidecar);
-    let reply = tokio::time::timeout(TIMEOUT, client.probe(ProbeRequest {})).await;
+    let wanted = wanted(call, &target);
+    let reply = tokio::time::timeout(TIMEOUT, client.probe(ProbeRequest { wanted })).await;
     let now = Instant::now();
     match reply {
         Ok(Ok(load)) => call.table.report(&target.id, load.into_inner(), now),
--- a/crates/entry/src/resolve.rs
+++ b/crates/entry/src/resolve.rs
@@ -8,12 +8,17 @@
 
 use coord::decision::Flight;
 use coord::id::Epoch;
+use coord::id::Node;
+use coord::id::SHARDS;
 use coord::id::Shard;
 use coord::record::Outcome;
+use coord::shard::Map;
 use futures::StreamExt;
 use tokio::sync::broadcast::error::RecvError;
+use tokio::time::Instant;
 
 use crate::call::Call;
+use crate::clock;
 use crate::dispatch;
 use crate::dispatch::Fence;
 use crate::ledger;
@@ -25,34 +30,95 @@
 const CONCURRENCY: usize = 16;
 /// Tries to reach the sidecar of an attempt.
 const TRIES: u32 = 4;
+/// Time beyond the longest request for a former owner to finish.
+const LINGER: Duration = Duration::from_secs(60);
 /// Pause between two tries.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// Owners of each shard, the newest two that were seen.
+#[derive(Debug, Default)]
+struct Owners(Vec<[Option<(Epoch, Node)>; 2]>);
+
+impl Owners {
+    fn see(&mut self, map: &Map) {
+        self.0.resize_with(usize::from(SHARDS), Default::default);
+        for (seen, number) in self.0.iter_mut().zip(0..SHARDS) {
+            let owner = map.owner(Shard(number));
+            let owner = owner.and_then(|owner| Some((owner.epoch, owner.primary.clone()?)));
+            let newest = seen[0].as_ref().map(|(epoch, _)| *epoch);
+            match owner {
+                Some(owner) if newest < Some(owner.0) => {
+                    seen[1] = seen[0].replace(owner);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Who owned a shard before an epoch, as far as was seen.
+    fn before(&self, shard: Shard, epoch: Epoch) -> Option<Node> {
+        let seen = self.0.get(usize::from(shard.0))?;
+        let mut earlier = seen.iter().flatten().filter(|(other, _)| *other < epoch);
+        earlier.next().map(|(_, node)| node.clone())
+    }
+}
+
 /// Resolves each shard that this node gains, until the process ends.
 pub async fn keep(call: Arc<Call>) {
-    let mut gained = call.member.shards().gained();
+    let mut gained = call.member.gained();
+    let mut maps = call.member.map_changes();
+    let mut owners = Owners::default();
     loop {
-        match gained.recv().await {
-            Ok(Gained { shard, epoch }) => start(&call, shard, epoch),
-            Err(RecvError::Lagged(_)) => all(&call),
-            Err(RecvError::Closed) => return,
+        owners.see(&call.member.map());
+        tokio::select! {
+            gain = gained.recv() => match gain {
+                Ok(Gained { shard, epoch }) => start(&call, &owners, shard, epoch),
+                Err(RecvError::Lagged(_)) => all(&call, &owners),
+                Err(RecvError::Closed) => return,
+            },
+            Ok(()) = maps.changed() => {}
         }
     }
 }
 
 /// Resolves all shards that this node owns at present.
-pub fn all(call: &Arc<Call>) {
-    for number in 0..coord::id::SHARDS {
+fn all(call: &Arc<Call>, owners: &Owners) {
+    for number in 0..SHARDS {
         let shard = Shard(number);
         if let Some(authority) = call.member.authority(shard) {
-            start(call, shard, authority.epoch);
+            start(call, owners, shard, authority.epoch);
         }
     }
 }
 
-fn start(call: &Arc<Call>, shard: Shard, epoch: Epoch) {
+fn start(call: &Arc<Call>, owners: &Owners, shard: Shard, epoch: Epoch) {
     let call = Arc::clone(call);
-    tokio::spawn(async move { resolve(&call, shard, epoch).await });
+    let former = owners.before(shard, epoch);
+    tokio::spawn(async move {
+        if let Some(former) = former {
+            finished(&call, shard, &former).await;
+        }
+        resolve(&call, shard, epoch).await;
+    });
+}
+
+/// Waits while the former owner, which handed the shard over, finishes what it began.
+async fn finished(call: &Call, shard: Shard, former: &Node) {
+    let end = Instant::now() + clock::duration(call.settings.limits.timeout_max_ms) + LINGER;
+    while Instant::now() < end && call.member.map().member(former).is_some() {
+        if !has_foreign(call, shard) {
+            return;
+        }
+        call.flight.news(shard).await;
+    }
+}
+
+/// Whether a call that another node began is in flight.
+fn has_foreign(call: &Call, shard: Shard) -> bool {
+    let foreign = |flight: &Flight| !call.flight.is_own(&flight.attempt);
+    let shards = call.member.shards();
+    let found = shards.inspect(shard, |state| state.replica.in_flight().iter().any(foreign));
+    found.unwrap_or(false)
 }
 
 async fn resolve(call: &Call, shard: Shard, epoch: Epoch) {
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -1,10 +1,11 @@
 //! The service between entries: calls and admission for their owner, records and news for members.
 
+use std::pin::Pin;
 use std::sync::Arc;
 
+use coord::id::Shard;
 use futures::Stream;
 use futures::StreamExt;
-use std::pin::Pin;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
@@ -18,15 +19,15 @@
 use wire::PromiseRequest;
 use wire::ReplicateReply;
 use wire::ReplicateRequest;
+use wire::SettleReply;
+use wire::SettleRequest;
 use wire::SyncChunk;
 use wire::owner_server::Owner;
 
 use crate::admission::Admission;
 use crate::call::Call;
-use crate::heartbeat;
 use crate::member::Member;
-use crate::promise;
-use crate::replicate;
+use crate::outcome;
 
 /// Serves other entries.
 pub struct Server {
@@ -65,11 +66,21 @@
         ))
     }
 
+    async fn settle(
+        &self,
+        request: Request<SettleRequest>,
+    ) -> Result<Response<SettleReply>, Status> {
+        let request = request.into_inner();
+        let reply = outcome::serve(&self.member, &request).await;
+        self.call.flight.settled(Shard(request.shard as u16));
+        Ok(Response::new(reply))
+    }
+
     async fn replicate(
         &self,
         request: Request<ReplicateRequest>,
     ) -> Result<Response<ReplicateReply>, Status> {
-        let reply = replicate::append(self.member.shards(), request.get_ref());
+        let reply = self.member.replicate(request.get_ref());
         Ok(Response::new(reply))
     }
 
@@ -77,24 +88,18 @@
         &self,
         request: Request<Streaming<SyncChunk>>,
     ) -> Result<Response<ReplicateReply>, Status> {
-        let reply = replicate::install(self.member.shards(), request.into_inner()).await?;
+        let reply = self.member.install(request.into_inner()).await?;
         Ok(Response::new(reply))
     }
 
     async fn exchange(&self, request: Request<Digest>) -> Result<Response<Digest>, Status> {
-        Ok(Response::new(heartbeat::answer(
-            &self.member,
-            request.get_ref(),
-        )))
+        Ok(Response::new(self.member.exchange(request.get_ref())))
     }
 
     async fn promise(
         &self,
         request: Request<PromiseRequest>,
     ) -> Result<Response<PromiseReply>, Status> {
-        Ok(Response::new(promise::answer(
-            &self.member,
-            request.get_ref(),
-        )))
+        Ok(Response::new(self.member.promise(request.get_ref())))
     }
 }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -103,9 +103,9 @@
     /// Stops as planned: hands the shards over, finishes the open answers, then ends. Takes up to
     /// twice the limit.
     pub async fn stop(self, limit: Duration) {
-        let leave = self.member.leave(limit);
+        let shed = self.member.shed(limit);
         let close = tokio::time::timeout(limit, self.callers.close());
-        let (_, closed) = tokio::join!(leave, close);
+        let (_, closed) = tokio::join!(shed, close);
         if let Ok(Err(error)) = closed {
             log::warn!(step = "stop", peer = "callers"; "{error}");
         }
@@ -113,6 +113,7 @@
         while self.call.flight.total() > 0 && Instant::now() < end {
             tokio::time::sleep(PAUSE).await;
         }
+        self.member.depart(limit).await;
         self.loops.iter().for_each(JoinHandle::abort);
         self.stop.send_replace(true);
         let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.peers).await;
--- a/crates/entry/src/trial.rs
+++ b/crates/entry/src/trial.rs
@@ -51,8 +51,9 @@
 /// A call without an answer that may be tried again.
 pub struct Again {
     pub refusal: Refusal,
-    /// Costs no target anything.
+    /// Costs no target anything, so that it needs no retry budget.
     pub free: bool,
+    pub may_have_run: bool,
     pub repeatable: bool,
 }
 
@@ -65,8 +66,13 @@
             Ok(Code::Deadline) => left < LATE,
             Ok(_) | Err(_) => false,
         };
+        let free = matches!(
+            refusal.code.parse(),
+            Ok(Code::Draining | Code::NotRun | Code::Deadline | Code::Conflict)
+        );
         Again {
-            free: true,
+            free,
+            may_have_run: false,
             repeatable: !hopeless,
             refusal,
         }
@@ -77,6 +83,7 @@
         Again {
             refusal: refusal::retry_after(refusal, RETRY_AFTER),
             free: false,
+            may_have_run: true,
             repeatable: true,
         }
     }
--- a/crates/entry/tests/call/fleet.rs
+++ b/crates/entry/tests/call/fleet.rs
@@ -25,8 +25,11 @@
 use serde_json::Value;
 use serde_json::json;
 use sidecar::daemon::Daemon;
+use tokio::task::JoinHandle;
 
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Places at each target.
+const SLOTS: u64 = 4;
 const SALT: &str = "00ff";
 
 /// Everything of one test; it ends with it.
@@ -133,34 +136,42 @@
         body: impl Into<Bytes>,
     ) -> Reply {
         let address = self.services[entry].callers();
-        let mut request = Request::builder()
-            .method(method)
-            .uri(format!("http://{address}{path}"));
-        if !customer.is_empty() {
-            let key = format!("Bearer tk.{customer}-key.{customer}-secret");
-            request = request.header("authorization", key);
-        }
-        for (name, value) in headers {
-            request = request.header(*name, *value);
-        }
-        let request = request
-            .body(Full::new(body.into()))
-            .expect("a sound request");
-        let client = Client::builder(TokioExecutor::new()).build_http();
-        let response = client.request(request).await.expect("a reply");
-        let status = response.status().as_u16();
-        let retry_after = response.headers().get("retry-after");
-        let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
-        let body = response.into_body().collect().await;
-        let bytes = body.map(|body| body.to_bytes()).unwrap_or_default();
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        let body = serde_json::from_str(&text).unwrap_or(Value::Null);
-        Reply {
-            status,
-            retry_after,
-            text,
-            body,
-        }
+        let request = request(address, customer, method, path, headers);
+        send(request.body(Full::new(body.into())).expect("sound")).await
+    }
+
+    /// Posts in the background.
+    pub fn background(
+        &self,
+        entry: usize,
+        customer: &str,
+        path: &str,
+        name: &str,
+        body: String,
+    ) -> JoinHandle<Reply> {
+        let address = self.services[entry].callers();
+        let headers = [("idempotency-key", name)];
+        let request = request(address, customer, Method::POST, path, &headers);
+        tokio::spawn(send(request.body(Full::new(body.into())).expect("sound")))
+    }
+
+    /// Occupies all of the tool's places.
+    pub async fn fill_tool(&self) -> Vec<JoinHandle<Reply>> {
+        let fill = |number| {
+            let name = format!("fill-{number}");
+            self.background(0, "large", "/r/book/fill", &name, String::new())
+        };
+        let fillers = (0..SLOTS).map(fill).collect();
+        within("the tool is full", async || self.executions() == SLOTS).await;
+        fillers
+    }
+
+    /// Calls that wait at the tool's sidecar, as the entries know.
+    pub fn queued(&self) -> u32 {
+        let reports = |service: &Service| service.call.table.reports();
+        let reports = self.services.iter().flat_map(reports);
+        let tool = reports.filter(|(target, _)| target.as_str() == "tool-1");
+        tool.map(|(_, load)| load.queued).max().unwrap_or(0)
     }
 
     pub async fn post(&self, entry: usize, customer: &str, path: &str, body: Value) -> Reply {
@@ -200,6 +211,18 @@
         .await
     }
 
+    /// A request name whose shard an entry owns.
+    pub fn name_at(&self, entry: usize, customer: &str) -> String {
+        let customer = customer.parse().expect("a customer's name");
+        let owned = |name: &String| {
+            let request = name.parse().expect("a request's name");
+            let shard = coord::id::Shard::of_request(&customer, &request);
+            self.services[entry].member.authority(shard).is_some()
+        };
+        let names = (0..10_000).map(|number| format!("request-{number}"));
+        names.into_iter().find(owned).expect("an owned shard")
+    }
+
     /// Executions that the tool has counted.
     pub fn executions(&self) -> u64 {
         self.tool.stats.counts().executions.values().sum()
@@ -215,6 +238,44 @@
     })
 }
 
+fn request(
+    address: SocketAddr,
+    customer: &str,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> http::request::Builder {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    if !customer.is_empty() {
+        let key = format!("Bearer tk.{customer}-key.{customer}-secret");
+        request = request.header("authorization", key);
+    }
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request
+}
+
+async fn send(request: Request<Full<Bytes>>) -> Reply {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let response = client.request(request).await.expect("a reply");
+    let status = response.status().as_u16();
+    let retry_after = response.headers().get("retry-after");
+    let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+    let body = response.into_body().collect().await;
+    let bytes = body.map(|body| body.to_bytes()).unwrap_or_default();
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let body = serde_json::from_str(&text).unwrap_or(Value::Null);
+    Reply {
+        status,
+        retry_after,
+        text,
+        body,
+    }
+}
+
 /// Polls a condition until it holds.
 pub async fn within(what: &str, holds: impl AsyncFn() -> bool) {
     let end = tokio::time::Instant::now() + PATIENCE;
@@ -248,6 +309,7 @@
         "listen": { "peers": peers, "admin": free() },
         "url": format!("http://{url}"),
         "kind": kind,
+        "limits": { "slots": SLOTS },
     }));
     let daemon = Daemon::start(settings.expect("sound settings")).await;
     (daemon.expect("a sidecar"), peers)
--- a/crates/entry/tests/member_common/mod.rs
+++ b/crates/entry/tests/member_common/mod.rs
@@ -64,6 +64,13 @@
         Err(Status::unimplemented("members only"))
     }
 
+    async fn settle(
+        &self,
+        _: Request<wire::SettleRequest>,
+    ) -> Result<Response<wire::SettleReply>, Status> {
+        Err(Status::unimplemented("members only"))
+    }
+
     async fn replicate(
         &self,
         request: Request<wire::ReplicateRequest>,
