--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -150,12 +150,16 @@
         self.loops.lock().extend(loops);
     }
 
-    /// Leaves the fleet for good: hands over every shard, writes out the log, waits until `idle`,
-    /// as the outcomes of calls in progress are reported by members only, and gives up the lease.
-    /// Takes up to `limit` beside the wait; calls for shards handed over are answered `moved`
-    /// until the process ends.
-    pub async fn leave(self: &Arc<Self>, limit: Duration, idle: impl Future<Output = ()>) {
-        handover::leave(self, limit, idle).await;
+    /// Hands over every shard; calls that are in progress go on, and their outcomes go to the new
+    /// owners. Takes up to `limit`.
+    pub async fn shed(self: &Arc<Self>, limit: Duration) {
+        handover::shed(self, limit).await;
+    }
+
+    /// Writes out the log and gives up the lease; only once no call is in progress any more.
+    /// Takes up to `limit`.
+    pub async fn depart(self: &Arc<Self>, limit: Duration) {
+        handover::depart(self, limit).await;
         self.abort();
     }
 
@@ -194,6 +198,11 @@
         self.fresh() && !self.is_stopping() && owned()
     }
 
+    /// Length of a lease.
+    pub fn lease_duration(&self) -> Duration {
+        self.lease.duration()
+    }
+
     /// Authority over a shard at this very moment; checked right before each effect.
     pub fn authority(&self, shard: Shard) -> Option<Authority> {
         self.shards.authority(shard)
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use coord::config;
+use coord::config::Name;
 use futures::StreamExt;
 use wire::ProbeRequest;
 use wire::Wanted;
@@ -37,20 +38,20 @@
     probes.collect::<Vec<()>>().await;
 }
 
-/// What a model engine is to serve.
+/// What the newest ticket says of a target.
 fn wanted(call: &Call, target: &config::Target) -> Option<Wanted> {
-    let name = config::Name::Target(target.id.clone());
-    let ticket = call.member.config().entry(&name)?.ticket.0;
-    let models = target.models.iter().map(ToString::to_string).collect();
-    Some(Wanted { ticket, models })
+    let config = call.member.config();
+    let entry = config.entry(&Name::Target(target.id.clone()))?;
+    Some(Wanted {
+        ticket: entry.ticket.0,
+        models: target.models.iter().map(ToString::to_string).collect(),
+    })
 }
 
 async fn probe(call: &Call, target: config::Target) {
     let mut client = call.member.peers().target(target.sidecar);
-    let request = ProbeRequest {
-        wanted: wanted(call, &target),
-    };
-    let reply = tokio::time::timeout(TIMEOUT, client.probe(request)).await;
+    let wanted = wanted(call, &target);
+    let reply = tokio::time::timeout(TIMEOUT, client.probe(ProbeRequest { wanted })).await;
     let now = Instant::now();
     match reply {
         Ok(Ok(load)) => call.table.report(&target.id, load.into_inner(), now),
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -107,8 +107,9 @@
     /// Stops as planned: hands the shards over, finishes the open answers, then ends. Takes up to
     /// twice the limit.
     pub async fn stop(self, limit: Duration) {
-        let idle = finish(self.callers, &self.call, self.grace, limit);
-        self.member.leave(limit, idle).await;
+        self.member.shed(limit).await;
+        finish(self.callers, &self.call, self.grace, limit).await;
+        self.member.depart(limit).await;
         self.loops.iter().for_each(JoinHandle::abort);
         self.stop.send_replace(true);
         let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.peers).await;
