--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,59 @@
-//! Placeholder.
+//! The entry daemon: thin, stateless to the outside, owner of some shards.
+//!
+//! It authenticates callers, finds the owner of each call's shard and streams the answer through.
+
+pub mod admission;
+pub mod answer;
+pub mod api;
+pub mod attempt;
+pub mod auth;
+pub mod cache;
+pub mod call;
+pub mod callers;
+pub mod clock;
+pub mod command;
+pub mod controller;
+pub mod dispatch;
+pub mod dump;
+pub mod fence;
+pub mod flight;
+pub mod gate;
+pub mod handover;
+pub mod heartbeat;
+pub mod ingress;
+pub mod instruments;
+pub mod job;
+pub mod journal;
+pub mod lease;
+pub mod ledger;
+pub mod member;
+pub mod message;
+pub mod operators;
+pub mod options;
+pub mod out;
+pub mod outcome;
+pub mod peer;
+pub mod place;
+pub mod plain;
+pub mod probe;
+pub mod program;
+pub mod promise;
+pub mod recovery;
+pub mod recruit;
+pub mod refusal;
+pub mod renewal;
+pub mod replicate;
+pub mod request;
+pub mod resolve;
+pub mod rpc;
+pub mod run;
+pub mod service;
+pub mod settings;
+pub mod settle;
+pub mod shards;
+pub mod stream;
+pub mod sweep;
+pub mod sync;
+pub mod tickets;
+pub mod trial;
+pub mod upkeep;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! What both daemons share: settings, logs, metrics, the administrative server, the platform
+//! client and shutdown.
+
+pub mod admin;
+pub mod client;
+pub mod command;
+pub mod error;
+pub mod log;
+pub mod metrics;
+pub mod operator;
+pub mod platform;
+pub mod settings;
+pub mod shutdown;
