Move a shard only while no call is in flight in it

A new owner fences off the attempts of the former one, so a handover in the middle of a call would have cut it off. A stopping node waits for its shards to be idle, and after a second lets busy ones start nothing new.

--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -11,7 +11,6 @@
 use tokio::time::sleep;
 
 use crate::member::Member;
-use crate::renewal;
 use crate::upkeep::change;
 use crate::upkeep::fold;
 use crate::upkeep::refresh;
@@ -22,18 +21,20 @@
 /// Longest time for the standbys to take in the last records.
 const SYNC_LIMIT: Duration = Duration::from_millis(500);
 
+/// Time that a stopping node waits for its shards to be idle by themselves.
+const DRAIN_AFTER: Duration = Duration::from_secs(1);
+
 /// Time between two looks at how far a planned stop has come.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Hands over what the plan says.
 pub async fn hand_over(member: &Arc<Member>) -> Result<(), Error> {
     let me = member.node();
-    let mut plan = shard::transfers(&member.map(), &me);
-    plan.truncate(BATCH);
-    if plan.is_empty() {
+    let plan = shard::transfers(&member.map(), &me);
+    let ready = member.shards().freeze(&plan, BATCH, SYNC_LIMIT).await;
+    if ready.is_empty() {
         return Ok(());
     }
-    let ready = member.shards().freeze(&plan, SYNC_LIMIT).await;
     let changed = change(member, |map| transfer(member, map, &ready)).await;
     match changed {
         // In doubt until the map has been read at a newer version.
@@ -57,13 +58,22 @@
     })
 }
 
-/// Leaves the fleet: hands over every shard, writes out the log, gives up the lease.
-/// Returns when that is done or the limit is over.
+/// Leaves the shard map: hands over every shard, writes out the log. Returns when that is done or
+/// the limit is over. The lease stays for the calls that are forwarded in the meantime.
+///
+/// A shard moves when no call is in flight in it. Those that are always busy start nothing new
+/// after a while.
 pub async fn leave(member: &Arc<Member>, limit: Duration) {
-    let end = Instant::now() + limit;
+    let begin = Instant::now();
+    let end = begin + limit;
     member.stop();
     while Instant::now() < end && !has_left(member) {
         step(member).await;
+        if begin.elapsed() >= DRAIN_AFTER {
+            member
+                .shards()
+                .drain(&member.map().primary_of(&member.node()));
+        }
         sleep(PAUSE).await;
     }
     while Instant::now() < end && !member.journal().is_idle() {
@@ -73,7 +83,6 @@
     if let Err(cause) = change(member, |map| map.member(&me).map(|_| map.died(&me))).await {
         error::warn(&error::Error::new("leave shard map", "platform", cause));
     }
-    renewal::release(member).await;
 }
 
 async fn step(member: &Arc<Member>) {
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -150,12 +150,17 @@
         self.loops.lock().extend(loops);
     }
 
-    /// Leaves the fleet for good: hands over every shard, writes out the log, gives up the lease.
-    /// Takes up to `limit`; calls for shards handed over are answered `moved` until the process
-    /// ends.
+    /// Leaves the shard map for good: hands over every shard and writes out the log. Takes up to
+    /// `limit`; calls for shards handed over are answered `moved` from then on, and calls to other
+    /// owners go on until [`Member::release`].
     pub async fn leave(self: &Arc<Self>, limit: Duration) {
         handover::leave(self, limit).await;
+    }
+
+    /// Gives up the lease and ends all loops: the last step of a planned stop.
+    pub async fn release(&self) {
         self.abort();
+        renewal::release(self).await;
     }
 
     /// Ends all loops at once, as a crash would.
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -114,6 +114,7 @@
             tokio::time::sleep(PAUSE).await;
         }
         self.loops.iter().for_each(JoinHandle::abort);
+        self.member.release().await;
         self.stop.send_replace(true);
         let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.peers).await;
     }
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -101,6 +101,7 @@
             state.role = Role::Standby;
             state.link = None;
             state.frozen = false;
+            state.draining = false;
         }
         _ => release(member, slot, state, owner),
     }
--- a/crates/entry/src/shards.rs
+++ b/crates/entry/src/shards.rs
@@ -108,6 +108,9 @@
             return Err(Moved { shard, epoch });
         }
         let (records, value) = decision(&state.replica);
+        if !state.admits(&records) {
+            return Err(Moved { shard, epoch });
+        }
         if !records.is_empty() {
             self.append(slot, &mut state, records);
         }
@@ -226,6 +229,7 @@
         state.change_epoch(epoch);
         state.replica.tick(self.lease.clock().now());
         state.frozen = false;
+        state.draining = false;
         state.journalled = 0;
         self.queue_checkpoint(slot.shard, state);
         slot.publish(state);
@@ -255,16 +259,21 @@
         self.slots.iter().filter_map(broken).collect()
     }
 
-    /// Stops decisions on shards that are to be handed over and waits until their standbys have
-    /// everything; returns those that are ready.
-    pub(crate) async fn freeze(&self, shards: &[Shard], limit: Duration) -> Vec<Shard> {
+    /// Stops decisions on up to `count` shards without a call in flight and waits until their
+    /// standbys have everything; returns those that are ready.
+    pub(crate) async fn freeze(
+        &self,
+        shards: &[Shard],
+        count: usize,
+        limit: Duration,
+    ) -> Vec<Shard> {
         let end = Instant::now() + limit;
-        for shard in shards {
-            let mut state = self.slot(*shard).state.lock();
-            state.frozen = state.role == Role::Primary;
-        }
+        let idle = shards
+            .iter()
+            .filter(|shard| self.slot(**shard).state.lock().freeze());
+        let frozen: Vec<Shard> = idle.take(count).copied().collect();
         let mut ready = Vec::new();
-        for shard in shards {
+        for shard in &frozen {
             match self.complete_by(*shard, end).await {
                 true => ready.push(*shard),
                 false => self.thaw(&[*shard]),
@@ -285,6 +294,13 @@
         true
     }
 
+    /// Starts nothing new on shards that are to be handed over.
+    pub(crate) fn drain(&self, shards: &[Shard]) {
+        for shard in shards {
+            self.slot(*shard).state.lock().draining = true;
+        }
+    }
+
     /// Takes decisions again after a handover that didn't come about.
     pub(crate) fn thaw(&self, shards: &[Shard]) {
         for shard in shards {
--- a/crates/entry/src/shards/slot.rs
+++ b/crates/entry/src/shards/slot.rs
@@ -7,6 +7,7 @@
 use coord::id::Epoch;
 use coord::id::Node;
 use coord::id::Shard;
+use coord::record::Record;
 use coord::replica::Limits;
 use coord::replica::Replica;
 use parking_lot::Mutex;
@@ -80,6 +81,8 @@
     pub link: Option<Link>,
     /// Being handed over: takes no decisions.
     pub frozen: bool,
+    /// To be handed over once no call is in flight: starts nothing new.
+    pub draining: bool,
     pub cautious: bool,
     durable: u64,
     ended: VecDeque<(Epoch, u64)>,
@@ -91,6 +94,25 @@
         self.role == Role::Primary && !self.frozen
     }
 
+    /// Whether these records may be taken while the shard waits to be handed over.
+    pub fn admits(&self, records: &[Record]) -> bool {
+        let starts = |record: &Record| match record {
+            Record::Opened { .. } | Record::Child { .. } | Record::Dispatched { .. } => true,
+            Record::Settled { .. }
+            | Record::Ended { .. }
+            | Record::Level { .. }
+            | Record::Forgotten { .. } => false,
+        };
+        !self.draining || !records.iter().any(starts)
+    }
+
+    /// Stops decisions if no call is in flight, so that none is cut off; true: stopped.
+    pub fn freeze(&mut self) -> bool {
+        let idle = self.role == Role::Primary && self.replica.in_flight().is_empty();
+        self.frozen |= idle;
+        idle
+    }
+
     /// Whether the standby in the map holds everything.
     pub fn is_complete(&self) -> bool {
         match &self.link {
@@ -132,6 +154,7 @@
         self.journalled = 0;
         self.link = None;
         self.frozen = false;
+        self.draining = false;
         self.cautious = false;
     }
 
@@ -196,6 +219,7 @@
             journalled: 0,
             link: None,
             frozen: false,
+            draining: false,
             cautious: false,
             durable: 0,
             ended: VecDeque::new(),
--- a/crates/entry/tests/member_shards.rs
+++ b/crates/entry/tests/member_shards.rs
@@ -78,6 +78,8 @@
     let programs = programs_of(&a, "p", PROGRAMS);
     open_all(&a, &programs).await;
     a.member.leave(member_common::PATIENCE).await;
+    a.member.release().await;
+    assert!(platform.names("lease/a").is_empty());
     assert!(a.led().is_empty());
     until("the map without it", || b.member.map().members.len() == 2).await;
     assert!(
