Take promises by coord's rules and bound the time without the platform

A node that joined while others went on by promises could have written them out of the map unknown to them. It now does so only after hearing that they know the map with it, or after outage_ms (new setting, 5 minutes). The price: after a crash of all entries at once the shards wait as long.

--- a/crates/coord/src/promise.rs
+++ b/crates/coord/src/promise.rs
@@ -112,6 +112,16 @@
         self.may_write(now) && (knows_me || standing.0 >= limit)
     }
 
+    /// The newest write, conditional on this version, was surely refused.
+    pub fn withdrawn(&mut self, base: Version) {
+        self.writing = self.writing.filter(|writing| *writing != base);
+    }
+
+    /// Whether a write is under way or in doubt.
+    pub fn is_writing(&self) -> bool {
+        self.writing.is_some()
+    }
+
     /// A write conditional on this version is about to be sent; false: it must not be.
     pub fn begin_write(&mut self, base: Version, now: Time) -> bool {
         let allowed = self.may_write(now) && base >= self.known;
--- a/crates/entry/src/fence.rs
+++ b/crates/entry/src/fence.rs
@@ -37,7 +37,7 @@
         return look(member, node).await;
     };
     let _changing = member.changing.lock().await;
-    if !member.given.may_write(member.now()) || member.lease.authority().is_none() {
+    if !may_fence(member, node) || member.lease.authority().is_none() {
         return Ok(false);
     }
     match revoke(member, node, Condition::At(version)).await {
@@ -47,6 +47,20 @@
     }
 }
 
+/// Whether the member can't be going on by promises that this node doesn't know of.
+fn may_fence(member: &Member, node: &Node) -> bool {
+    let now = member.now();
+    let standing = member.heard.standing(member, node).unwrap_or_default();
+    let map = member.map();
+    let me = member.node();
+    // With nobody to ask it doesn't go on.
+    let alone = map
+        .members
+        .iter()
+        .all(|other| other.node == me || other.node == *node);
+    member.given.may_write(now) && (alone || member.given.may_write_out(node, standing, now))
+}
+
 /// Reads the lease of a silent member; true: it was fenced by another node or given up.
 async fn look(member: &Member, node: &Node) -> Result<bool, Error> {
     let now = member.now();
--- a/crates/entry/src/heartbeat.rs
+++ b/crates/entry/src/heartbeat.rs
@@ -9,6 +9,7 @@
 use coord::id::Target;
 use coord::id::Version;
 use coord::lease::Observer;
+use coord::time::Millis;
 use coord::time::Time;
 use parking_lot::Mutex;
 use tokio::time::sleep;
@@ -73,12 +74,10 @@
         signs.get(node)?.lease.expired(member.now())
     }
 
-    /// Whether a version of the member's lease was ever seen.
-    pub fn has_seen(&self, member: &Member, node: &Node) -> bool {
+    /// How long a member's lease has stood unrenewed.
+    pub fn standing(&self, member: &Member, node: &Node) -> Option<Millis> {
         let signs = self.signs.lock();
-        signs
-            .get(node)
-            .is_some_and(|sign| sign.lease.standing(member.now()).is_some())
+        signs.get(node)?.lease.standing(member.now())
     }
 
     /// Forgets who is no longer a member.
@@ -185,6 +184,7 @@
         member
             .heard
             .heard(member, &node, Version(theirs.lease_version));
+        member.given.heard(&node, Version(theirs.map_version));
     }
     if member.store.take_news(&theirs.tickets) {
         member.news.notify_one();
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -50,8 +50,8 @@
     holder: Holder,
     /// When the newest renewal was sent.
     sent: Time,
-    /// When all members were asked for the newest promise that they gave.
-    promised: Option<Time>,
+    /// End of the promises that all members gave.
+    promised: Time,
     counter: u64,
 }
 
@@ -72,7 +72,7 @@
             node,
             holder,
             sent: Time(0),
-            promised: None,
+            promised: Time(0),
             counter: 0,
         };
         Lease {
@@ -91,11 +91,10 @@
     /// End of the lease less the margin; none: not valid right now.
     pub fn authority(&self) -> Option<Instant> {
         let held = self.held.lock();
-        let promised = held.promised.map_or(Time(0), |sent| sent + self.duration);
         let end = Time(
             held.holder
                 .ends()
-                .max(promised)
+                .max(held.promised)
                 .0
                 .saturating_sub(self.margin.0),
         );
@@ -148,9 +147,15 @@
         held.holder.renewed(sent, version);
     }
 
-    /// Takes in that all members, asked at `sent`, promised not to write the shard map.
-    pub fn promised(&self, sent: Time) {
-        self.held.lock().promised = Some(sent);
+    /// Takes in that all members promised not to write the shard map until then.
+    pub fn promised(&self, until: Time) {
+        let mut held = self.held.lock();
+        held.promised = held.promised.max(until);
+    }
+
+    /// When the newest renewal in the platform was begun.
+    pub fn sent(&self) -> Time {
+        self.held.lock().sent
     }
 
     /// Starts over under a fresh name, without a lease.
@@ -159,7 +164,7 @@
         held.holder = Holder::new(self.duration, self.margin);
         held.node = node;
         held.sent = Time(0);
-        held.promised = None;
+        held.promised = Time(0);
     }
 }
 
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -115,13 +115,14 @@
             Arc::clone(&peers),
             limits,
         );
+        let given = promise::Given::new(&settings.lease);
         let member = Arc::new(Member {
             settings,
             platform,
             lease,
             store: sync::Store::default(),
             heard: heartbeat::Heard::default(),
-            given: promise::Given::default(),
+            given,
             changing: tokio::sync::Mutex::default(),
             news: Notify::new(),
             peers,
@@ -327,6 +328,8 @@
             }
             newer
         });
+        self.given
+            .saw(map.version, map.member(&self.node()).is_some());
         if newer {
             self.journal.set_members(map.members.len());
             upkeep::settle(self);
@@ -350,6 +353,7 @@
         self.lease.restart(fresh_name(&self.settings.node));
         self.shards.drop_all();
         self.heard.clear();
+        self.given.restart();
     }
 }
 
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -16,6 +16,9 @@
 /// Shortest lease, in milliseconds.
 const LEASE_MIN: Millis = Millis(500);
 
+/// Default bound on going on without the platform.
+const OUTAGE: Millis = Millis(300_000);
+
 /// Largest body that can be configured, in bytes: a message between processes must hold it.
 const BODY_MAX: usize = wire::MESSAGE_LIMIT / 2;
 
@@ -71,6 +74,9 @@
     pub duration_ms: Millis,
     /// Allowance for clocks that run at different rates, over one lease.
     pub margin_ms: Millis,
+    /// How long owners go on at most without the platform, on the promises of all members; a crash
+    /// of all entries at once leaves the shards without an owner for as long.
+    pub outage_ms: Millis,
 }
 
 /// Bounds on callers.
@@ -107,6 +113,7 @@
         Self {
             duration_ms: Millis(6_000),
             margin_ms: Millis(300),
+            outage_ms: OUTAGE,
         }
     }
 }
@@ -157,6 +164,7 @@
         let Lease {
             duration_ms,
             margin_ms,
+            outage_ms,
         } = &self.lease;
         match duration_ms {
             duration if *duration < LEASE_MIN => {
@@ -167,6 +175,10 @@
                 let message = "the margin must be under a third of the lease";
                 Err(Invalid::new("lease.margin_ms", message))
             }
+            duration if outage_ms < duration => {
+                let message = "shorter than the lease";
+                Err(Invalid::new("lease.outage_ms", message))
+            }
             _ => Ok(()),
         }
     }
--- a/crates/entry/src/upkeep.rs
+++ b/crates/entry/src/upkeep.rs
@@ -48,6 +48,7 @@
 async fn round(member: &Arc<Member>) -> Result<(), Error> {
     refresh(member).await?;
     join(member).await?;
+    clear_doubt(member).await?;
     recruit::drop_broken(member).await?;
     fence::dead_members(member).await?;
     recovery::recover(member).await?;
@@ -75,12 +76,20 @@
         return Ok(());
     }
     let description = member.description();
-    change(member, |map| match map.version {
-        Version(0) => Some(Map::first(vec![description.clone()])),
-        _ if map.member(&me).is_some() => None,
-        _ => Some(map.join(description.clone())),
-    })
-    .await?;
+    let _changing = member.changing.lock().await;
+    let map = member.map();
+    let next = match map.version {
+        Version(0) => Map::first(vec![description]),
+        _ => map.join(description),
+    };
+    write(member, &map, next).await
+}
+
+/// Moves the map on when a write of it is in doubt, so that it can't land later.
+async fn clear_doubt(member: &Member) -> Result<(), Error> {
+    if member.given.is_writing() {
+        change(member, |map| Some(map.clone())).await?;
+    }
     Ok(())
 }
 
@@ -105,13 +114,20 @@
         let Some(next) = plan(&map) else {
             return Ok(false);
         };
+        if !member.given.begin_write(map.version, member.now()) {
+            return Err(Error::Away);
+        }
         match write(member, &map, next).await {
             Ok(()) => return Ok(true),
             Err(Error::Conflict { current }) => {
                 refresh(member).await?;
                 last = Error::Conflict { current };
             }
-            Err(error) => return Err(error),
+            Err(Error::Unknown) => return Err(Error::Unknown),
+            Err(error) => {
+                member.given.withdrawn(map.version);
+                return Err(error);
+            }
         }
     }
     Err(last)
