--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -21,17 +21,15 @@
 /// Longest time for the standbys to take in the last records.
 const SYNC_LIMIT: Duration = Duration::from_millis(500);
 
-/// Time that a stopping node waits for its shards to be idle by themselves.
-const DRAIN_AFTER: Duration = Duration::from_secs(1);
-
 /// Time between two looks at how far a planned stop has come.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Hands over what the plan says.
 pub async fn hand_over(member: &Arc<Member>) -> Result<(), Error> {
     let me = member.node();
-    let plan = shard::transfers(&member.map(), &me);
-    let ready = member.shards().freeze(&plan, BATCH, SYNC_LIMIT).await;
+    let mut plan = shard::transfers(&member.map(), &me);
+    plan.truncate(BATCH);
+    let ready = member.shards().freeze(&plan, SYNC_LIMIT).await;
     if ready.is_empty() {
         return Ok(());
     }
@@ -58,24 +56,16 @@
     })
 }
 
-/// Leaves the shard map: hands over every shard, writes out the log. Returns when that is done or
-/// the limit is over. The lease stays for the calls that are forwarded in the meantime.
-///
-/// A shard moves when no call is in flight in it. Those that are always busy start nothing new
-/// after a while.
-pub async fn leave(member: &Arc<Member>, limit: Duration) {
-    let begin = Instant::now();
-    let end = begin + limit;
+/// Leaves the shard map: hands over every shard, waits for `idle`, writes out the log. Returns when
+/// that is done or the limit is over.
+pub async fn leave(member: &Arc<Member>, limit: Duration, idle: impl Future<Output = ()>) {
+    let end = Instant::now() + limit;
     member.stop();
     while Instant::now() < end && !has_left(member) {
         step(member).await;
-        if begin.elapsed() >= DRAIN_AFTER {
-            member
-                .shards()
-                .drain(&member.map().primary_of(&member.node()));
-        }
         sleep(PAUSE).await;
     }
+    idle.await;
     while Instant::now() < end && !member.journal().is_idle() {
         sleep(PAUSE).await;
     }
--- a/crates/entry/src/shards.rs
+++ b/crates/entry/src/shards.rs
@@ -108,9 +108,6 @@
             return Err(Moved { shard, epoch });
         }
         let (records, value) = decision(&state.replica);
-        if !state.admits(&records) {
-            return Err(Moved { shard, epoch });
-        }
         if !records.is_empty() {
             self.append(slot, &mut state, records);
         }
@@ -229,7 +226,6 @@
         state.change_epoch(epoch);
         state.replica.tick(self.lease.clock().now());
         state.frozen = false;
-        state.draining = false;
         state.journalled = 0;
         self.queue_checkpoint(slot.shard, state);
         slot.publish(state);
@@ -259,21 +255,16 @@
         self.slots.iter().filter_map(broken).collect()
     }
 
-    /// Stops decisions on up to `count` shards without a call in flight and waits until their
-    /// standbys have everything; returns those that are ready.
-    pub(crate) async fn freeze(
-        &self,
-        shards: &[Shard],
-        count: usize,
-        limit: Duration,
-    ) -> Vec<Shard> {
+    /// Stops decisions on shards that are to be handed over and waits until their standbys have
+    /// everything; returns those that are ready.
+    pub(crate) async fn freeze(&self, shards: &[Shard], limit: Duration) -> Vec<Shard> {
         let end = Instant::now() + limit;
-        let idle = shards
-            .iter()
-            .filter(|shard| self.slot(**shard).state.lock().freeze());
-        let frozen: Vec<Shard> = idle.take(count).copied().collect();
+        for shard in shards {
+            let mut state = self.slot(*shard).state.lock();
+            state.frozen = state.role == Role::Primary;
+        }
         let mut ready = Vec::new();
-        for shard in &frozen {
+        for shard in shards {
             match self.complete_by(*shard, end).await {
                 true => ready.push(*shard),
                 false => self.thaw(&[*shard]),
@@ -294,13 +285,6 @@
         true
     }
 
-    /// Starts nothing new on shards that are to be handed over.
-    pub(crate) fn drain(&self, shards: &[Shard]) {
-        for shard in shards {
-            self.slot(*shard).state.lock().draining = true;
-        }
-    }
-
     /// Takes decisions again after a handover that didn't come about.
     pub(crate) fn thaw(&self, shards: &[Shard]) {
         for shard in shards {
