Keep a standby's link when the change of the map that names it fails

A round that brought a standby up and then couldn't write the map left its link, and the next round wouldn't start another. It is kept now, or replaced if the plan names another node; links have an id, so that a late acknowledgement can't count for a newer link.

--- a/crates/entry/src/replicate.rs
+++ b/crates/entry/src/replicate.rs
@@ -1,10 +1,12 @@
 //! Records on their way from a shard's primary to its standby, and the standby's side.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use coord::id::Epoch;
+use coord::id::Node;
 use coord::id::Shard;
 use coord::record::Record;
 use coord::replica::Replica;
@@ -39,11 +41,23 @@
 /// How long a standby may fail before the primary goes on without it.
 const PATIENCE: Duration = Duration::from_millis(500);
 
+/// A request on its way over one link.
+struct Sending {
+    link: u64,
+    address: SocketAddr,
+    request: ReplicateRequest,
+}
+
 /// Sends a shard's pending records until there are none or the link is given up.
 pub async fn pump(shards: &Arc<Shards>, slot: &Arc<Slot>) {
     let mut failing: Option<Instant> = None;
-    while let Some((address, request)) = next_request(shards, slot) {
-        let (epoch, first) = (Epoch(request.epoch), request.first);
+    while let Some(Sending {
+        link,
+        address,
+        request,
+    }) = next_request(shards, slot)
+    {
+        let first = request.first;
         let mut client = shards.peers().owner(address);
         let reply = timeout(PATIENCE, client.replicate(request)).await;
         let reply = reply
@@ -53,12 +67,12 @@
         match reply {
             Some(reply) if reply.accepted => {
                 failing = None;
-                acknowledge(slot, epoch, first, reply.next);
+                acknowledge(slot, link, first, reply.next);
             }
             _ => {
                 let since = *failing.get_or_insert_with(Instant::now);
                 if since.elapsed() >= PATIENCE {
-                    return give_up(shards, slot, epoch);
+                    return give_up(shards, slot, link);
                 }
                 sleep(RETRY_DELAY).await;
             }
@@ -66,7 +80,7 @@
     }
 }
 
-fn next_request(shards: &Shards, slot: &Slot) -> Option<(std::net::SocketAddr, ReplicateRequest)> {
+fn next_request(shards: &Shards, slot: &Slot) -> Option<Sending> {
     let mut state = slot.state.lock();
     let epoch = state.epoch;
     let primary = state.role == Role::Primary;
@@ -87,34 +101,35 @@
         first: link.acked,
         records: fits.cloned().collect(),
     };
-    Some((link.address, request))
+    Some(Sending {
+        link: link.id,
+        address: link.address,
+        request,
+    })
 }
 
-fn acknowledge(slot: &Slot, epoch: Epoch, first: u64, next: u64) {
+fn acknowledge(slot: &Slot, id: u64, first: u64, next: u64) {
     let mut state = slot.state.lock();
-    if state.epoch != epoch || state.role != Role::Primary {
-        return;
-    }
-    let Some(link) = &mut state.link else { return };
-    if link.acked != first {
-        return;
-    }
+    let link = state
+        .link
+        .as_mut()
+        .filter(|link| link.id == id && link.acked == first);
+    let Some(link) = link else { return };
     let count = next.saturating_sub(first).min(link.pending.len() as u64);
     link.pending.drain(..count as usize);
     link.acked += count;
     slot.publish(&mut state);
 }
 
-fn give_up(shards: &Shards, slot: &Slot, epoch: Epoch) {
+fn give_up(shards: &Shards, slot: &Slot, id: u64) {
     let mut state = slot.state.lock();
-    let current = state.epoch == epoch;
     match &mut state.link {
-        Some(link) if current && link.phase != Phase::Syncing => {
+        Some(link) if link.id == id && link.phase != Phase::Syncing => {
             link.broken = true;
             link.pumping = false;
             link.pending.clear();
         }
-        Some(_) if current => state.link = None,
+        Some(link) if link.id == id => state.link = None,
         _ => (),
     }
     drop(state);
@@ -126,31 +141,33 @@
 pub async fn bring_up(
     shards: &Arc<Shards>,
     slot: &Arc<Slot>,
-    node: &coord::id::Node,
-    address: std::net::SocketAddr,
+    node: &Node,
+    address: SocketAddr,
 ) -> bool {
-    let Some((epoch, next, copy)) = start_link(slot, node, address) else {
+    if keeps_link(slot, node) {
+        return true;
+    }
+    let Some(copy) = start_link(slot, node, address) else {
         return false;
     };
-    let chunks = chunks(shards, slot.shard, epoch, next, Bytes::from(copy));
+    let (id, next) = (copy.link, copy.next);
+    let chunks = chunks(shards, slot.shard, copy);
     let mut client = shards.peers().owner(address);
-    let sent = timeout(
-        shards.lease().duration(),
-        client.sync(futures::stream::iter(chunks)),
-    )
-    .await;
+    let sent = client.sync(futures::stream::iter(chunks));
+    let sent = timeout(shards.lease().duration(), sent).await;
     let accepted = matches!(&sent, Ok(Ok(reply)) if reply.get_ref().accepted);
+    finish_link(shards, slot, id, accepted.then_some(next))
+}
+
+/// The standby holds everything up to `next`, or the copy wasn't accepted.
+fn finish_link(shards: &Arc<Shards>, slot: &Arc<Slot>, id: u64, next: Option<u64>) -> bool {
     let mut state = slot.state.lock();
-    let ours = state.epoch == epoch && state.role == Role::Primary;
-    let link = state
-        .link
-        .as_mut()
-        .filter(|link| ours && link.node == *node);
+    let link = state.link.as_mut().filter(|link| link.id == id);
     let Some(link) = link else { return false };
-    if !accepted {
+    let Some(next) = next else {
         state.link = None;
         return false;
-    }
+    };
     link.acked = next;
     link.pumping = !link.pending.is_empty();
     let pump = link.pumping;
@@ -162,38 +179,63 @@
     true
 }
 
+/// Whether the node is being brought up since an earlier round whose change of the map failed. The
+/// link to another node is dropped, unless the map may name that one already.
+fn keeps_link(slot: &Slot, node: &Node) -> bool {
+    let mut state = slot.state.lock();
+    match &state.link {
+        Some(link) if link.node == *node => !link.broken,
+        Some(link) if link.phase == Phase::Syncing => {
+            state.link = None;
+            false
+        }
+        Some(_) | None => false,
+    }
+}
+
+/// A whole copy of a shard for a new link.
+struct Copy {
+    link: u64,
+    epoch: Epoch,
+    next: u64,
+    bytes: Bytes,
+}
+
 /// Takes the whole copy and keeps what follows for the new link.
-fn start_link(
-    slot: &Slot,
-    node: &coord::id::Node,
-    address: std::net::SocketAddr,
-) -> Option<(Epoch, u64, Vec<u8>)> {
+fn start_link(slot: &Slot, node: &Node, address: SocketAddr) -> Option<Copy> {
     let mut state = slot.state.lock();
     if !state.decides() || state.link.is_some() {
         return None;
     }
-    let copy = state.replica.encode().ok()?;
+    let bytes = Bytes::from(state.replica.encode().ok()?);
     let mut link = Link::new(node.clone(), address, Phase::Syncing, 0);
     link.pumping = true;
+    let id = link.id;
     state.link = Some(link);
-    Some((state.epoch, state.next, copy))
+    Some(Copy {
+        link: id,
+        epoch: state.epoch,
+        next: state.next,
+        bytes,
+    })
 }
 
 fn chunks(
     shards: &Shards,
     shard: Shard,
-    epoch: Epoch,
-    next: u64,
-    copy: Bytes,
+    copy: Copy,
 ) -> impl Iterator<Item = SyncChunk> + Send + 'static {
     let node = shards.lease().node().to_string();
-    let parts = copy.len().div_ceil(PART).max(1);
+    let Copy {
+        epoch, next, bytes, ..
+    } = copy;
+    let parts = bytes.len().div_ceil(PART).max(1);
     (0..parts).map(move |part| SyncChunk {
         node: node.clone(),
         shard: u32::from(shard.0),
         epoch: epoch.0,
         next,
-        part: copy.slice(part * PART..copy.len().min((part + 1) * PART)),
+        part: bytes.slice(part * PART..bytes.len().min((part + 1) * PART)),
     })
 }
 
--- a/crates/entry/src/shards/slot.rs
+++ b/crates/entry/src/shards/slot.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use coord::id::Epoch;
@@ -15,6 +17,9 @@
 /// Past epochs whose end is remembered.
 const PAST: usize = 8;
 
+/// Links made by this process.
+static LINKS: AtomicU64 = AtomicU64::new(0);
+
 /// What this node is for a shard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -40,6 +45,8 @@
 /// The way to a shard's standby.
 #[derive(Debug)]
 pub struct Link {
+    /// Tells it from earlier links of the shard, to the same node too.
+    pub id: u64,
     pub node: Node,
     pub address: SocketAddr,
     pub phase: Phase,
@@ -56,6 +63,7 @@
     /// A link to a standby that holds everything up to `acked`.
     pub fn new(node: Node, address: SocketAddr, phase: Phase, acked: u64) -> Link {
         Link {
+            id: LINKS.fetch_add(1, Ordering::Relaxed),
             node,
             address,
             phase,
--- a/crates/entry/tests/member_shards.rs
+++ b/crates/entry/tests/member_shards.rs
@@ -55,9 +55,13 @@
     let platform = platform().await;
     let mut a = Node::start(&platform, "a", "dc-1").await;
     let mut b = Node::start(&platform, "b", "dc-2").await;
-    let c = Node::start(&platform, "c", "dc-3").await;
+    let mut c = Node::start(&platform, "c", "dc-3").await;
     settled(&[&a, &b, &c]).await;
-    let programs = shared_programs(&a, &b, "p", PROGRAMS);
+    let mut programs = shared_programs(&a, &b, "p", PROGRAMS);
+    if programs.is_empty() {
+        std::mem::swap(&mut b, &mut c);
+        programs = shared_programs(&a, &b, "p", PROGRAMS);
+    }
     assert!(!programs.is_empty());
     open_all(&a, &programs).await;
     until("a written log", || a.member.journal().is_idle()).await;
