--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -29,10 +29,10 @@
     let me = member.node();
     let mut plan = shard::transfers(&member.map(), &me);
     plan.truncate(BATCH);
-    let ready = member.shards().freeze(&plan, SYNC_LIMIT).await;
-    if ready.is_empty() {
+    if plan.is_empty() {
         return Ok(());
     }
+    let ready = member.shards().freeze(&plan, SYNC_LIMIT).await;
     let changed = change(member, |map| transfer(member, map, &ready)).await;
     match changed {
         // In doubt until the map has been read at a newer version.
@@ -56,16 +56,20 @@
     })
 }
 
-/// Leaves the shard map: hands over every shard, waits for `idle`, writes out the log. Returns when
-/// that is done or the limit is over.
-pub async fn leave(member: &Arc<Member>, limit: Duration, idle: impl Future<Output = ()>) {
+/// Hands over every shard. Returns when that is done or the limit is over.
+pub async fn shed(member: &Arc<Member>, limit: Duration) {
     let end = Instant::now() + limit;
     member.stop();
     while Instant::now() < end && !has_left(member) {
         step(member).await;
         sleep(PAUSE).await;
     }
-    idle.await;
+}
+
+/// Leaves the shard map, the log written out.
+/// Returns when that is done or the limit is over.
+pub async fn depart(member: &Arc<Member>, limit: Duration) {
+    let end = Instant::now() + limit;
     while Instant::now() < end && !member.journal().is_idle() {
         sleep(PAUSE).await;
     }
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -1,10 +1,11 @@
 //! The service between entries: calls and admission for their owner, records and news for members.
 
+use std::pin::Pin;
 use std::sync::Arc;
 
+use coord::id::Shard;
 use futures::Stream;
 use futures::StreamExt;
-use std::pin::Pin;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
@@ -25,11 +26,8 @@
 
 use crate::admission::Admission;
 use crate::call::Call;
-use crate::heartbeat;
 use crate::member::Member;
 use crate::outcome;
-use crate::promise;
-use crate::replicate;
 
 /// Serves other entries.
 pub struct Server {
@@ -73,7 +71,8 @@
         request: Request<SettleRequest>,
     ) -> Result<Response<SettleReply>, Status> {
         let request = request.into_inner();
-        let reply = outcome::take(&self.member, &self.call.flight, request).await;
+        let reply = outcome::serve(&self.member, &request).await;
+        self.call.flight.settled(Shard(request.shard as u16));
         Ok(Response::new(reply))
     }
 
@@ -81,7 +80,7 @@
         &self,
         request: Request<ReplicateRequest>,
     ) -> Result<Response<ReplicateReply>, Status> {
-        let reply = replicate::append(self.member.shards(), request.get_ref());
+        let reply = self.member.replicate(request.get_ref());
         Ok(Response::new(reply))
     }
 
@@ -89,24 +88,18 @@
         &self,
         request: Request<Streaming<SyncChunk>>,
     ) -> Result<Response<ReplicateReply>, Status> {
-        let reply = replicate::install(self.member.shards(), request.into_inner()).await?;
+        let reply = self.member.install(request.into_inner()).await?;
         Ok(Response::new(reply))
     }
 
     async fn exchange(&self, request: Request<Digest>) -> Result<Response<Digest>, Status> {
-        Ok(Response::new(heartbeat::answer(
-            &self.member,
-            request.get_ref(),
-        )))
+        Ok(Response::new(self.member.exchange(request.get_ref())))
     }
 
     async fn promise(
         &self,
         request: Request<PromiseRequest>,
     ) -> Result<Response<PromiseReply>, Status> {
-        Ok(Response::new(promise::answer(
-            &self.member,
-            request.get_ref(),
-        )))
+        Ok(Response::new(self.member.promise(request.get_ref())))
     }
 }
