--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -11,7 +11,6 @@
 use tokio::time::sleep;
 
 use crate::member::Member;
-use crate::renewal;
 use crate::upkeep::change;
 use crate::upkeep::fold;
 use crate::upkeep::refresh;
@@ -67,7 +66,7 @@
     }
 }
 
-/// Leaves the fleet: writes out the log, gives up the lease.
+/// Leaves the shard map, the log written out.
 /// Returns when that is done or the limit is over.
 pub async fn depart(member: &Arc<Member>, limit: Duration) {
     let end = Instant::now() + limit;
@@ -78,7 +77,6 @@
     if let Err(cause) = change(member, |map| map.member(&me).map(|_| map.died(&me))).await {
         error::warn(&error::Error::new("leave shard map", "platform", cause));
     }
-    renewal::release(member).await;
 }
 
 async fn step(member: &Arc<Member>) {
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -115,13 +115,14 @@
             Arc::clone(&peers),
             limits,
         );
+        let given = promise::Given::new(&settings.lease);
         let member = Arc::new(Member {
             settings,
             platform,
             lease,
             store: sync::Store::default(),
             heard: heartbeat::Heard::default(),
-            given: promise::Given::default(),
+            given,
             changing: tokio::sync::Mutex::default(),
             news: Notify::new(),
             peers,
@@ -161,6 +162,7 @@
     pub async fn depart(self: &Arc<Self>, limit: Duration) {
         handover::depart(self, limit).await;
         self.abort();
+        renewal::release(self).await;
     }
 
     /// Ends all loops at once, as a crash would.
@@ -332,6 +334,8 @@
             }
             newer
         });
+        self.given
+            .saw(map.version, map.member(&self.node()).is_some());
         if newer {
             self.journal.set_members(map.members.len());
             upkeep::settle(self);
@@ -355,6 +359,7 @@
         self.lease.restart(fresh_name(&self.settings.node));
         self.shards.drop_all();
         self.heard.clear();
+        self.given.restart();
     }
 }
 
