Let a member ask for leave at the write that takes a node out

Cause: a fence by one member lets another, whom the fenced owner doesn't ask for promises, write it out. begin_write_out asks at the write itself; left() tells that this member was written out. The schedules now take a lease revoked by anyone as fenced.

--- a/crates/coord/src/promise.rs
+++ b/crates/coord/src/promise.rs
@@ -18,7 +18,6 @@
 use crate::Map;
 use crate::id::Node;
 use crate::id::Version;
-use crate::shard;
 use crate::shard::Member;
 use crate::time::Millis;
 use crate::time::Time;
@@ -45,7 +44,6 @@
 /// A member's side: what it has promised, and whether it may write the map.
 #[derive(Debug, Clone)]
 pub struct Voter {
-    node: Node,
     terms: Terms,
     joined: Option<Version>,
     known: Version,
@@ -57,9 +55,8 @@
 
 impl Voter {
     /// A process that hasn't joined: it promises nothing and writes nobody out.
-    pub fn new(node: Node, terms: Terms) -> Voter {
+    pub fn new(terms: Terms) -> Voter {
         Voter {
-            node,
             terms,
             joined: None,
             known: Version::default(),
@@ -72,19 +69,18 @@
 
     /// This process's own write that made it a member stands as the map of this version.
     pub fn joined(&mut self, version: Version) {
-        self.joined = self.joined.max(Some(version));
-        self.know(version);
+        self.joined.get_or_insert(version);
+        self.saw(version);
     }
 
-    /// A map was read, from the platform or from a peer.
-    pub fn saw(&mut self, map: &shard::Map) {
-        if map.version > self.known && map.member(&self.node).is_none() {
-            self.joined = None;
-        }
-        self.know(map.version);
+    /// The map of this version is without this process; if it joins again, it counts as new.
+    pub fn left(&mut self, version: Version) {
+        self.joined = self.joined.filter(|joined| *joined > version);
+        self.saw(version);
     }
 
-    fn know(&mut self, version: Version) {
+    /// A map of this version was read, from the platform or from a peer.
+    pub fn saw(&mut self, version: Version) {
         self.known = self.known.max(version);
         self.writing = self.writing.filter(|base| *base >= self.known);
     }
@@ -123,7 +119,10 @@
         self.joined.is_some() && now >= self.promised_until
     }
 
-    /// Whether a node whose lease was fenced may be written out of the map now.
+    /// Whether a node whose lease was fenced may be written out of the map now, by this member.
+    ///
+    /// To be asked before the write, not only before the fence: a fenced owner that is cut off goes
+    /// on by promises, and whoever writes it out must be one whom it asks for them.
     ///
     /// `standing` is how long its lease had stood unrenewed, as [`crate::lease::Observer`] tells.
     pub fn may_write_out(&self, node: &Node, standing: Millis, now: Time) -> bool {
@@ -143,6 +142,17 @@
         self.writing.is_some()
     }
 
+    /// A write that takes a fenced node out is about to be sent; false: it must not be.
+    pub fn begin_write_out(
+        &mut self,
+        node: &Node,
+        standing: Millis,
+        base: Version,
+        now: Time,
+    ) -> bool {
+        self.may_write_out(node, standing, now) && self.begin_write(base, now)
+    }
+
     /// A write conditional on this version is about to be sent; false: it must not be.
     pub fn begin_write(&mut self, base: Version, now: Time) -> bool {
         let allowed = self.may_write(now) && base >= self.known;
--- a/crates/coord/tests/promise.rs
+++ b/crates/coord/tests/promise.rs
@@ -62,7 +62,6 @@
     lease: lease::Holder,
     renewed: Option<Time>,
     observers: HashMap<Node, lease::Observer>,
-    fenced: Vec<Node>,
     voter: Voter,
     promises: Holder,
     cut: bool,
@@ -72,13 +71,12 @@
 impl Process {
     fn new(name: Node) -> Process {
         Process {
-            voter: Voter::new(name.clone(), TERMS),
             name,
+            voter: Voter::new(TERMS),
             map: None,
             lease: lease::Holder::new(LEASE, MARGIN),
             renewed: None,
             observers: Default::default(),
-            fenced: Vec::new(),
             promises: Holder::new(TERMS),
             cut: false,
             paused_until: 0,
@@ -86,7 +84,10 @@
     }
 
     fn learn(&mut self, map: &Map) {
-        self.voter.saw(map);
+        match map.member(&self.name) {
+            Some(_) => self.voter.saw(map.version),
+            None => self.voter.left(map.version),
+        }
         if self
             .map
             .as_ref()
@@ -301,7 +302,6 @@
         let lease = self.leases.get_mut(&other).expect("has one");
         if expired == Some(lease.0) {
             *lease = (Version(lease.0.0 + 1), true);
-            process.fenced.push(other);
         }
     }
 
@@ -313,10 +313,9 @@
         let observer = process.observers.get(&other);
         let standing = observer.and_then(|o| o.standing(now)).unwrap_or_default();
         let map = process.map.clone().expect("knows a member");
-        let allowed = process.fenced.contains(&other)
-            && process.voter.may_write_out(&other, standing, now)
-            && process.voter.begin_write(map.version, now);
-        if allowed {
+        let voter = &mut process.voter;
+        let fenced = self.leases[&other].1;
+        if fenced && voter.begin_write_out(&other, standing, map.version, now) {
             let write = Message::Write {
                 base: map.version,
                 map: map.died(&other),
@@ -469,27 +468,21 @@
 #[test]
 fn a_process_that_has_not_joined_or_has_a_write_under_way_promises_nothing() {
     let owner: Node = name("n1");
-    let member = World::new(0).map.members[0].clone();
-    let mut voter = Voter::new(member.node.clone(), TERMS);
-    let map = |version, members| Map {
-        version: Version(version),
-        members,
-        shards: Vec::new(),
-    };
+    let mut voter = Voter::new(TERMS);
     let ask =
         |voter: &mut Voter, version, at| voter.ask(&owner, Version(version), PROMISE, Time(at));
     assert_eq!(ask(&mut voter, 3, 200), Vote::Refused);
     voter.joined(Version(3));
     assert!(voter.begin_write(Version(3), Time(0)));
     assert_eq!(ask(&mut voter, 3, 200), Vote::Refused);
-    voter.saw(&map(4, vec![member]));
+    voter.saw(Version(4));
     voter.reached(Time(0));
     assert_eq!(ask(&mut voter, 4, 199), Vote::Refused);
     assert_eq!(ask(&mut voter, 3, 200), Vote::Behind(Version(4)));
     assert_eq!(ask(&mut voter, 4, 200), Vote::Promised);
     assert!(!voter.begin_write(Version(4), Time(419)));
     assert!(voter.begin_write(Version(4), Time(420)));
-    voter.saw(&map(5, Vec::new()));
+    voter.left(Version(5));
     assert!(!voter.may_write(Time(900)));
     assert_eq!(ask(&mut voter, 5, 200), Vote::Refused);
 }
@@ -497,7 +490,7 @@
 #[test]
 fn a_new_member_writes_out_only_an_owner_that_knows_it_or_has_passed_the_limit() {
     let owner: Node = name("n1");
-    let mut voter = Voter::new(name("n9"), TERMS);
+    let mut voter = Voter::new(TERMS);
     voter.joined(Version(3));
     voter.heard(&owner, Version(2));
     let may = |voter: &Voter, standing| voter.may_write_out(&owner, Millis(standing), Time(0));
