Ask for leave again at the write that takes a member out

Cause: a member that found a lease revoked by another wrote the holder out without asking whether the holder knows it; coord's schedules find two owners of one shard when that check is left out. Also tells the voter when the map is without this node.

--- a/crates/entry/src/fence.rs
+++ b/crates/entry/src/fence.rs
@@ -7,6 +7,7 @@
 
 use coord::id::Node;
 use coord::id::Version;
+use coord::shard::Map;
 use node::platform::Condition;
 use node::platform::Error;
 
@@ -91,7 +92,13 @@
 
 /// Takes a fenced member out of the map; its lease object is of no more use then.
 async fn bury(member: &Member, node: &Node) -> Result<(), Error> {
-    change(member, |map| map.member(node).map(|_| map.died(node))).await?;
+    let plan = |map: &Map| {
+        let listed = map.member(node).filter(|_| may_fence(member, node));
+        listed.map(|_| map.died(node))
+    };
+    if !change(member, plan).await? {
+        return Ok(());
+    }
     let name = lease::object_name(node);
     let _ = member.platform.delete(&name, Condition::Any).await;
     Ok(())
--- a/crates/entry/src/promise.rs
+++ b/crates/entry/src/promise.rs
@@ -50,9 +50,9 @@
     /// Takes in the version of a map; `member`: this node stands in it by its own write.
     pub fn saw(&self, version: Version, member: bool) {
         let mut voter = self.voter.lock();
-        voter.saw(version);
-        if member {
-            voter.joined(version);
+        match member {
+            true => voter.joined(version),
+            false => voter.left(version),
         }
     }
 
