--- a/tests/src/booking.rs
+++ b/tests/src/booking.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use fakes::stats::unix_ms;
 use tokio::task::JoinHandle;
@@ -10,8 +11,8 @@
 use crate::caller::Answer;
 use crate::caller::Caller;
 
-/// Tries of one request at most.
-const TRIES: usize = 60;
+/// How long a caller asks for the outcome of one request.
+const PATIENCE: Duration = Duration::from_secs(40);
 
 /// Pause before the next try.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -47,15 +48,16 @@
 
     /// Books under one name, from one entry to the next, until the outcome is final.
     pub async fn book(&self, name: &str, first: usize) -> Answer {
-        let mut answer = self.send(name, first).await;
-        for number in 1..TRIES {
-            if is_final(&answer) {
+        let end = Instant::now() + PATIENCE;
+        let mut tries = first;
+        loop {
+            let answer = self.send(name, tries).await;
+            if is_final(&answer) || Instant::now() > end {
                 return answer;
             }
+            tries += 1;
             tokio::time::sleep(PAUSE).await;
-            answer = self.send(name, first + number).await;
         }
-        answer
     }
 
     /// Sends a booking once.
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -315,10 +315,12 @@
         let map = self.map().await?;
         let owner = map.owner(shard).and_then(|owner| owner.primary.clone());
         let owner = owner.ok_or_else(|| eyre::eyre!("shard {shard} has no primary"))?;
-        let place = self
-            .entries
-            .iter()
-            .position(|entry| entry.name == owner.as_str());
+        // A node's name in the map is the entry's and that of its process's life.
+        let is_owner = |entry: &Entry| {
+            let life = owner.as_str().strip_prefix(entry.name.as_str());
+            life.is_some_and(|life| life.is_empty() || life.starts_with(':'))
+        };
+        let place = self.entries.iter().position(is_owner);
         place.ok_or_else(|| eyre::eyre!("{owner} isn't an entry of this fleet"))
     }
 
