Let a leaving node go when nobody else may stand by

Cause: with two entries a planned stop waited for its whole limit, since no other node could take the leaving one's place as standby.

--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -22,6 +22,9 @@
 /// Longest time for the standbys to take in the last records.
 const SYNC_LIMIT: Duration = Duration::from_millis(500);
 
+/// Leases for which a leaving node goes on as a standby until others have taken its place.
+const STANDBY_LEASES: u32 = 2;
+
 /// Time between two looks at how far a planned stop has come.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -61,6 +64,12 @@
 pub async fn shed(member: &Arc<Member>, limit: Duration) {
     let end = Instant::now() + limit;
     member.stop();
+    while Instant::now() < end && leads(member) {
+        step(member).await;
+        sleep(PAUSE).await;
+    }
+    // Where nobody else may stand by, the log in the platform is the second place.
+    let end = end.min(Instant::now() + member.lease_duration() * STANDBY_LEASES);
     while Instant::now() < end && !has_left(member) {
         step(member).await;
         sleep(PAUSE).await;
@@ -93,6 +102,14 @@
     member.shards().upkeep.notify_one();
 }
 
+/// Whether this node leads a shard that it can hand over.
+fn leads(member: &Member) -> bool {
+    let map = member.map();
+    let me = member.node();
+    let alone = map.staying().all(|other| other.node == me);
+    map.member(&me).is_some() && !alone && map.holding(&me).primary > 0
+}
+
 /// Whether no shard rests on this node; the last node in the map can't hand anything over.
 fn has_left(member: &Member) -> bool {
     let map = member.map();
--- a/crates/entry/tests/call/fleet.rs
+++ b/crates/entry/tests/call/fleet.rs
@@ -7,6 +7,9 @@
 
 use bytes::Bytes;
 use coord::config::Change;
+use coord::id::SHARDS;
+use coord::id::Shard;
+use coord::shard;
 use entry::member::Member;
 use entry::service::Service;
 use entry::settings::Settings;
@@ -28,6 +31,7 @@
 use tokio::task::JoinHandle;
 
 const PATIENCE: Duration = Duration::from_secs(20);
+const ENTRIES: usize = 2;
 /// Places at each target.
 const SLOTS: u64 = 4;
 const SALT: &str = "00ff";
@@ -74,7 +78,7 @@
         let tool = Tool::start(fakes::tool::Settings::default());
         let tool = tool.await.expect("a tool");
         let mut services = Vec::new();
-        for number in 1..=2 {
+        for number in 1..=ENTRIES {
             services.push(start_entry(number, platform.address()).await);
         }
         let (first, engine_at) = start_sidecar("engine-1", "engine", engine.address).await;
@@ -88,7 +92,7 @@
             ticket: 0,
         };
         fleet.change(objects(engine_at, tool_at), json!([])).await;
-        fleet.wait_owned().await;
+        fleet.wait_settled().await;
         fleet
     }
 
@@ -111,17 +115,10 @@
         .await;
     }
 
-    async fn wait_owned(&self) {
-        within("all shards are owned", async || {
-            (0..coord::id::SHARDS).all(|number| {
-                let shard = coord::id::Shard(number);
-                let owns = |service: &Service| service.member.authority(shard).is_some();
-                self.services.iter().any(owns)
-                    && self
-                        .services
-                        .iter()
-                        .all(|service| service.member.owner(shard).is_some())
-            })
+    /// Waits until each shard has its owner and standby, and none is about to move.
+    async fn wait_settled(&self) {
+        within("the shards have settled", async || {
+            self.services.iter().all(|service| is_settled(&service.member))
         })
         .await;
     }
@@ -216,7 +213,7 @@
         let customer = customer.parse().expect("a customer's name");
         let owned = |name: &String| {
             let request = name.parse().expect("a request's name");
-            let shard = coord::id::Shard::of_request(&customer, &request);
+            let shard = Shard::of_request(&customer, &request);
             self.services[entry].member.authority(shard).is_some()
         };
         let names = (0..10_000).map(|number| format!("request-{number}"));
@@ -238,6 +235,19 @@
     })
 }
 
+fn is_settled(member: &Member) -> bool {
+    let map = member.map();
+    let paired = |number| {
+        let owner = map.owner(Shard(number));
+        owner.is_some_and(|owner| owner.primary.is_some() && owner.standby.is_some())
+    };
+    let resting = map
+        .members
+        .iter()
+        .all(|one| shard::transfers(&map, &one.node).is_empty());
+    map.members.len() == ENTRIES && resting && (0..SHARDS).all(paired)
+}
+
 fn request(
     address: SocketAddr,
     customer: &str,
