--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -60,8 +60,9 @@
     })
 }
 
-/// Hands over every shard. Returns when that is done or the limit is over.
-pub async fn shed(member: &Arc<Member>, limit: Duration) {
+/// Leaves the fleet: hands over every shard, waits for `idle`, writes out the log, gives up the
+/// lease. Returns when that is done or the limit is over.
+pub async fn leave(member: &Arc<Member>, limit: Duration, idle: impl Future<Output = ()>) {
     let end = Instant::now() + limit;
     member.stop();
     while Instant::now() < end && leads(member) {
@@ -69,17 +70,12 @@
         sleep(PAUSE).await;
     }
     // Where nobody else may stand by, the log in the platform is the second place.
-    let end = end.min(Instant::now() + member.lease_duration() * STANDBY_LEASES);
-    while Instant::now() < end && !has_left(member) {
+    let end_by = end.min(Instant::now() + member.lease_duration() * STANDBY_LEASES);
+    while Instant::now() < end_by && !has_left(member) {
         step(member).await;
         sleep(PAUSE).await;
     }
-}
-
-/// Leaves the fleet: writes out the log, gives up the lease.
-/// Returns when that is done or the limit is over.
-pub async fn depart(member: &Arc<Member>, limit: Duration) {
-    let end = Instant::now() + limit;
+    idle.await;
     while Instant::now() < end && !member.journal().is_idle() {
         sleep(PAUSE).await;
     }
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -1,123 +1,123 @@
-//! Outcomes of attempts, recorded at whoever owns the shard by now.
+//! Outcomes of attempts whose shard moved while they ran: reported to the new owner.
 //!
-//! A shard may be handed over while a call runs. The node that began the call goes on with it and
-//! sends the outcome to the new owner, which waits for it as long as that node is in the fleet.
+//! The new owner alone decides whether the attempt is still awaited, so a late report changes
+//! nothing.
 
 use std::time::Duration;
 
-use coord::id;
 use coord::id::Attempt;
 use coord::id::Shard;
 use coord::record::Call;
 use coord::record::Outcome;
-use coord::refusal::Code;
+use coord::record::Record;
 use tokio::time::Instant;
-use wire::Refusal;
 use wire::SettleReply;
 use wire::SettleRequest;
-use wire::settle_reply::State;
+use wire::settle_reply::Reply;
 
-use crate::job::Job;
+use crate::clock::unix_ms;
+use crate::flight::Flight;
 use crate::ledger;
 use crate::ledger::Stop;
 use crate::member::Member;
-use crate::member::Peer;
-use crate::refusal;
+use crate::shards::Moved;
 
 const STEP: &str = "settle";
-/// Pause before the owner is looked up again.
-const PAUSE: Duration = Duration::from_millis(25);
-/// Time for the reply of another owner.
+
+/// Leases for which a report looks for an owner of the shard.
+const LEASES: u32 = 2;
+
+/// Time between two tries.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest wait for the owner's reply.
 const TIMEOUT: Duration = Duration::from_secs(2);
-/// Leases for which an owner is looked for.
-const LEASES: u32 = 3;
 
-/// Records an attempt's outcome in two places, here or at the shard's new owner.
-pub async fn settle(
+/// Records an outcome here, or at whichever node owns the shard by now.
+pub async fn report(
     member: &Member,
-    job: &Job,
+    call: &Call,
+    shard: Shard,
     attempt: &Attempt,
     outcome: Outcome,
 ) -> Result<(), Stop> {
-    if !job.recorded {
-        return Ok(());
-    }
-    let end = Instant::now() + member.lease_duration() * LEASES;
+    let end = Instant::now() + member.lease.duration() * LEASES;
     loop {
-        let settled = ledger::settle(member.shards(), job, attempt, outcome.clone()).await;
-        let Err(Stop::Moved(moved)) = settled else {
-            return settled;
-        };
-        let owner = member.owner(job.shard).filter(|owner| !owner.me);
-        let state = match owner {
-            Some(owner) => forward(member, &owner, job, attempt, &outcome).await,
-            None => State::Moved,
+        let shards = member.shards();
+        let here = ledger::record_outcome(shards, call, shard, attempt, outcome.clone()).await;
+        let moved = match here {
+            Err(Stop::Moved(moved)) => moved,
+            settled => return settled,
         };
-        match state {
-            State::Recorded => return Ok(()),
-            State::NotAwaited | State::Lost => return Err(doubtful().into()),
-            State::Moved if Instant::now() > end => return Err(Stop::Moved(moved)),
-            State::Moved => tokio::time::sleep(PAUSE).await,
+        match forward(member, call, shard, attempt, &outcome).await {
+            Some(true) => return Ok(()),
+            Some(false) => return Err(ledger::not_awaited().into()),
+            None if Instant::now() > end => return Err(moved.into()),
+            None => tokio::time::sleep(PAUSE).await,
         }
     }
 }
 
+/// Whether the owner recorded it; none if no owner could be asked.
 async fn forward(
     member: &Member,
-    owner: &Peer,
-    job: &Job,
+    call: &Call,
+    shard: Shard,
     attempt: &Attempt,
     outcome: &Outcome,
-) -> State {
-    let (Ok(call), Ok(outcome)) = (postcard::to_stdvec(&job.call), postcard::to_stdvec(outcome))
-    else {
-        return State::Lost;
+) -> Option<bool> {
+    let peer = member.owner(shard).filter(|peer| !peer.me)?;
+    let record = Record::Settled {
+        call: call.clone(),
+        attempt: attempt.clone(),
+        outcome: outcome.clone(),
+        at_ms: unix_ms(),
     };
     let request = SettleRequest {
-        shard: job.shard.0.into(),
-        call: call.into(),
-        attempt: attempt.to_string(),
-        outcome: outcome.into(),
+        node: member.node().to_string(),
+        shard: shard.0.into(),
+        record: postcard::to_stdvec(&record).ok()?.into(),
     };
-    let mut client = member.peers().owner(owner.addr);
-    match tokio::time::timeout(TIMEOUT, client.settle(request)).await {
-        Ok(Ok(reply)) => reply.into_inner().state(),
+    let mut client = member.peers().owner(peer.addr);
+    let reply = tokio::time::timeout(TIMEOUT, client.settle(request)).await;
+    match reply {
+        Ok(Ok(reply)) => match reply.into_inner().reply {
+            Some(Reply::Recorded(recorded)) => Some(recorded),
+            Some(Reply::Moved(_)) | None => None,
+        },
         Ok(Err(status)) => {
-            log::warn!(step = STEP, peer = owner.node.as_str(); "{}", status.message());
-            State::Moved
+            log::warn!(step = STEP, peer = peer.node.as_str(); "{}", status.message());
+            None
+        }
+        Err(_) => {
+            log::warn!(step = STEP, peer = peer.node.as_str(); "no reply in time");
+            None
         }
-        Err(_) => State::Moved,
     }
 }
 
-/// Records an outcome that another node sends.
-pub async fn serve(member: &Member, request: &SettleRequest) -> SettleReply {
-    let state = match read(request) {
-        None => State::NotAwaited,
-        Some((shard, call, attempt, outcome)) => {
+/// Takes a report of a shard's former owner.
+pub async fn take(member: &Member, flight: &Flight, request: SettleRequest) -> SettleReply {
+    let shard = Shard(request.shard as u16);
+    let reply = match postcard::from_bytes(&request.record) {
+        Ok(Record::Settled {
+            call,
+            attempt,
+            outcome,
+            ..
+        }) => {
             let shards = member.shards();
             match ledger::record_outcome(shards, &call, shard, &attempt, outcome).await {
-                Ok(()) => State::Recorded,
-                Err(Stop::Moved(_)) => State::Moved,
-                Err(_) => State::NotAwaited,
+                Ok(()) => Reply::Recorded(true),
+                Err(Stop::Moved(Moved { shard, epoch })) => Reply::Moved(wire::Moved {
+                    shard: shard.0.into(),
+                    epoch: epoch.0,
+                }),
+                Err(_) => Reply::Recorded(false),
             }
         }
+        _ => Reply::Recorded(false),
     };
-    SettleReply {
-        state: state.into(),
-    }
-}
-
-fn read(request: &SettleRequest) -> Option<(Shard, Call, Attempt, Outcome)> {
-    let shard = u16::try_from(request.shard).ok().map(Shard);
-    let shard = shard.filter(|shard| shard.0 < id::SHARDS)?;
-    let call = postcard::from_bytes(&request.call).ok()?;
-    let attempt = request.attempt.parse().ok()?;
-    let outcome = postcard::from_bytes(&request.outcome).ok()?;
-    Some((shard, call, attempt, outcome))
-}
-
-fn doubtful() -> Refusal {
-    let message = "the outcome wasn't recorded";
-    refusal::unknown(Code::OutcomeUnknown, STEP, message)
+    flight.settled(shard);
+    SettleReply { reply: Some(reply) }
 }
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -1,11 +1,10 @@
 //! The service between entries: calls and admission for their owner, records and news for members.
 
-use std::pin::Pin;
 use std::sync::Arc;
 
-use coord::id::Shard;
 use futures::Stream;
 use futures::StreamExt;
+use std::pin::Pin;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
@@ -26,8 +25,11 @@
 
 use crate::admission::Admission;
 use crate::call::Call;
+use crate::heartbeat;
 use crate::member::Member;
 use crate::outcome;
+use crate::promise;
+use crate::replicate;
 
 /// Serves other entries.
 pub struct Server {
@@ -71,8 +73,7 @@
         request: Request<SettleRequest>,
     ) -> Result<Response<SettleReply>, Status> {
         let request = request.into_inner();
-        let reply = outcome::serve(&self.member, &request).await;
-        self.call.flight.settled(Shard(request.shard as u16));
+        let reply = outcome::take(&self.member, &self.call.flight, request).await;
         Ok(Response::new(reply))
     }
 
@@ -80,7 +81,7 @@
         &self,
         request: Request<ReplicateRequest>,
     ) -> Result<Response<ReplicateReply>, Status> {
-        let reply = self.member.replicate(request.get_ref());
+        let reply = replicate::append(self.member.shards(), request.get_ref());
         Ok(Response::new(reply))
     }
 
@@ -88,18 +89,24 @@
         &self,
         request: Request<Streaming<SyncChunk>>,
     ) -> Result<Response<ReplicateReply>, Status> {
-        let reply = self.member.install(request.into_inner()).await?;
+        let reply = replicate::install(self.member.shards(), request.into_inner()).await?;
         Ok(Response::new(reply))
     }
 
     async fn exchange(&self, request: Request<Digest>) -> Result<Response<Digest>, Status> {
-        Ok(Response::new(self.member.exchange(request.get_ref())))
+        Ok(Response::new(heartbeat::answer(
+            &self.member,
+            request.get_ref(),
+        )))
     }
 
     async fn promise(
         &self,
         request: Request<PromiseRequest>,
     ) -> Result<Response<PromiseReply>, Status> {
-        Ok(Response::new(self.member.promise(request.get_ref())))
+        Ok(Response::new(promise::answer(
+            &self.member,
+            request.get_ref(),
+        )))
     }
 }
--- a/crates/entry/tests/call_faults.rs
+++ b/crates/entry/tests/call/faults.rs
@@ -1,18 +1,16 @@
 //! Calls whose caller, key, owner or target goes away midway.
 
-#[path = "call/fleet.rs"]
-mod fleet;
-
 use std::time::Duration;
 
 use fakes::fault::Faults;
-use fleet::Fleet;
-use fleet::Reply;
-use fleet::chat;
-use fleet::within;
 use http::Method;
 use serde_json::json;
 
+use crate::fleet::Fleet;
+use crate::fleet::Reply;
+use crate::fleet::chat;
+use crate::fleet::within;
+
 const LATE_MS: u64 = 800;
 
 fn late() -> Faults {
--- a/crates/entry/tests/call/fleet.rs
+++ b/crates/entry/tests/call/fleet.rs
@@ -118,7 +118,9 @@
     /// Waits until each shard has its owner and standby, and none is about to move.
     async fn wait_settled(&self) {
         within("the shards have settled", async || {
-            self.services.iter().all(|service| is_settled(&service.member))
+            self.services
+                .iter()
+                .all(|service| is_settled(&service.member))
         })
         .await;
     }
