Resolve orphans by the node that the record names

The record names the node that began an attempt, so the table of former owners goes; a resolution waits through a lapsed lease instead of giving up, and a former owner that never reports is given up after the longest request.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -299,10 +299,7 @@
     }
 
     async fn settle(&self, job: &Job, name: &id::Attempt, outcome: Outcome) -> Result<(), Stop> {
-        let settled = match job.recorded {
-            true => outcome::report(&self.member, &job.call, job.shard, name, outcome).await,
-            false => Ok(()),
-        };
+        let settled = outcome::settle(&self.member, job, name, outcome).await;
         self.flight.settled(job.shard);
         settled
     }
--- a/crates/entry/src/resolve.rs
+++ b/crates/entry/src/resolve.rs
@@ -8,6 +8,7 @@
 
 use coord::decision::Flight;
 use coord::id::Epoch;
+use coord::id::SHARDS;
 use coord::id::Shard;
 use coord::record::Outcome;
 use futures::StreamExt;
@@ -21,20 +22,21 @@
 use crate::ledger;
 use crate::run;
 use crate::shards::Gained;
+use crate::shards::Role;
 
 const STEP: &str = "resolve";
 /// Attempts resolved at once in one shard.
 const CONCURRENCY: usize = 16;
 /// Tries to reach the sidecar of an attempt.
 const TRIES: u32 = 4;
-/// Time beyond the longest request for a former owner to report an outcome.
+/// Time beyond the longest request for a former owner to finish.
 const LINGER: Duration = Duration::from_secs(60);
 /// Pause between two tries.
 const PAUSE: Duration = Duration::from_millis(250);
 
 /// Resolves each shard that this node gains, until the process ends.
 pub async fn keep(call: Arc<Call>) {
-    let mut gained = call.member.shards().gained();
+    let mut gained = call.member.gained();
     loop {
         match gained.recv().await {
             Ok(Gained { shard, epoch }) => start(&call, shard, epoch),
@@ -45,8 +47,8 @@
 }
 
 /// Resolves all shards that this node owns at present.
-pub fn all(call: &Arc<Call>) {
-    for number in 0..coord::id::SHARDS {
+fn all(call: &Arc<Call>) {
+    for number in 0..SHARDS {
         let shard = Shard(number);
         if let Some(authority) = call.member.authority(shard) {
             start(call, shard, authority.epoch);
@@ -77,21 +79,23 @@
 }
 
 async fn settle(call: &Call, fence: &Fence, flight: Flight) {
-    if !is_orphan(call, fence, &flight).await {
-        return;
-    }
-    let fenced = is_fenced(call, fence, &flight).await;
-    let outcome = match fenced {
-        true => Outcome::NotRun,
-        false => Outcome::Unknown,
-    };
-    let shards = call.member.shards();
-    let settled =
-        ledger::record_outcome(shards, &flight.call, fence.shard, &flight.attempt, outcome).await;
-    if settled.is_err() {
-        log::warn!(step = STEP, peer = flight.target.as_str(); "the outcome wasn't recorded");
+    while is_orphan(call, fence, &flight).await {
+        let outcome = match is_fenced(call, fence, &flight).await {
+            true => Outcome::NotRun,
+            false => Outcome::Unknown,
+        };
+        let shards = call.member.shards();
+        let (asked, attempt) = (&flight.call, &flight.attempt);
+        let settled = ledger::record_outcome(shards, asked, fence.shard, attempt, outcome).await;
+        call.flight.settled(fence.shard);
+        match settled {
+            Ok(()) => return,
+            Err(_) => {
+                log::warn!(step = STEP, peer = flight.target.as_str(); "the outcome wasn't recorded");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
     }
-    call.flight.settled(fence.shard);
 }
 
 /// Waits until the attempt's node reports its outcome, is no member any more or has had more time
@@ -100,28 +104,28 @@
     let mut maps = call.member.map_changes();
     let longest = clock::duration(call.settings.limits.timeout_max_ms);
     let end = Instant::now() + longest + LINGER;
-    while Instant::now() < end {
+    loop {
         let news = call.flight.news(fence.shard);
-        let shards = call.member.shards();
-        let held = shards
-            .authority(fence.shard)
-            .is_some_and(|held| held.epoch == fence.epoch);
-        let awaited = || {
-            shards.inspect(fence.shard, |state| {
-                state.replica.awaits(&flight.call, &flight.attempt)
-            })
-        };
+        let awaited = is_awaited(call, fence, flight);
         match maps.borrow_and_update().member(&flight.by) {
-            _ if !held || awaited() != Some(true) => return false,
-            None => return true,
-            Some(_) => {}
+            _ if !awaited => return false,
+            Some(_) if Instant::now() < end => {}
+            Some(_) | None => return true,
         }
         tokio::select! {
             () = news => {}
             Ok(()) = maps.changed() => {}
         }
     }
-    true
+}
+
+/// Whether this node owns the shard as when it gained it, and awaits the outcome.
+fn is_awaited(call: &Call, fence: &Fence, flight: &Flight) -> bool {
+    let awaited = call.member.shards().inspect(fence.shard, |state| {
+        let held = state.role == Role::Primary && state.epoch == fence.epoch;
+        held && state.replica.awaits(&flight.call, &flight.attempt)
+    });
+    awaited.unwrap_or(false)
 }
 
 async fn is_fenced(call: &Call, fence: &Fence, flight: &Flight) -> bool {
--- a/crates/entry/tests/call/fleet.rs
+++ b/crates/entry/tests/call/fleet.rs
@@ -1,5 +1,8 @@
 //! A small fleet in one process: a platform, two entries, sidecars with their targets.
 
+// Each test binary uses a part.
+#![allow(dead_code)]
+
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -304,7 +307,7 @@
         "listen": { "callers": free(), "peers": free(), "admin": free() },
         "platform": format!("http://{platform}"),
         "lease": { "duration_ms": 1500, "margin_ms": 150 },
-        "limits": { "body_bytes": 100_000 },
+        "limits": { "body_bytes": 100_000, "grace_ms": 100 },
     }))
     .expect("sound settings");
     let metrics = Metrics::new().expect("metrics");
