Spread quarantines and end a hanging step with its program

Cause: each owner knew only of its own crashes, so a resend through another owner could walk on; and a hanging tool or engine held its caller until the deadline although its program was over. Crashes go by the name that the sidecar gives them, so that companions told of the same crash count it once; heartbeats carry them. Ruled out: counting every report as a crash of its own, which quarantines companions.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -14,7 +14,6 @@
 use coord::record::Outcome;
 use parking_lot::Mutex;
 use rand::RngExt;
-use sched::quarantine::Quarantine;
 use sched::quarantine::Verdict;
 use sched::retry::Budget;
 use wire::CallRequest;
@@ -62,7 +61,6 @@
     pub table: Table,
     pub(crate) caches: Caches,
     pub(crate) flight: Flight,
-    pub(crate) quarantine: Mutex<Quarantine>,
     retries: Mutex<Budget>,
 }
 
@@ -82,7 +80,6 @@
             table: Table::default(),
             caches: Caches::default(),
             flight: Flight::default(),
-            quarantine: Mutex::new(Quarantine::new()),
             retries: Mutex::new(Budget::new()),
         })
     }
@@ -305,7 +302,7 @@
     }
 
     fn completed(&self, job: &Job, attempt: &Attempt, done: &Done) {
-        self.quarantine.lock().completed(job.fingerprint());
+        self.member.quarantine.completed(job.fingerprint());
         if let (Some(program), Service::Model(_)) = (&job.program, &job.service) {
             let tokens = id::Tokens(done.prompt_tokens + done.completion_tokens);
             let epoch = attempt.authority.epoch;
@@ -323,7 +320,8 @@
         out: &Out,
     ) -> Result<Option<Again>, Stop> {
         let now = self.member.now();
-        self.quarantine.lock().crashed(&crashed.fingerprints, now);
+        self.member.quarantine.crashed(crashed, now);
+        self.member.news.notify_one();
         self.instruments.crashed();
         let target = &attempt.target.id;
         self.table.failed(target, Instant::now());
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -48,7 +48,7 @@
     /// What the quarantine says of the call.
     pub(crate) fn verdict(&self, job: &Job) -> Verdict {
         let now = self.member.now();
-        self.quarantine.lock().check(job.fingerprint(), now)
+        self.member.quarantine.verdict(job.fingerprint(), now)
     }
 
     /// Why a call can't be run here.
--- a/crates/entry/src/heartbeat.rs
+++ b/crates/entry/src/heartbeat.rs
@@ -165,6 +165,7 @@
         map_version: member.map().version.0,
         seen: (*member.store.digests()).clone(),
         leaving: leaving.iter().map(Target::to_string).collect(),
+        quarantine: member.quarantine.news(member.now()).into(),
         ..Digest::default()
     }
 }
@@ -189,6 +190,7 @@
     if member.store.take_news(&theirs.tickets) {
         member.news.notify_one();
     }
+    member.quarantine.take(&theirs.quarantine, member.now());
     if !sync::is_watcher(member) {
         let leaving = theirs
             .leaving
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -49,6 +49,7 @@
 use crate::lease::Lease;
 use crate::peer::Peers;
 use crate::promise;
+use crate::quarantine;
 use crate::renewal;
 use crate::replicate;
 use crate::settings::Settings;
@@ -83,6 +84,7 @@
     pub(crate) store: sync::Store,
     pub(crate) heard: heartbeat::Heard,
     pub(crate) given: promise::Given,
+    pub(crate) quarantine: quarantine::Shared,
     /// Held while the shard map is being changed.
     pub(crate) changing: tokio::sync::Mutex<()>,
     /// Wakes the heartbeat when there is news to spread.
@@ -122,6 +124,7 @@
             store: sync::Store::default(),
             heard: heartbeat::Heard::default(),
             given: promise::Given::default(),
+            quarantine: quarantine::Shared::default(),
             changing: tokio::sync::Mutex::default(),
             news: Notify::new(),
             peers,
@@ -198,6 +201,11 @@
         self.fresh() && !self.is_stopping() && owned()
     }
 
+    /// Requests remembered because they were in flight when a target died.
+    pub fn quarantined(&self) -> usize {
+        self.quarantine.len()
+    }
+
     /// Length of a lease.
     pub fn lease_duration(&self) -> Duration {
         self.lease.duration()
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -19,9 +19,7 @@
 use wire::Head;
 use wire::Ran;
 use wire::Refusal;
-use wire::Start;
 use wire::cancel_reply::State;
-use wire::start;
 
 use crate::attempt;
 use crate::auth;
@@ -33,11 +31,12 @@
 use crate::dispatch::Fence;
 use crate::flight::Own;
 use crate::job::Job;
-use crate::job::Work;
 use crate::lease::Authority;
 use crate::ledger::Prompt;
+use crate::order;
 use crate::out::Out;
 use crate::refusal;
+use crate::trial;
 
 const STEP: &str = "dispatch";
 /// How often the permission to start is renewed.
@@ -46,8 +45,6 @@
 const START_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time beyond the deadline for the sidecar to say what came of the work.
 const GRACE: Duration = Duration::from_secs(1);
-/// Time beyond the deadline for work that can't be repeated to be answered and recorded.
-const LINGER: Duration = Duration::from_secs(60);
 /// When to come back to a target that can't be reached, in milliseconds.
 const RETRY_AFTER: u64 = 1000;
 /// Largest answer that is kept for repeats, in bytes.
@@ -94,6 +91,8 @@
     unsent: bool,
     withdrawn: bool,
     cancelled: bool,
+    /// The program has ended, and the work is being cancelled.
+    ended: bool,
     head: Option<Head>,
     body: Vec<u8>,
     whole: bool,
@@ -110,6 +109,7 @@
         unsent: false,
         withdrawn: false,
         cancelled: false,
+        ended: false,
         head: None,
         body: Vec::new(),
         whole: true,
@@ -120,7 +120,7 @@
 impl Run<'_> {
     async fn run(&mut self) -> End {
         let client = self.call.member.peers().target(self.attempt.target.sidecar);
-        let start = self.start();
+        let start = order::start(self.call, self.job, self.attempt);
         let sent = Dispatch::start(client.clone(), start);
         match tokio::time::timeout(START_TIMEOUT, sent).await {
             Ok(Ok(mut dispatch)) => match self.follow(&mut dispatch).await {
@@ -139,58 +139,6 @@
         }
     }
 
-    fn start(&self) -> Start {
-        let Attempt { authority, .. } = self.attempt;
-        let config = self.call.member.config();
-        let weight = config.customer(&self.job.customer);
-        let program = self.job.program.as_ref();
-        Start {
-            attempt: self.attempt.name.to_string(),
-            node: self.call.settings.node.to_string(),
-            shard: self.job.shard.0.into(),
-            epoch: authority.epoch.0,
-            customer: self.job.customer.to_string(),
-            weight: weight.map_or(1, |customer| customer.weight),
-            program: program.map(ToString::to_string).unwrap_or_default(),
-            attained: self.attempt.attained.0,
-            idempotent: self.job.idempotent,
-            fingerprint: self.job.fingerprint(),
-            start_by_ms: millis(self.start_by(authority)),
-            deadline_ms: millis(self.time_to_run()),
-            prompt_tokens: self.attempt.prompt.0,
-            alone: self.attempt.alone,
-            work: Some(self.work()),
-        }
-    }
-
-    fn work(&self) -> start::Work {
-        match &self.job.work {
-            Work::Plain(plain) => start::Work::Plain(plain.clone()),
-            Work::Chat {
-                model, max_tokens, ..
-            } => start::Work::Generate(wire::Generate {
-                model: model.to_string(),
-                messages: self.attempt.messages.clone(),
-                max_tokens: *max_tokens,
-                keep: self.job.program.is_some(),
-            }),
-        }
-    }
-
-    /// How long from now the work may run.
-    fn time_to_run(&self) -> Duration {
-        match self.job.idempotent {
-            true => self.job.left(),
-            false => self.job.left() + LINGER,
-        }
-    }
-
-    /// How long from now the work may start.
-    fn start_by(&self, authority: &Authority) -> Duration {
-        let authority = authority.until.saturating_duration_since(Instant::now());
-        authority.min(self.job.left())
-    }
-
     /// Passes frames on until the outcome; none if the stream broke.
     async fn follow(&mut self, dispatch: &mut Dispatch) -> Option<End> {
         let mut changes = self.call.member.changes();
@@ -211,7 +159,7 @@
                         Next::Lost => return None,
                     }
                 }
-                _ = tick.tick(), if !self.started => self.extend(dispatch),
+                _ = tick.tick() => self.look(dispatch),
                 Ok(()) = changes.changed(), if !self.started => self.extend(dispatch),
                 () = self.out.closed(), if self.job.idempotent && !self.cancelled => {
                     self.cancelled = true;
@@ -224,12 +172,36 @@
                         return None;
                     }
                     self.out.refuse(late()).await;
-                    deadline.as_mut().reset(tokio::time::Instant::now() + LINGER);
+                    deadline.as_mut().reset(tokio::time::Instant::now() + order::LINGER);
                 }
             }
         }
     }
 
+    /// Looks whether the work may still start, or go on.
+    fn look(&mut self, dispatch: &Dispatch) {
+        if !self.started {
+            self.extend(dispatch);
+        }
+        if self.job.idempotent && !self.ended && self.has_ended() {
+            self.ended = true;
+            dispatch.cancel();
+        }
+    }
+
+    /// Whether the call's program has ended meanwhile, over its time or by its caller.
+    fn has_ended(&self) -> bool {
+        let Some(program) = &self.job.program else {
+            return false;
+        };
+        let shards = self.call.member.shards();
+        let ended = shards.inspect(self.job.shard, |state| {
+            let program = state.replica.program(program);
+            program.is_some_and(|program| program.ended.is_some())
+        });
+        ended.unwrap_or(false)
+    }
+
     /// Renews the permission to start, or ends it.
     fn extend(&mut self, dispatch: &Dispatch) {
         let allowed = self.call.allowed(self.job).is_ok();
@@ -241,7 +213,7 @@
                 self.withdrawn = true;
                 dispatch.extend(Duration::ZERO);
             }
-            Some(authority) => dispatch.extend(self.start_by(&authority)),
+            Some(authority) => dispatch.extend(order::start_by(&authority, self.job)),
             // The shard was handed over: what waits is for the new owner to place.
             None if self.call.member.fresh() => dispatch.extend(Duration::ZERO),
             None => {}
@@ -302,7 +274,12 @@
         let refusal = self.located(refusal);
         match refusal.ran() {
             Ran::No if self.withdrawn => End::NotRun(auth::unauthorized("the key was withdrawn")),
+            Ran::No if self.ended => End::NotRun(Refusal {
+                ran: Ran::No.into(),
+                ..trial::ended()
+            }),
             Ran::No => End::NotRun(refusal),
+            Ran::Yes | Ran::Unknown if self.ended => End::Unknown(trial::ended()),
             Ran::Yes | Ran::Unknown => End::Unknown(refusal),
         }
     }
@@ -310,7 +287,7 @@
     /// The stream broke: only a fence at the same incarnation shows that nothing ran.
     async fn lost(&mut self, client: Client) -> End {
         let fence = Fence {
-            node: self.call.settings.node.clone(),
+            node: self.call.member.node(),
             shard: self.job.shard,
             epoch: self.attempt.authority.epoch,
         };
@@ -371,11 +348,6 @@
     reply.state() == State::Fenced && incarnation == Some(reply.incarnation.as_str())
 }
 
-/// Milliseconds for a sidecar, to which 0 stands for no limit.
-fn millis(length: Duration) -> u64 {
-    (length.as_millis() as u64).max(1)
-}
-
 fn late() -> Refusal {
     let message = "the deadline has passed; the request goes on and its answer is recorded";
     refusal::unknown(Code::Deadline, STEP, message)
--- a/crates/entry/src/trial.rs
+++ b/crates/entry/src/trial.rs
@@ -61,7 +61,7 @@
     /// Confirmed not to have run.
     pub fn not_run(refusal: Refusal, left: Duration) -> Again {
         let hopeless = match refusal.code.parse() {
-            Ok(Code::Unauthorized | Code::Quarantined | Code::BadRequest) => true,
+            Ok(Code::Unauthorized | Code::Quarantined | Code::BadRequest | Code::Ended) => true,
             // Otherwise it was this node's authority that ran out, not the call's time.
             Ok(Code::Deadline) => left < LATE,
             Ok(_) | Err(_) => false,
@@ -80,11 +80,13 @@
 
     /// May have run, and may be repeated.
     pub fn lost(refusal: Refusal) -> Again {
+        let repeatable = !refusal::is(&refusal, Code::Ended);
+        let retry_after = RETRY_AFTER * u64::from(repeatable);
         Again {
-            refusal: refusal::retry_after(refusal, RETRY_AFTER),
+            repeatable,
+            refusal: refusal::retry_after(refusal, retry_after),
             free: false,
             may_have_run: true,
-            repeatable: true,
         }
     }
 }
@@ -107,6 +109,11 @@
     refusal::retry_after(refusal, RETRY_AFTER)
 }
 
+/// The call's program ended while it ran.
+pub fn ended() -> Refusal {
+    refusal::unknown(Code::Ended, STEP, "the program has ended")
+}
+
 /// The request has crashed targets.
 pub fn quarantined() -> Refusal {
     refusal::not_run(
--- a/crates/entry/tests/call/faults.rs
+++ b/crates/entry/tests/call/faults.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use entry::service::Service;
 use fakes::fault::Faults;
 use http::Method;
 use serde_json::json;
@@ -121,6 +122,27 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hanging_step_ends_with_its_program() {
+    let fleet = Fleet::start().await;
+    fleet.engine.set_faults(Faults {
+        hang_on: Some("hang".to_owned()),
+        ..Faults::default()
+    });
+    let budget = json!({ "tokens": 10_000, "calls": 10, "wall_ms": 500 });
+    let opened = fleet.post(0, "large", "/v1/programs", budget).await;
+    let program = opened.body["program"].as_str().expect("a program");
+    let reply = fleet.turn(1, "large", program, 1, "hang").await;
+    assert_eq!(
+        (reply.code(), reply.ran()),
+        ("ended", "unknown"),
+        "{reply:?}"
+    );
+    let path = format!("/v1/programs/{program}");
+    let shown = fleet.call(0, "large", Method::GET, &path, &[], "").await;
+    assert_eq!(shown.body["reason"], "budget");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_its_target_is_refused_from_then_on() {
     let mut fleet = Fleet::start().await;
@@ -144,15 +166,12 @@
             == 200
     })
     .await;
-    within("it is refused everywhere", async || {
-        let mut refused = true;
-        for entry in [0, 1, 0, 1] {
-            let again = fleet
-                .post(entry, "large", path, chat("poison", false))
-                .await;
-            refused &= (again.code(), again.ran()) == ("quarantined", "no");
-        }
-        refused
-    })
-    .await;
+    let known = |service: &Service| service.member.quarantined() == 1;
+    within("all know", async || fleet.services.iter().all(known)).await;
+    for entry in [0, 1, 0, 1] {
+        let again = fleet
+            .post(entry, "large", path, chat("poison", false))
+            .await;
+        assert_eq!((again.code(), again.ran()), ("quarantined", "no"));
+    }
 }
