Forget old attempts without ever denying that they ran

Cause: ended attempts were forgotten after ten minutes, and a cancel of a forgotten one was answered as fenced, which its owner passes on as not run. The ledger now keeps a horizon: what may have been forgotten is never called fenced and never started. A crowd is remembered for a shorter time, so that a busy service isn't refused. A start is checked against the clock once more after a pause, a late extension no longer hides a cancel, and a drain waits until answers are read. Ruled out: an age in the cancel message, since the attempt's name carries its time. Assumes host clocks within 30 s.

--- a/crates/sidecar/src/cache.rs
+++ b/crates/sidecar/src/cache.rs
@@ -23,7 +23,7 @@
 struct Lease {
     until: Time,
     running: u32,
-    /// Ended while it ran: released afterwards.
+    /// Released by its owner: not held again after a run that was under way.
     ended: bool,
     /// Tokens that the engine is thought to hold.
     tokens: Tokens,
@@ -50,7 +50,6 @@
     pub fn begin(&mut self, program: &str) {
         let lease = self.leases.entry(program.into()).or_default();
         lease.running += 1;
-        lease.ended = false;
     }
 
     /// Notes that a program's run is over, and whether its next turn may want the cache.
@@ -69,6 +68,7 @@
     pub fn hold(&mut self, program: &str, length: Millis, now: Time) {
         let lease = self.leases.entry(program.into()).or_default();
         lease.until = now + length.min(LONGEST_HOLD);
+        lease.ended = false;
     }
 
     /// Ends a program's lease.
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -34,9 +34,6 @@
 /// Pause between two looks at what still runs, while draining.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time for open connections to close after a drain.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Silence on a connection after which the other side is asked whether it lives, and given up.
 const KEEPALIVE: Duration = Duration::from_secs(5);
 
@@ -112,14 +109,12 @@
         self.state.drain();
         log::info!("draining");
         let limit = clock::duration(self.state.settings.limits.drain_ms);
-        let idle = tokio::time::timeout(limit, wait_idle(&self.state)).await;
-        self.stop.send_replace(true);
-        // Connections that stay open without a request hold nothing up.
-        let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.server).await;
+        let finish = finish(&self.state, &self.stop, self.server);
+        let finished = tokio::time::timeout(limit, finish).await;
         self.watches.iter().for_each(JoinHandle::abort);
         self.admin.close().await.map_err(|error| eyre!(error))?;
         log::info!("stopped");
-        idle.wrap_err("requests outlasted the time for a planned stop")
+        finished.wrap_err("requests outlasted the time for a planned stop")
     }
 }
 
@@ -185,8 +180,17 @@
     }
 }
 
-async fn wait_idle(state: &State) {
+/// Waits until nothing waits or runs, then until all answers have been read.
+async fn finish(
+    state: &State,
+    stop: &watch::Sender<bool>,
+    server: JoinHandle<Result<(), tonic::transport::Error>>,
+) {
     while !state.queue.is_idle() {
         tokio::time::sleep(DRAIN_INTERVAL).await;
     }
+    stop.send_replace(true);
+    if let Ok(Err(error)) = server.await {
+        state.failed("serve entries", &error);
+    }
 }
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -5,9 +5,7 @@
 
 use coord::id::Attempt;
 use coord::id::Customer;
-use coord::id::Epoch;
 use coord::id::Program;
-use coord::id::Shard;
 use coord::id::Tokens;
 use coord::refusal::Code;
 use coord::time::Millis;
@@ -21,16 +19,17 @@
 use wire::Started;
 use wire::start::Work;
 
+use crate::age;
 use crate::frame::Outcome;
 use crate::frame::Output;
 use crate::generate;
 use crate::health::Run;
+use crate::intake;
+use crate::intake::Request;
 use crate::ledger::Authority;
-use crate::ledger::Denied;
-use crate::meter;
+use crate::ledger::Named;
 use crate::meter::Sample;
 use crate::plain;
-use crate::plain::Question;
 use crate::queue::Permit;
 use crate::queue::Place;
 use crate::refusal;
@@ -38,19 +37,9 @@
 use crate::state::State;
 use crate::state::Use;
 
-/// When to come back to a target that has too much to do.
-const OVERLOAD_DELAY: Millis = Millis(500);
-
 /// When to come back to a target whose process is stopping.
 const DRAIN_DELAY: Millis = Millis(1_000);
 
-/// What the target will be asked.
-#[derive(Debug)]
-enum Request {
-    Generate(bytes::Bytes),
-    Plain(Question),
-}
-
 /// An attempt that is here.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -80,14 +69,14 @@
             true => None,
             false => Some(start.program.parse::<Program>().map_err(malformed)?),
         };
-        let authority = authority(start.shard, start.epoch)?;
-        let cost = expected_cost(&state, &start);
+        let authority = intake::authority(start.shard, start.epoch)?;
+        let cost = intake::expected_cost(&state, &start);
         let keep = matches!(&start.work, Some(Work::Generate(work)) if work.keep);
         let model = match &start.work {
             Some(Work::Generate(work)) => Some(state.use_model(&work.model)),
             _ => None,
         };
-        let request = request(&state, &attempt, &mut start)?;
+        let request = intake::request(&state, &attempt, &mut start)?;
         Ok(Dispatch {
             arrived: state.clock.now(),
             state,
@@ -124,20 +113,19 @@
     }
 
     fn admit(&self) -> Result<UnboundedReceiver<Control>, Refusal> {
-        let admitted = match self.state.is_draining() {
-            true => {
-                let message = "the sidecar is stopping";
-                return Err(refusal::later(Code::Draining, message, DRAIN_DELAY));
-            }
-            false => self
-                .state
-                .ledger
-                .lock()
-                .admit(&self.attempt, self.authority),
+        if self.state.is_draining() {
+            let message = "the sidecar is stopping";
+            return Err(refusal::later(Code::Draining, message, DRAIN_DELAY));
+        }
+        let now = self.arrived;
+        let named = Named {
+            attempt: &self.attempt,
+            made: age::made(&self.attempt, now),
         };
+        let admitted = self.state.ledger.lock().admit(named, self.authority, now);
         match admitted {
             Ok(()) => Ok(self.state.listen(&self.attempt)),
-            Err(denied) => Err(refuse(denied)),
+            Err(denied) => Err(intake::refuse(denied)),
         }
     }
 
@@ -175,7 +163,11 @@
                 },
                 () = output.closed() => return not_run(Code::NotRun, "its caller has left"),
                 () = timer => return not_run(Code::Deadline, "not started in time"),
-                permit = place.granted() => return Ok(permit),
+                permit = place.granted() => match self.state.clock.now() < start_by {
+                    true => return Ok(permit),
+                    // The process was paused, and its timer is still to fire.
+                    false => return not_run(Code::Deadline, "not started in time"),
+                },
             }
         }
     }
@@ -193,7 +185,13 @@
             arrived: self.arrived,
         };
         let place = self.state.queue.enter(job, self.start.alone);
-        place.map_err(|_| refusal::later(Code::Overloaded, "the queue is full", OVERLOAD_DELAY))
+        place.map_err(|_| {
+            refusal::later(
+                Code::Overloaded,
+                "the queue is full",
+                intake::OVERLOAD_DELAY,
+            )
+        })
     }
 
     async fn execute(
@@ -247,9 +245,12 @@
         loop {
             tokio::select! {
                 ended = &mut work => return ended,
-                Some(Control::Cancel) = controls.recv(), if self.stoppable() => {
-                    return (self.stop(Code::Broken).await, None);
-                }
+                Some(control) = controls.recv() => match control {
+                    Control::Cancel if self.stoppable() => {
+                        return (self.stop(Code::Broken).await, None);
+                    }
+                    Control::Cancel | Control::Extend(_) => {}
+                },
                 () = output.closed(), if heard => match self.start.idempotent {
                     true => return (self.stop(Code::Broken).await, None),
                     false => heard = false,
@@ -356,57 +357,3 @@
         }
     }
 }
-
-/// Reads the ownership under which a message was sent.
-///
-/// Errors: no such shard.
-pub fn authority(shard: u32, epoch: u64) -> Result<Authority, Refusal> {
-    let shard = u16::try_from(shard);
-    let shard = shard.map_err(|_| refusal::new(Code::BadRequest, Ran::No, "no such shard"))?;
-    Ok(Authority {
-        shard: Shard(shard),
-        epoch: Epoch(epoch),
-    })
-}
-
-fn request(state: &State, attempt: &Attempt, start: &mut Start) -> Result<Request, Refusal> {
-    let refuse = |message: &str| refusal::new(Code::BadRequest, Ran::No, message);
-    match start.work.take() {
-        Some(Work::Generate(work)) if state.is_engine() => {
-            let body = generate::body(&work, attempt, &start.program);
-            Ok(Request::Generate(body.map_err(refuse)?))
-        }
-        Some(Work::Plain(work)) if !state.is_engine() => {
-            let question = plain::question(&work, attempt.as_str());
-            Ok(Request::Plain(question.map_err(refuse)?))
-        }
-        Some(_) => Err(refuse("the target is of another kind")),
-        None => Err(refuse("nothing to run")),
-    }
-}
-
-fn expected_cost(state: &State, start: &Start) -> Tokens {
-    match &start.work {
-        Some(Work::Generate(work)) => {
-            let cached = state.leases.lock().cached(&start.program);
-            let uncached = Tokens(start.prompt_tokens.saturating_sub(cached.0));
-            state
-                .meter
-                .estimate(uncached, Tokens(work.max_tokens.into()))
-        }
-        _ => meter::PLAIN_COST,
-    }
-}
-
-fn refuse(denied: Denied) -> Refusal {
-    match denied {
-        Denied::Superseded => refusal::new(Code::Conflict, Ran::No, "the shard has a newer owner"),
-        Denied::Duplicate => refusal::new(Code::Conflict, Ran::Unknown, "the attempt came before"),
-        Denied::Fenced => refusal::new(Code::NotRun, Ran::No, "the attempt was fenced off"),
-        Denied::Full => refusal::later(
-            Code::Overloaded,
-            "too many attempts remembered",
-            OVERLOAD_DELAY,
-        ),
-    }
-}
--- a/crates/sidecar/src/ledger.rs
+++ b/crates/sidecar/src/ledger.rs
@@ -1,8 +1,9 @@
 //! Attempts that this process knows: each starts at most once, and never after it was fenced off.
 //!
 //! An attempt is remembered for a while after its end. A cancelled attempt that hasn't arrived
-//! leaves a tombstone, which stops it should it still arrive. When the memory is full, new attempts
-//! and tombstones are turned away: nothing is forgotten early.
+//! leaves a tombstone, which stops it should it still arrive. What was forgotten may be any attempt
+//! made before the ledger's horizon: for such a one, a cancel never says "fenced", and a start is
+//! refused.
 
 use coord::Map;
 use coord::id::Attempt;
@@ -11,12 +12,21 @@
 use coord::time::Millis;
 use coord::time::Time;
 
-/// Shortest time for which an ended attempt is remembered.
+/// Usual time for which an ended attempt is remembered.
 pub const RETENTION: Millis = Millis(600_000);
 
+/// Shortest time for which an ended attempt is remembered, when there are many.
+pub const RETENTION_MIN: Millis = Millis(60_000);
+
+/// Largest difference between the clocks of the hosts that name and run attempts.
+pub const SKEW: Millis = Millis(30_000);
+
 /// Attempts remembered at once.
 pub const LIMIT: usize = 200_000;
 
+/// Number of attempts from which on they are remembered for a shorter time.
+const CROWD: usize = LIMIT / 2;
+
 /// The ownership under which a message was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Authority {
@@ -24,12 +34,19 @@
     pub epoch: Epoch,
 }
 
+/// Name of an attempt and when it was made, if that is known.
+#[derive(Debug, Clone, Copy)]
+pub struct Named<'a> {
+    pub attempt: &'a Attempt,
+    pub made: Option<Time>,
+}
+
 /// Why an attempt may not be queued.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Denied {
     /// A newer owner of the shard has been here.
     Superseded,
-    /// Known already: waiting, running or ended.
+    /// Known already: waiting, running or ended; or so old that it may have been.
     Duplicate,
     /// Fenced off by a cancel.
     Fenced,
@@ -44,7 +61,7 @@
     Fenced,
     /// Started; its end is on the way.
     Running,
-    /// Ended after it had started.
+    /// Ended after it had started, or so old that it may have.
     Done,
     /// A newer owner of the shard has been here.
     Superseded,
@@ -53,33 +70,50 @@
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum State {
+enum Phase {
     Queued,
     Running,
-    Fenced { until: Time },
-    Done { until: Time },
+    Fenced,
+    Done,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    phase: Phase,
+    /// When it came, or when it was fenced off.
+    since: Time,
+    /// Until when an ended attempt is to be remembered.
+    until: Time,
 }
 
 /// All attempts known.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    attempts: Map<Attempt, State>,
+    attempts: Map<Attempt, Entry>,
     epochs: Map<Shard, Epoch>,
+    /// Attempts that came until then may have been forgotten.
+    horizon: Option<Time>,
 }
 
 impl Ledger {
     /// Enters an attempt as waiting.
     ///
     /// Errors: it may not be queued.
-    pub fn admit(&mut self, attempt: &Attempt, authority: Authority) -> Result<(), Denied> {
+    pub fn admit(
+        &mut self,
+        named: Named<'_>,
+        authority: Authority,
+        now: Time,
+    ) -> Result<(), Denied> {
         let current = self.observe(authority);
-        match self.attempts.get(attempt) {
-            Some(State::Fenced { .. }) => Err(Denied::Fenced),
+        match self.attempts.get(named.attempt).map(|entry| entry.phase) {
+            Some(Phase::Fenced) => Err(Denied::Fenced),
             Some(_) => Err(Denied::Duplicate),
+            None if self.may_have_forgotten(named.made) => Err(Denied::Duplicate),
             None if !current => Err(Denied::Superseded),
             None if self.attempts.len() >= LIMIT => Err(Denied::Full),
             None => {
-                self.attempts.insert(attempt.clone(), State::Queued);
+                self.insert(named.attempt, Phase::Queued, now, now);
                 Ok(())
             }
         }
@@ -89,37 +123,38 @@
     pub fn start(&mut self, attempt: &Attempt, authority: Authority) -> bool {
         let current = self.observe(authority);
         match self.attempts.get_mut(attempt) {
-            Some(state @ State::Queued) if current => {
-                *state = State::Running;
+            Some(entry) if current && entry.phase == Phase::Queued => {
+                entry.phase = Phase::Running;
                 true
             }
             _ => false,
         }
     }
 
-    /// Notes the end of an attempt: one that ran is done, one that waited never runs.
+    /// Notes the end of an attempt that ran.
     pub fn end(&mut self, attempt: &Attempt, now: Time) {
-        let until = now + RETENTION;
-        match self.attempts.get_mut(attempt) {
-            Some(state @ State::Queued) => *state = State::Fenced { until },
-            Some(state @ State::Running) => *state = State::Done { until },
-            _ => {}
-        }
+        self.settle(attempt, Phase::Done, now);
     }
 
     /// Notes that an attempt ended before anything reached the target.
     pub fn end_unsent(&mut self, attempt: &Attempt, now: Time) {
-        let until = now + RETENTION;
-        let state = self.attempts.get_mut(attempt);
-        if let Some(state @ (State::Queued | State::Running)) = state {
-            *state = State::Fenced { until };
+        self.settle(attempt, Phase::Fenced, now);
+    }
+
+    fn settle(&mut self, attempt: &Attempt, phase: Phase, now: Time) {
+        let Some(entry) = self.attempts.get_mut(attempt) else {
+            return;
+        };
+        if matches!(entry.phase, Phase::Queued | Phase::Running) {
+            entry.phase = phase;
+            entry.until = now + RETENTION;
         }
     }
 
     /// Fences an attempt off, if it hasn't started.
     pub fn cancel(
         &mut self,
-        attempt: &Attempt,
+        named: Named<'_>,
         authority: Authority,
         keep: Millis,
         now: Time,
@@ -128,29 +163,26 @@
             return Cancelled::Superseded;
         }
         let until = now + keep.max(RETENTION);
-        let full = self.attempts.len() >= LIMIT;
-        match self.attempts.get_mut(attempt) {
-            Some(State::Running) => Cancelled::Running,
-            Some(State::Done { .. }) => Cancelled::Done,
-            Some(state) => {
-                *state = State::Fenced { until };
-                Cancelled::Fenced
-            }
-            None if full => Cancelled::Full,
-            None => {
-                self.attempts
-                    .insert(attempt.clone(), State::Fenced { until });
+        match self.attempts.get(named.attempt).map(|entry| entry.phase) {
+            Some(Phase::Running) => Cancelled::Running,
+            Some(Phase::Done) => Cancelled::Done,
+            None if self.may_have_forgotten(named.made) => Cancelled::Done,
+            None if self.attempts.len() >= LIMIT => Cancelled::Full,
+            Some(Phase::Queued | Phase::Fenced) | None => {
+                self.insert(named.attempt, Phase::Fenced, now, until);
                 Cancelled::Fenced
             }
         }
     }
 
-    /// Forgets attempts whose time is over.
+    /// Forgets attempts whose time is over, and earlier ones when there are many.
     pub fn sweep(&mut self, now: Time) {
-        self.attempts.retain(|_, state| match state {
-            State::Queued | State::Running => true,
-            State::Fenced { until } | State::Done { until } => *until > now,
-        });
+        self.forget(|entry| entry.until <= now);
+        let mut retention = RETENTION;
+        while self.attempts.len() > CROWD && retention > RETENTION_MIN {
+            retention = Millis(retention.0 / 2).max(RETENTION_MIN);
+            self.forget(|entry| entry.since + retention <= now);
+        }
     }
 
     /// Attempts remembered.
@@ -174,4 +206,33 @@
     pub fn epochs(&self) -> impl Iterator<Item = (Shard, Epoch)> {
         self.epochs.iter().map(|(shard, epoch)| (*shard, *epoch))
     }
+
+    fn insert(&mut self, attempt: &Attempt, phase: Phase, since: Time, until: Time) {
+        let entry = Entry {
+            phase,
+            since,
+            until,
+        };
+        self.attempts.insert(attempt.clone(), entry);
+    }
+
+    fn forget(&mut self, is_old: impl Fn(&Entry) -> bool) {
+        let horizon = &mut self.horizon;
+        self.attempts.retain(|_, entry| {
+            let ended = matches!(entry.phase, Phase::Fenced | Phase::Done);
+            let forgotten = ended && is_old(entry);
+            if forgotten {
+                *horizon = (*horizon).max(Some(entry.since));
+            }
+            !forgotten
+        });
+    }
+
+    fn may_have_forgotten(&self, made: Option<Time>) -> bool {
+        match (self.horizon, made) {
+            (None, _) => false,
+            (Some(horizon), Some(made)) => made <= horizon + SKEW,
+            (Some(_), None) => true,
+        }
+    }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -3,6 +3,7 @@
 //! It bounds what the target runs at once, orders what waits, starts no attempt twice, holds and
 //! releases cached histories, and tells when the target dies.
 
+pub mod age;
 pub mod cache;
 pub mod clock;
 pub mod controller;
@@ -14,6 +15,7 @@
 pub mod generate;
 pub mod header;
 pub mod health;
+pub mod intake;
 pub mod key;
 pub mod ledger;
 pub mod load;
--- a/crates/sidecar/src/rpc.rs
+++ b/crates/sidecar/src/rpc.rs
@@ -23,11 +23,13 @@
 use wire::dispatch_message::Message;
 use wire::target_server::Target;
 
-use crate::dispatch;
+use crate::age;
 use crate::dispatch::Dispatch;
 use crate::frame::Outcome;
 use crate::frame::Output;
+use crate::intake;
 use crate::ledger::Cancelled;
+use crate::ledger::Named;
 use crate::order::Wanted;
 use crate::release;
 use crate::state::Control;
@@ -47,13 +49,15 @@
 
     fn cancel_attempt(&self, request: &CancelRequest) -> Result<Cancelled, Status> {
         let attempt: Attempt = request.attempt.parse().map_err(malformed)?;
-        let authority = dispatch::authority(request.shard, request.epoch);
+        let authority = intake::authority(request.shard, request.epoch);
         let authority = authority.map_err(|refusal| Status::invalid_argument(refusal.message))?;
         let keep = Millis(request.keep_ms);
         let now = self.state.clock.now();
-        let mut ledger = self.state.ledger.lock();
-        let cancelled = ledger.cancel(&attempt, authority, keep, now);
-        drop(ledger);
+        let named = Named {
+            attempt: &attempt,
+            made: age::made(&attempt, now),
+        };
+        let cancelled = self.state.ledger.lock().cancel(named, authority, keep, now);
         if matches!(cancelled, Cancelled::Fenced | Cancelled::Running) {
             self.state.tell(&attempt, Control::Cancel);
         }
@@ -65,7 +69,7 @@
         let now = self.state.clock.now();
         let mut released = Vec::new();
         for lease in request.leases {
-            let current = dispatch::authority(lease.shard, lease.epoch)
+            let current = intake::authority(lease.shard, lease.epoch)
                 .is_ok_and(|authority| self.state.ledger.lock().observe(authority));
             let mut leases = self.state.leases.lock();
             match lease.hold_ms {
--- a/crates/sidecar/tests/dispatch.rs
+++ b/crates/sidecar/tests/dispatch.rs
@@ -12,6 +12,7 @@
 use wire::Ran;
 use wire::Start;
 use wire::cancel_reply::State;
+use wire::dispatch_message::Message;
 
 fn slow_tool(ms: u64) -> tool::Settings {
     tool::Settings {
@@ -138,11 +139,7 @@
         let extend = wire::Extend {
             start_by_ms: 10_000,
         };
-        let message = Some(wire::dispatch_message::Message::Extend(extend));
-        waiting
-            .messages
-            .send(wire::DispatchMessage { message })
-            .unwrap();
+        waiting.tell(Message::Extend(extend));
     }
     let answer = waiting.answer().await;
     running.answer().await;
@@ -203,6 +200,49 @@
     assert_eq!(engine.stats.counts().cancelled, stopped);
 }
 
+#[tokio::test]
+async fn running_generation_is_cancelled_after_a_late_extension() {
+    let settings = fakes::engine::Settings {
+        decode_rate: 10,
+        ..Default::default()
+    };
+    let engine = engine(settings).await;
+    let (_daemon, client) = before_engine(&engine).await;
+    let mut running = client.begin(generate("a1", "report")).await;
+    running.started().await;
+    let extend = wire::Extend {
+        start_by_ms: 10_000,
+    };
+    running.tell(Message::Extend(extend));
+    eventually("it runs", || async { engine.stats.counts().running == 1 }).await;
+    running.tell(Message::Cancelled(wire::Cancelled {}));
+    let answer = running.answer().await;
+    assert_eq!(answer.refusal().ran(), Ran::Yes);
+    assert!(!answer.is_done());
+    eventually("the engine is idle", || async {
+        engine.stats.counts().running == 0
+    })
+    .await;
+    assert_eq!(engine.stats.counts().cancelled, 1);
+}
+
+#[tokio::test]
+async fn permission_to_start_that_is_withdrawn_stops_what_waits() {
+    let tool = tool(slow_tool(300)).await;
+    let mut settings = settings(tool.address, Kind::Plain);
+    settings.limits.slots = 1;
+    let (_daemon, client) = sidecar(settings).await;
+    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
+    running.started().await;
+    let waiting = client.begin(plain("a2", "POST", "/fee", "2")).await;
+    for dispatch in [&waiting, &running] {
+        dispatch.tell(Message::Extend(wire::Extend { start_by_ms: 0 }));
+    }
+    assert_eq!(waiting.answer().await.refusal().ran(), Ran::No);
+    assert!(running.answer().await.is_done());
+    assert_eq!(tool.stats.counts().list.len(), 1);
+}
+
 #[tokio::test]
 async fn running_non_idempotent_request_ends_as_unknown_at_its_deadline() {
     let tool = tool(Default::default()).await;
--- /dev/null
+++ b/crates/sidecar/tests/ledger.rs
@@ -0,0 +1,162 @@
+//! Attempts under seeded schedules: at most one start, and a fence is for good.
+
+use coord::Map;
+use coord::id::Attempt;
+use coord::id::Epoch;
+use coord::id::Shard;
+use coord::time::Millis;
+use coord::time::Time;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rstest::rstest;
+use sidecar::ledger::Authority;
+use sidecar::ledger::Cancelled;
+use sidecar::ledger::Denied;
+use sidecar::ledger::LIMIT;
+use sidecar::ledger::Ledger;
+use sidecar::ledger::Named;
+use sidecar::ledger::RETENTION;
+use sidecar::ledger::RETENTION_MIN;
+use sidecar::ledger::SKEW;
+
+fn authority(epoch: u64) -> Authority {
+    Authority {
+        shard: Shard(1),
+        epoch: Epoch(epoch),
+    }
+}
+
+fn attempt(name: usize) -> Attempt {
+    format!("a{name}").parse().unwrap()
+}
+
+fn named(attempt: &Attempt, made: Time) -> Named<'_> {
+    Named {
+        attempt,
+        made: Some(made),
+    }
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct History {
+    starts: u32,
+    fenced: bool,
+    made: Option<Time>,
+}
+
+/// Steps of up to a minute let entries expire in the midst of the schedule.
+#[rstest]
+fn attempt_starts_at_most_once_and_never_after_a_fence(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut ledger = Ledger::default();
+    let mut histories: Map<usize, History> = Map::default();
+    let mut now = Time(0);
+    let mut epoch = 1;
+    for step in 0..20_000 {
+        now = now + Millis(rng.random_range(0..60_000));
+        epoch += u64::from(rng.random_ratio(1, 500));
+        // Some messages come from a superseded owner.
+        let sent = authority(epoch - u64::from(epoch > 1 && rng.random_ratio(1, 5)));
+        let name = step / 40 - rng.random_range(0..=(step / 40).min(8));
+        let attempt = attempt(name);
+        let history = histories.entry(name).or_default();
+        let made = *history.made.get_or_insert(now);
+        match rng.random_range(0..5) {
+            0 => drop(ledger.admit(named(&attempt, made), sent, now)),
+            1 => {
+                let started = ledger.start(&attempt, sent);
+                assert!(!(started && history.fenced), "seed {seed} step {step}");
+                history.starts += u32::from(started);
+            }
+            2 => ledger.end(&attempt, now),
+            3 => {
+                let cancelled = ledger.cancel(named(&attempt, made), sent, Millis(1_000), now);
+                let fenced = cancelled == Cancelled::Fenced;
+                assert!(!(fenced && history.starts > 0), "seed {seed} step {step}");
+                history.fenced |= fenced;
+            }
+            _ => ledger.sweep(now),
+        }
+        assert!(history.starts <= 1, "seed {seed} step {step}");
+    }
+    assert!(histories.values().any(|history| history.starts == 1));
+    assert!(histories.values().any(|history| history.fenced));
+}
+
+#[test]
+fn forgotten_attempt_is_neither_fenced_nor_started() {
+    let mut ledger = Ledger::default();
+    let (old, young) = (attempt(1), attempt(2));
+    let made = Time(1_000);
+    ledger.admit(named(&old, made), authority(1), made).unwrap();
+    assert!(ledger.start(&old, authority(1)));
+    ledger.end(&old, made);
+    let now = made + RETENTION;
+    ledger.sweep(now);
+    assert!(ledger.is_empty());
+    let old = named(&old, made);
+    let cancelled = ledger.cancel(old, authority(1), Millis(0), now);
+    assert_eq!(cancelled, Cancelled::Done);
+    assert_eq!(ledger.admit(old, authority(1), now), Err(Denied::Duplicate));
+    let young = named(&young, now);
+    assert_eq!(ledger.admit(young, authority(1), now), Ok(()));
+}
+
+#[test]
+fn crowd_is_remembered_for_a_shorter_time_and_its_oldest_are_forgotten_safely() {
+    let mut ledger = Ledger::default();
+    let mut now = Time(0);
+    let step = Millis(RETENTION_MIN.0 * 4 / LIMIT as u64 + 1);
+    for name in 0..LIMIT {
+        let attempt = attempt(name);
+        ledger
+            .admit(named(&attempt, now), authority(1), now)
+            .unwrap();
+        assert!(ledger.start(&attempt, authority(1)));
+        ledger.end(&attempt, now);
+        now = now + step;
+    }
+    ledger.sweep(now);
+    assert!(ledger.len() <= LIMIT / 2);
+    let (first, last) = (attempt(0), attempt(LIMIT - 1));
+    let first = ledger.cancel(named(&first, Time(0)), authority(1), Millis(0), now);
+    assert_eq!(first, Cancelled::Done);
+    let last = ledger.cancel(named(&last, now), authority(1), Millis(0), now);
+    assert_eq!(last, Cancelled::Done);
+    let fresh = attempt(LIMIT);
+    assert!(now.since(Time(0)) > SKEW);
+    assert_eq!(
+        ledger.cancel(named(&fresh, now), authority(1), Millis(0), now),
+        Cancelled::Fenced
+    );
+}
+
+#[test]
+fn full_ledger_turns_new_attempts_and_tombstones_away() {
+    let mut ledger = Ledger::default();
+    let now = Time(0);
+    for name in 0..LIMIT {
+        let attempt = attempt(name);
+        ledger
+            .admit(named(&attempt, now), authority(1), now)
+            .unwrap();
+    }
+    let more = attempt(LIMIT);
+    let more = named(&more, now);
+    assert_eq!(ledger.admit(more, authority(1), now), Err(Denied::Full));
+    let cancelled = ledger.cancel(more, authority(1), Millis(0), now);
+    assert_eq!(cancelled, Cancelled::Full);
+}
+
+#[test]
+fn attempt_tells_when_it_was_made() {
+    let name = uuid::Uuid::now_v7().simple().to_string();
+    let attempt: Attempt = format!("{name}:incarnation").parse().unwrap();
+    let now = Time(1_000_000);
+    let made = sidecar::age::made(&attempt, now).unwrap();
+    assert!(now.since(made) < Millis(60_000));
+    assert_eq!(sidecar::age::made(&"a1".parse().unwrap(), now), None);
+}
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -134,6 +134,11 @@
 }
 
 impl Ongoing {
+    pub fn tell(&self, message: Message) {
+        let message = Some(message);
+        self.messages.send(DispatchMessage { message }).unwrap();
+    }
+
     pub async fn next(&mut self) -> Option<DispatchFrame> {
         let next = tokio::time::timeout(PATIENCE, self.frames.message()).await;
         next.expect("a frame in time").unwrap_or_default()
