Read engines' events by hand-written visitors

Cause: one event comes for every few tokens, and the house style asks for visitors on the hot types; the derived form built three intermediate values.

--- a/crates/sidecar/src/event.rs
+++ b/crates/sidecar/src/event.rs
@@ -5,7 +5,8 @@
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
-use serde::Deserialize;
+
+use crate::part::Part;
 
 /// Largest event, in bytes.
 const LIMIT: usize = 1024 * 1024;
@@ -30,15 +31,6 @@
 
 impl std::error::Error for Error {}
 
-/// Token counts of an answer.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
-#[serde(default)]
-pub struct Usage {
-    pub prompt_tokens: u64,
-    pub cached_tokens: u64,
-    pub completion_tokens: u64,
-}
-
 /// One event.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -48,40 +40,6 @@
     End,
 }
 
-/// What an event says of an answer.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Part {
-    /// The request that it belongs to.
-    pub request: String,
-    pub content: String,
-    pub finish: Option<String>,
-    pub usage: Option<Usage>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Chunk {
-    #[serde(default)]
-    id: String,
-    #[serde(default)]
-    choices: Vec<Choice>,
-    #[serde(default)]
-    usage: Option<Usage>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Choice {
-    #[serde(default)]
-    delta: Delta,
-    #[serde(default)]
-    finish_reason: Option<String>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-struct Delta {
-    #[serde(default)]
-    content: Option<String>,
-}
-
 /// Splits a byte stream into events.
 #[derive(Debug, Default)]
 pub struct Decoder {
@@ -124,15 +82,6 @@
     if data == b"[DONE]" {
         return Ok(Event::End);
     }
-    let chunk: Chunk = serde_json::from_slice(data).map_err(|_| Error::Malformed)?;
-    let mut part = Part {
-        request: chunk.id,
-        usage: chunk.usage,
-        ..Part::default()
-    };
-    if let Some(choice) = chunk.choices.into_iter().next() {
-        part.content = choice.delta.content.unwrap_or_default();
-        part.finish = choice.finish_reason;
-    }
+    let part = serde_json::from_slice(data).map_err(|_| Error::Malformed)?;
     Ok(Event::Part(part))
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 pub mod options;
 pub mod order;
+pub mod part;
 pub mod plain;
 pub mod queue;
 pub mod refusal;
