--- a/crates/sidecar/src/controller.rs
+++ b/crates/sidecar/src/controller.rs
@@ -6,7 +6,9 @@
 use node::command;
 use node::command::Exit;
 use node::settings;
+use node::shutdown;
 
+use crate::daemon::Daemon;
 use crate::options::Command;
 use crate::options::Options;
 use crate::settings::Settings;
@@ -47,6 +49,9 @@
     }
 }
 
-async fn daemon(_settings: Settings) -> eyre::Result<()> {
-    eyre::bail!("the sidecar doesn't serve yet")
+async fn daemon(settings: Settings) -> eyre::Result<()> {
+    node::log::start("teasellever-sidecar", settings.log_level)?;
+    let daemon = Daemon::start(settings).await?;
+    shutdown::requested().await?;
+    daemon.drain().await
 }
