--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,4 @@
+//! Demo, trace replay and slopes; not shipped.
+
+pub mod fit;
+pub mod slopes;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,9 +2,14 @@
 
 mod demo;
 
+use std::alloc::System;
 use std::process::ExitCode;
 
 use gumdrop::Options;
+use stats_alloc::StatsAlloc;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = bench::slopes::gauge::ALLOCATOR;
 
 #[derive(Debug, Options)]
 struct Args {
@@ -18,6 +23,8 @@
 enum Command {
     #[options(help = "run the whole system on embedded defaults")]
     Demo(Demo),
+    #[options(help = "measure what the system costs, as JSON lines")]
+    Slopes(Slopes),
 }
 
 #[derive(Debug, Options)]
@@ -26,11 +33,18 @@
     help: bool,
 }
 
+#[derive(Debug, Options)]
+struct Slopes {
+    #[options(help = "show this help")]
+    help: bool,
+}
+
 fn main() -> ExitCode {
     let args = Args::parse_args_default_or_exit();
     let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
     let done = match args.command {
         Some(Command::Demo(_)) => runtime.block_on(demo::run()),
+        Some(Command::Slopes(_)) => runtime.block_on(bench::slopes::run()),
         None => Err(eyre::eyre!("no command; see --help")),
     };
     match done {
