Measure slopes over processes of a few to a few dozen nodes

holds::cut::Cut counts the bytes that it carries and holds::process::Process tells its id, for this measurement.

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -6,6 +6,8 @@
 
 mod customer;
 mod member;
+mod process;
+mod procfs;
 mod program;
 mod report;
 mod sample;
@@ -25,5 +27,6 @@
     program::measure(&mut report);
     member::measure(&mut report);
     target::measure(&mut report);
+    process::measure(&mut report).await?;
     Ok(true)
 }
--- a/tests/src/audit.rs
+++ b/tests/src/audit.rs
@@ -49,7 +49,11 @@
     pub fn note(&self, what: &str, sent_ms: u64, answer: &Answer) {
         let answer = answer.clone();
         let tried = Try { sent_ms, answer };
-        self.tries.lock().entry(what.to_owned()).or_default().push(tried);
+        self.tries
+            .lock()
+            .entry(what.to_owned())
+            .or_default()
+            .push(tried);
     }
 
     /// All tries, by request.
@@ -79,9 +83,8 @@
 
 impl Tally {
     fn add(&mut self, tries: &[Try]) {
-        let count = |holds: fn(&Answer) -> bool| {
-            tries.iter().filter(|tried| holds(&tried.answer)).count()
-        };
+        let count =
+            |holds: fn(&Answer) -> bool| tries.iter().filter(|tried| holds(&tried.answer)).count();
         self.requests += 1;
         self.answered += count(Answer::ok).min(1);
         self.unknown += count(|answer| answer.code() == "outcome-unknown").min(1);
@@ -101,7 +104,9 @@
         let next_ms = tries.get(index + 1).map_or(u64::MAX, |next| next.sent_ms);
         if tried.answer.ran() == "no" && ran.iter().any(|at_ms| *at_ms < next_ms) {
             let Answer { status, body, .. } = &tried.answer;
-            faults.push(format!("{what} ran at {ran:?}, told at try {index}: {status} {body}"));
+            faults.push(format!(
+                "{what} ran at {ran:?}, told at try {index}: {status} {body}"
+            ));
         }
     }
     if !faults.is_empty() {
@@ -121,5 +126,7 @@
     let file = folder.join(format!("{target}.executions"));
     let text = std::fs::read_to_string(&file).unwrap_or_default();
     let lines = text.lines().map(serde_json::from_str);
-    lines.collect::<Result<_, _>>().wrap_err("reading a record of executions")
+    lines
+        .collect::<Result<_, _>>()
+        .wrap_err("reading a record of executions")
 }
--- a/tests/src/cut.rs
+++ b/tests/src/cut.rs
@@ -2,17 +2,26 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
-use tokio::io::copy_bidirectional;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWrite;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+/// Bytes read at once.
+const BUFFER: usize = 16 * 1024;
+
 /// A forwarding address that can be cut and healed.
 #[derive(Debug)]
 pub struct Cut {
     pub address: SocketAddr,
     open: Arc<watch::Sender<bool>>,
+    carried: Arc<AtomicU64>,
 }
 
 impl Cut {
@@ -23,13 +32,24 @@
         let address = crate::port::free();
         let listener = TcpListener::bind(address).await?;
         let open = Arc::new(watch::Sender::new(false));
+        let carried = Arc::new(AtomicU64::new(0));
         let watched = open.clone();
+        let counted = carried.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(forward(stream, to, watched.subscribe()));
+                tokio::spawn(forward(stream, to, watched.subscribe(), counted.clone()));
             }
         });
-        Ok(Cut { address, open })
+        Ok(Cut {
+            address,
+            open,
+            carried,
+        })
+    }
+
+    /// Bytes that went through in both directions.
+    pub fn carried(&self) -> u64 {
+        self.carried.load(Ordering::Relaxed)
     }
 
     /// Drops every connection and all that comes.
@@ -43,17 +63,47 @@
     }
 }
 
-async fn forward(mut from: TcpStream, to: SocketAddr, mut open: watch::Receiver<bool>) {
+async fn forward(
+    from: TcpStream,
+    to: SocketAddr,
+    mut open: watch::Receiver<bool>,
+    carried: Arc<AtomicU64>,
+) {
     if *open.borrow() {
         return;
     }
-    let Ok(mut onward) = TcpStream::connect(to).await else {
+    let Ok(onward) = TcpStream::connect(to).await else {
         return;
     };
     let _ = from.set_nodelay(true);
     let _ = onward.set_nodelay(true);
+    let (from_read, from_write) = from.into_split();
+    let (onward_read, onward_write) = onward.into_split();
+    let both = async {
+        tokio::try_join!(
+            copy(from_read, onward_write, &carried),
+            copy(onward_read, from_write, &carried),
+        )
+    };
     tokio::select! {
-        _ = copy_bidirectional(&mut from, &mut onward) => {}
+        _ = both => {}
         _ = open.wait_for(|open| *open) => {}
     }
 }
+
+/// Copies to the end and passes the end on.
+async fn copy(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    carried: &AtomicU64,
+) -> std::io::Result<()> {
+    let mut buffer = vec![0; BUFFER];
+    loop {
+        let count = from.read(&mut buffer).await?;
+        if count == 0 {
+            return to.shutdown().await;
+        }
+        to.write_all(&buffer[..count]).await?;
+        carried.fetch_add(count as u64, Ordering::Relaxed);
+    }
+}
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -278,7 +278,10 @@
     pub async fn map(&self) -> eyre::Result<Map> {
         let path = "/v1/objects/shard-map";
         let null = Value::Null;
-        let (status, map) = self.http.json(Method::GET, self.store, path, "", &null).await?;
+        let (status, map) = self
+            .http
+            .json(Method::GET, self.store, path, "", &null)
+            .await?;
         eyre::ensure!(status == 200, "shard map: {status}");
         Ok(serde_json::from_value(map)?)
     }
@@ -291,7 +294,8 @@
             let map = self.map().await;
             map.is_ok_and(|map| {
                 let mut owners = map.shards.iter();
-                owners.all(|owner| owner.primary.is_some() && owner.standby.is_some() && !owner.lost)
+                owners
+                    .all(|owner| owner.primary.is_some() && owner.standby.is_some() && !owner.lost)
             })
         })
         .await
@@ -304,7 +308,10 @@
         let map = self.map().await?;
         let owner = map.owner(shard).and_then(|owner| owner.primary.clone());
         let owner = owner.ok_or_else(|| eyre::eyre!("shard {shard} has no primary"))?;
-        let place = self.entries.iter().position(|entry| entry.name == owner.as_str());
+        let place = self
+            .entries
+            .iter()
+            .position(|entry| entry.name == owner.as_str());
         place.ok_or_else(|| eyre::eyre!("{owner} isn't an entry of this fleet"))
     }
 
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -49,6 +49,11 @@
         })
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends it without warning.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/tests/tests/keys.rs
+++ b/tests/tests/keys.rs
@@ -30,7 +30,9 @@
     let bearer = format!("Bearer {key}");
     let tool = fleet.tools[0].url;
     for target in fleet.engines.iter().chain(&fleet.tools) {
-        fleet.faults(target.url, json!({ "unavailable": 2 })).await?;
+        fleet
+            .faults(target.url, json!({ "unavailable": 2 }))
+            .await?;
     }
     let mut answered = 0;
     for entry in 0..3 {
@@ -71,16 +73,29 @@
         let counts = fleet.stats(target.url).await?["counts"].clone();
         assert_eq!(counts["keys_seen"], json!([]), "at {}", target.name);
         let ran = counts["list"].as_array().map_or(0, Vec::len);
-        assert!(ran > 0 || target.url != tool, "nothing reached {}", target.name);
+        assert!(
+            ran > 0 || target.url != tool,
+            "nothing reached {}",
+            target.name
+        );
     }
     Ok(())
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_needs_a_key_in_force_except_on_open_routes() -> eyre::Result<()> {
-    let fleet = Fleet::start(&Plan { engines: 1, ..Plan::default() }).await?;
+    let fleet = Fleet::start(&Plan {
+        engines: 1,
+        ..Plan::default()
+    })
+    .await?;
     let wrong = presented("large-key").replace("large", "small");
-    let keys = ["".to_owned(), "nonsense".to_owned(), presented("no-such-key"), wrong];
+    let keys = [
+        "".to_owned(),
+        "nonsense".to_owned(),
+        presented("no-such-key"),
+        wrong,
+    ];
     for entry in 0..3 {
         for key in &keys {
             let caller = Caller::new(fleet.http.clone(), fleet.entries[entry].callers, key);
@@ -92,7 +107,11 @@
                 caller.call(Method::POST, "/v1/programs", "{}").await,
             ];
             for answer in refused {
-                assert_eq!((answer.status, answer.ran()), (401, "no"), "{key}: {answer:?}");
+                assert_eq!(
+                    (answer.status, answer.ran()),
+                    (401, "no"),
+                    "{key}: {answer:?}"
+                );
             }
             let path = "/r/open/do/public";
             let answer = caller.call(Method::POST, path, "{}").await;
@@ -117,7 +136,9 @@
         ..Plan::default()
     };
     let mut fleet = Fleet::start(&plan).await?;
-    fleet.change(json!([named_key_object("large", "leak")]), json!([])).await?;
+    fleet
+        .change(json!([named_key_object("large", "leak")]), json!([]))
+        .await?;
     let callers = (0..3).map(|entry| {
         let address = fleet.entries[entry].callers;
         let caller = Caller::new(fleet.http.clone(), address, &presented("leak"));
@@ -149,14 +170,19 @@
     }
     let before = executions.iter().filter(|ran| ran.at_ms < bound_ms).count();
     assert!(before > 10, "the key never worked: {before}");
-    let late: Vec<_> = executions.iter().filter(|ran| ran.at_ms >= bound_ms).collect();
+    let late: Vec<_> = executions
+        .iter()
+        .filter(|ran| ran.at_ms >= bound_ms)
+        .collect();
     assert_eq!(late.len(), 0, "{late:?}");
     leaked.audit.check(&executions)?;
     let entries = [0, 1, 2].map(|entry| fleet.caller(entry, "large"));
     for (number, caller) in entries.iter().enumerate() {
         let name = format!("sound-{number}");
         let works = async || caller.plain("book", &name, "{}").await.ok();
-        fleet.until("the customer's other key still works", works).await?;
+        fleet
+            .until("the customer's other key still works", works)
+            .await?;
     }
     Ok(())
 }
@@ -169,8 +195,14 @@
         ..Plan::default()
     };
     let mut fleet = Fleet::start(&plan).await?;
-    fleet.change(json!([named_key_object("large", "leak")]), json!([])).await?;
-    let leaked = Caller::new(fleet.http.clone(), fleet.entries[1].callers, &presented("leak"));
+    fleet
+        .change(json!([named_key_object("large", "leak")]), json!([]))
+        .await?;
+    let leaked = Caller::new(
+        fleet.http.clone(),
+        fleet.entries[1].callers,
+        &presented("leak"),
+    );
     let leaked = Bookings::new(vec![leaked]);
     let works = async || leaked.send("before", 0).await.ok();
     fleet.until("the key works", works).await?;
@@ -183,16 +215,24 @@
         let state = fleet.state(admin).await;
         state.is_ok_and(|state| state["queue"][field] == json!(wanted))
     };
-    fleet.until("the slot is taken", async || depth("running", 1).await).await?;
+    fleet
+        .until("the slot is taken", async || depth("running", 1).await)
+        .await?;
     let queued = tokio::spawn({
         let leaked = leaked.clone();
         async move { leaked.send("queued", 0).await }
     });
-    fleet.until("a request waits", async || depth("queued", 1).await).await?;
+    fleet
+        .until("a request waits", async || depth("queued", 1).await)
+        .await?;
     fleet.faults(tool, json!({})).await?;
     fleet.change(json!([]), json!([{ "key": "leak" }])).await?;
     let answer = queued.await?;
-    assert_eq!((answer.code(), answer.ran()), ("unauthorized", "no"), "{answer:?}");
+    assert_eq!(
+        (answer.code(), answer.ran()),
+        ("unauthorized", "no"),
+        "{answer:?}"
+    );
     let long: Answer = long.await?;
     assert!(long.ok(), "what had started goes on: {long:?}");
     let executions = audit::executions(&fleet.folder, "tool-1")?;
@@ -208,24 +248,37 @@
     let mut sent = Vec::new();
     for entry in entries {
         for customer in ["large", "small"] {
-            let caller = fleet.caller(entry, customer).with("idempotency-key", "same");
+            let caller = fleet
+                .caller(entry, customer)
+                .with("idempotency-key", "same");
             let path = format!("/r/book/do/{customer}");
-            sent.push((customer, tokio::spawn(async move {
-                caller.call(Method::POST, &path, "{}").await
-            })));
+            sent.push((
+                customer,
+                tokio::spawn(async move { caller.call(Method::POST, &path, "{}").await }),
+            ));
         }
     }
     for (customer, sent) in sent {
         let answer = sent.await?;
         assert!(answer.ok(), "{customer}: {answer:?}");
-        assert_eq!(answer.body["path"], json!(format!("/do/{customer}")), "{answer:?}");
+        assert_eq!(
+            answer.body["path"],
+            json!(format!("/do/{customer}")),
+            "{answer:?}"
+        );
     }
     let other = fleet.caller(2, "small").with("idempotency-key", "same");
     let answer = other.call(Method::POST, "/r/book/do/large", "{}").await;
-    assert!(!answer.ok(), "another request under a name in use: {answer:?}");
+    assert!(
+        !answer.ok(),
+        "another request under a name in use: {answer:?}"
+    );
     let executions = audit::executions(&fleet.folder, "tool-1")?;
     assert_eq!(executions.len(), 2, "{executions:?}");
-    let models = fleet.caller(0, "small").call(Method::GET, "/v1/models", "").await;
+    let models = fleet
+        .caller(0, "small")
+        .call(Method::GET, "/v1/models", "")
+        .await;
     assert_eq!(models.body["data"][0]["id"], json!(MODEL));
     Ok(())
 }
@@ -239,7 +292,9 @@
         let bookings = bookings.clone();
         let number = sent.len();
         let name = format!("stolen-{number}");
-        sent.push(tokio::spawn(async move { bookings.send(&name, number).await }));
+        sent.push(tokio::spawn(
+            async move { bookings.send(&name, number).await },
+        ));
     }
     for sent in sent {
         let _ = sent.await;
--- a/tests/tests/once.rs
+++ b/tests/tests/once.rs
@@ -86,9 +86,16 @@
     let tally = check(&fleet, &bookings)?;
     eprintln!("{fault:?}: {tally:?}");
     assert_eq!(tally.requests, BOOKINGS);
-    assert_eq!(tally.answered + tally.unknown, BOOKINGS, "an outcome changed");
+    assert_eq!(
+        tally.answered + tally.unknown,
+        BOOKINGS,
+        "an outcome changed"
+    );
     if fault == Fault::CallersLeave {
-        assert_eq!(tally.answered, BOOKINGS, "a caller's leaving alone loses nothing");
+        assert_eq!(
+            tally.answered, BOOKINGS,
+            "a caller's leaving alone loses nothing"
+        );
     }
     Ok(())
 }
@@ -101,7 +108,11 @@
         ..Plan::default()
     };
     let mut fleet = Fleet::start(&plan).await?;
-    let caller = |entry| fleet.caller(entry, "large").leaving_after(Duration::from_secs(8));
+    let caller = |entry| {
+        fleet
+            .caller(entry, "large")
+            .leaving_after(Duration::from_secs(8))
+    };
     let bookings = Bookings::new((0..3).map(caller).collect());
     let hang = json!({ "hang_on": "" });
     fleet.faults(fleet.tools[0].url, hang).await?;
@@ -151,7 +162,9 @@
             fleet.entries[1].process.kill();
         }
         Fault::RepliesLostAndEntryDies => {
-            fleet.faults(fleet.store, json!({ "lose_replies": 20 })).await?;
+            fleet
+                .faults(fleet.store, json!({ "lose_replies": 20 }))
+                .await?;
             fleet.entries[1].process.kill();
         }
     }
--- a/tests/tests/order.rs
+++ b/tests/tests/order.rs
@@ -89,7 +89,10 @@
         executions.extend(audit::executions(&fleet.folder, &engine.name)?);
     }
     executions.sort_by_key(|execution| execution.at_ms);
-    Ok(executions.into_iter().map(|execution| execution.what).collect())
+    Ok(executions
+        .into_iter()
+        .map(|execution| execution.what)
+        .collect())
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -104,9 +107,12 @@
             let caller = callers[(step as usize + place) % callers.len()].clone();
             let program = program.clone();
             let content = format!("content of step {step}");
-            sent.push((step, tokio::spawn(async move {
-                caller.turn(&program, step, &content, MAX_TOKENS).await
-            })));
+            sent.push((
+                step,
+                tokio::spawn(
+                    async move { caller.turn(&program, step, &content, MAX_TOKENS).await },
+                ),
+            ));
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
@@ -130,7 +136,9 @@
     assert_eq!(history(&callers, &program).await, conversation.json());
     assert_eq!(ran(&fleet)?, wanted, "each step once, in order");
 
-    let stale = callers[0].turn(&program, 2, "another content", MAX_TOKENS).await;
+    let stale = callers[0]
+        .turn(&program, 2, "another content", MAX_TOKENS)
+        .await;
     assert!(!stale.ok() && stale.ran() == "no", "{stale:?}");
     assert_eq!(ran(&fleet)?, wanted, "a refused step doesn't run");
     Ok(())
@@ -163,7 +171,11 @@
         }
     }
     for (program, conversation) in &programs {
-        assert_eq!(history(&callers, program).await, conversation.json(), "{program}");
+        assert_eq!(
+            history(&callers, program).await,
+            conversation.json(),
+            "{program}"
+        );
     }
     Ok(())
 }
@@ -189,7 +201,9 @@
     let owner = fleet.primary_of(&first).await?;
     fleet.faults(fleet.store, json!({ "down": true })).await?;
     let text = told.turn("told in the outage");
-    let answer = large[owner].turn(&first, 3, "told in the outage", MAX_TOKENS).await;
+    let answer = large[owner]
+        .turn(&first, 3, "told in the outage", MAX_TOKENS)
+        .await;
     fleet.entries[owner].process.kill();
     assert!(answer.ok(), "the members answer each other: {answer:?}");
     assert_eq!(answer.text, text);
@@ -278,11 +292,19 @@
         assert!(step < 100, "a loop runs on to its budget");
     };
     assert!(matches!(last.code(), "looped" | "budget"), "{last:?}");
-    assert_eq!((last.ran(), last.retry_after), ("no", None), "final: {last:?}");
-    let again = caller.turn(&program, step, "something else", MAX_TOKENS).await;
+    assert_eq!(
+        (last.ran(), last.retry_after),
+        ("no", None),
+        "final: {last:?}"
+    );
+    let again = caller
+        .turn(&program, step, "something else", MAX_TOKENS)
+        .await;
     assert_eq!(again.code(), "ended", "{again:?}");
 
-    fleet.faults(fleet.tools[0].url, json!({ "hang_on": "" })).await?;
+    fleet
+        .faults(fleet.tools[0].url, json!({ "hang_on": "" }))
+        .await?;
     let short = json!({ "tokens": 10_000, "calls": 10, "wall_ms": 2_000 });
     let program = caller.open(short).await?;
     let turn = caller
@@ -290,7 +312,10 @@
         .with("teasellever-step", "1")
         .with("teasellever-timeout-ms", "1000");
     let hung = turn.call(http::Method::POST, "/r/look/do/hang", "{}").await;
-    assert!(!hung.ok() && hung.status != 0, "a hanging tool gets an answer: {hung:?}");
+    assert!(
+        !hung.ok() && hung.status != 0,
+        "a hanging tool gets an answer: {hung:?}"
+    );
     let later = caller.with("teasellever-timeout-ms", "500");
     let ended = async || {
         let late = later.turn(&program, 2, "late", MAX_TOKENS).await;
@@ -298,7 +323,10 @@
     };
     fleet.until("the program has ended", ended).await?;
     let first = caller.turn(&program, 1, "late", MAX_TOKENS).await;
-    assert!(matches!(first.code(), "budget" | "ended" | "conflict"), "{first:?}");
+    assert!(
+        matches!(first.code(), "budget" | "ended" | "conflict"),
+        "{first:?}"
+    );
     Ok(())
 }
 
@@ -318,7 +346,9 @@
                 small.turn(program, 2, "secret", MAX_TOKENS).await,
                 small.history(program).await,
                 small.end(program).await,
-                small.call(http::Method::GET, &format!("/v1/programs/{program}"), "").await,
+                small
+                    .call(http::Method::GET, &format!("/v1/programs/{program}"), "")
+                    .await,
                 small
                     .call(
                         http::Method::POST,
@@ -334,7 +364,10 @@
         };
         let of_another = answers(&program).await;
         assert_eq!(of_another, answers(&missing).await);
-        assert!(of_another.iter().all(|(status, _)| *status == 404), "{of_another:?}");
+        assert!(
+            of_another.iter().all(|(status, _)| *status == 404),
+            "{of_another:?}"
+        );
     }
     // Another customer's secret under one's own key's name is no key.
     let forged = presented("small-key").replace("small", "large");
--- a/tests/tests/rate.rs
+++ b/tests/tests/rate.rs
@@ -65,7 +65,12 @@
     let modest = bookings(&fleet, "small");
     let senders = [
         tokio::spawn(hammer(greedy.clone(), "greedy", INTERVAL, stop.clone())),
-        tokio::spawn(hammer(modest.clone(), "modest", MODEST_INTERVAL, stop.clone())),
+        tokio::spawn(hammer(
+            modest.clone(),
+            "modest",
+            MODEST_INTERVAL,
+            stop.clone(),
+        )),
     ];
     tokio::time::sleep(BEFORE).await;
     let shard = Shard::of_customer(&"large".parse()?);
@@ -77,7 +82,9 @@
     tokio::time::sleep(AFTER).await;
     let before = ran(&fleet, &greedy.audit)?.len();
     let goes_on = async || ran(&fleet, &greedy.audit).is_ok_and(|ran| ran.len() > before);
-    fleet.until("the customer gets its rate again", goes_on).await?;
+    fleet
+        .until("the customer gets its rate again", goes_on)
+        .await?;
     stop.store(true, Ordering::Relaxed);
     for sender in senders {
         sender.await?;
@@ -111,7 +118,9 @@
         let bookings = bookings.clone();
         let number = sent.len();
         let name = format!("{name}-{number}");
-        sent.push(tokio::spawn(async move { bookings.send(&name, number).await }));
+        sent.push(tokio::spawn(
+            async move { bookings.send(&name, number).await },
+        ));
     }
     for sent in sent {
         let _ = sent.await;
@@ -202,7 +211,9 @@
             let allowed = f64::from(BURST) + RATE * window;
             let count = index + 1;
             if count as f64 > allowed {
-                over.push(format!("{count} in {window} s from {from}, allowed {allowed}"));
+                over.push(format!(
+                    "{count} in {window} s from {from}, allowed {allowed}"
+                ));
             }
         }
     }
