--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -4,6 +4,7 @@
 //! measured over processes of a few to a few dozen nodes. Each measure covers at least three sizes
 //! and is printed as one JSON line with its fit; figures worked out from them follow.
 
+mod calls;
 mod customer;
 mod member;
 mod process;
@@ -13,6 +14,8 @@
 mod sample;
 mod size;
 mod target;
+mod timing;
+mod worked;
 
 pub mod gauge;
 
@@ -28,5 +31,7 @@
     member::measure(&mut report);
     target::measure(&mut report);
     process::measure(&mut report).await?;
+    worked::all(&mut report);
+    calls::all(&mut report);
     Ok(true)
 }
--- a/crates/bench/src/slopes/process.rs
+++ b/crates/bench/src/slopes/process.rs
@@ -32,10 +32,10 @@
 const LEASE_MS: u64 = 6_000;
 
 /// Time for shards to find their places after the start.
-const SETTLE: Duration = Duration::from_secs(10);
+const SETTLE: Duration = Duration::from_secs(9);
 
 /// Time over which a fleet at rest is watched.
-const WINDOW: Duration = Duration::from_secs(9);
+const WINDOW: Duration = Duration::from_secs(10);
 
 /// Time over which a fleet under load is watched.
 const LOADED: Duration = Duration::from_secs(5);
@@ -123,7 +123,7 @@
         rests.push(rest(&mut fleet, size).await?);
     }
     let per = "entries, at rest, leases of 6 s, 3 targets";
-    let series: [(&str, &str, fn(&Rest) -> f64); 9] = [
+    let series: [(&str, &str, fn(&Rest) -> f64); 10] = [
         ("node.reads", "platform reads a second", |r| r.flow.reads),
         ("node.writes", "platform writes a second", |r| r.flow.writes),
         ("node.watches", "platform watches begun a second", |r| {
@@ -141,6 +141,11 @@
         ("node.sidecar.cpu", "ms a second of one sidecar", |r| {
             r.flow.sidecar_ms
         }),
+        (
+            "node.sidecar.memory",
+            "bytes resident in one sidecar",
+            |r| r.sidecar_memory,
+        ),
         ("node.force", "s until a ticket is in force, median", |r| {
             r.force[0]
         }),
--- a/crates/bench/src/slopes/program.rs
+++ b/crates/bench/src/slopes/program.rs
@@ -11,6 +11,8 @@
 use coord::record::Record;
 use coord::replica::Limits;
 use coord::replica::Replica;
+use coord::tomb::Tomb;
+use coord::tomb::Tombs;
 
 use super::gauge;
 use super::report::Measure;
@@ -31,6 +33,7 @@
     turns(report);
     records(report);
     ledger(report);
+    tombs(report);
     sweep(report);
 }
 
@@ -146,6 +149,24 @@
     });
 }
 
+fn tombs(report: &mut Report) {
+    let memory = Measure {
+        name: "tomb.memory",
+        unit: "bytes",
+        per: "used names",
+    };
+    report.measure(memory, &[25_000, 50_000, 100_000, 200_000], |count| {
+        gauge::bytes(|| {
+            let mut tombs = Tombs::default();
+            let names = (0..count).map(program);
+            names
+                .for_each(|name| tombs.insert(Tomb::of_program(&sample::customer_id(1), &name), 1));
+            tombs
+        })
+        .1
+    });
+}
+
 fn sweep(report: &mut Report) {
     let cpu = Measure {
         name: "program.sweep.cpu",
@@ -210,6 +231,7 @@
         customer: sample::customer_id(1),
         attempt,
         target: sample::target_id(1),
+        by: sample::name("region-1-centre-1-entry-001"),
         content: u64::from(step),
         input: sample::input(bytes),
         model: Some(sample::name("model-07")),
--- a/crates/bench/src/slopes/report.rs
+++ b/crates/bench/src/slopes/report.rs
@@ -87,20 +87,30 @@
         self.fits.get(name).map_or(0.0, |fit| fit.slope)
     }
 
-    /// Whether a measure was taken.
-    pub fn has(&self, name: &str) -> bool {
-        self.fits.contains_key(name)
+    /// Prints a figure against its budget, which is given with the unit of both.
+    pub fn against(
+        &mut self,
+        (unit, budget): (&'static str, f64),
+        name: &'static str,
+        value: f64,
+        from: &str,
+    ) {
+        self.worked(name, unit, value, Some(budget), from);
+    }
+
+    /// Prints a figure that has no budget.
+    pub fn plain(&mut self, unit: &'static str, name: &'static str, value: f64, from: &str) {
+        self.worked(name, unit, value, None, from);
     }
 
-    /// Prints a figure that was worked out, and gives it back.
-    pub fn worked(
+    fn worked(
         &mut self,
         name: &'static str,
         unit: &'static str,
         value: f64,
         budget: Option<f64>,
         from: &str,
-    ) -> f64 {
+    ) {
         self.worked.insert(name, value);
         print(&Worked {
             worked: name,
@@ -110,7 +120,6 @@
             margin: budget.map(|budget| round(budget / value)),
             from,
         });
-        value
     }
 
     /// A figure that was worked out before; zero if it wasn't.
@@ -141,6 +150,6 @@
     if number == 0.0 || !number.is_finite() {
         return number;
     }
-    let scale = 10_f64.powi(DIGITS - 1 - number.abs().log10().floor() as i32);
-    (number * scale).round() / scale
+    let digits = (DIGITS - 1).max(0) as usize;
+    format!("{number:.digits$e}").parse().unwrap_or(number)
 }
