--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -59,7 +59,7 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) admission: Arc<Admission>,
     pub(crate) instruments: Arc<Instruments>,
-    pub(crate) table: Table,
+    pub table: Table,
     pub(crate) caches: Caches,
     pub(crate) flight: Flight,
     pub(crate) quarantine: Mutex<Quarantine>,
@@ -299,10 +299,7 @@
     }
 
     async fn settle(&self, job: &Job, name: &id::Attempt, outcome: Outcome) -> Result<(), Stop> {
-        let settled = match job.recorded {
-            true => outcome::report(&self.member, &job.call, job.shard, name, outcome).await,
-            false => Ok(()),
-        };
+        let settled = outcome::settle(&self.member, job, name, outcome).await;
         self.flight.settled(job.shard);
         settled
     }
@@ -353,7 +350,7 @@
             return Err(Stop::Gone);
         }
         trials.count += 1;
-        trials.may_have_run |= !again.free;
+        trials.may_have_run |= again.may_have_run;
         trials.barred.insert(attempt.target.id.clone());
         let delay = crate::clock::duration(trials.delay.next(rand::rng().random()));
         let in_time = delay < job.left();
