--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,9 @@
 
 use std::process::ExitCode;
 
+use bench::generate;
+use bench::plot;
+use bench::replay;
 use gumdrop::Options;
 
 #[derive(Debug, Options)]
@@ -18,6 +21,12 @@
 enum Command {
     #[options(help = "run the whole system on embedded defaults")]
     Demo(Demo),
+    #[options(help = "generate a trace")]
+    Trace(generate::Args),
+    #[options(help = "replay a trace through the decisions in virtual time")]
+    Replay(replay::Args),
+    #[options(help = "draw a comparison as SVG")]
+    Plot(plot::Args),
 }
 
 #[derive(Debug, Options)]
@@ -31,6 +40,9 @@
     let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
     let done = match args.command {
         Some(Command::Demo(_)) => runtime.block_on(demo::run()),
+        Some(Command::Trace(args)) => generate::run(&args),
+        Some(Command::Replay(args)) => replay::run(&args),
+        Some(Command::Plot(args)) => plot::run(&args),
         None => Err(eyre::eyre!("no command; see --help")),
     };
     match done {
