Count prefill that an engine has yet to do in its load report

Cause: route choice saw an engine's queue but not the calls that it had started and not prefilled, so it kept sending to engines with seconds of prefill ahead. A sidecar has to report uncached prefill of calls without a first token as queued tokens.

--- a/crates/bench/src/drive.rs
+++ b/crates/bench/src/drive.rs
@@ -386,8 +386,8 @@
     }
 
     fn report(&mut self, number: u64) {
-        self.engines.report();
-        self.services.report();
+        self.engines.report(self.now);
+        self.services.report(self.now);
         let now = millis(self.now);
         self.gates.iter_mut().for_each(|gate| gate.exchange(now));
         if number.is_multiple_of(REPORTS_PER_LOOK) {
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -33,6 +33,8 @@
     pub queue: Queue,
     /// Calls handed to the target, in order, that wait there for a slot.
     pub inside: std::collections::VecDeque<usize>,
+    /// Their cost.
+    pub inside_cost: u64,
     /// Calls that run.
     pub running: u32,
     /// Cost of calls that run.
@@ -51,6 +53,7 @@
             kind,
             queue: Queue::new(policy),
             inside: std::collections::VecDeque::new(),
+            inside_cost: 0,
             running: 0,
             running_cost: 0,
             compute: Compute::default(),
@@ -67,7 +70,8 @@
         }
     }
 
-    fn load(&self, name: &str) -> Candidate {
+    fn load(&self, name: &str, now: u64) -> Candidate {
+        let prefill = self.compute.prefill_backlog(now) * PREFILL_RATE / 1_000_000;
         let (prefill_rate, decode_rate) = match self.kind {
             Kind::Engine => (PREFILL_RATE, DECODE_RATE),
             Kind::Service => (0, 0),
@@ -78,7 +82,7 @@
             running: self.running,
             queued: (self.queue.len() + self.inside.len()) as u32,
             slots: self.slots(),
-            queued_tokens: self.queue.tokens(),
+            queued_tokens: Tokens(self.queue.tokens().0 + self.inside_cost + prefill),
             running_tokens: Tokens(self.running_cost),
             prefill_rate,
             decode_rate,
@@ -125,12 +129,13 @@
 impl Fleet {
     /// An idle fleet.
     pub fn new(kind: Kind, count: u32, entries: u32, policy: &Policy) -> Fleet {
+        let now = 0;
         let targets: Vec<Target> = (0..count).map(|_| Target::new(kind, policy)).collect();
         let names: Vec<String> = (1..=count).map(|number| format!("t{number}")).collect();
         let idle: Vec<Candidate> = targets
             .iter()
             .zip(&names)
-            .map(|(target, name)| target.load(name))
+            .map(|(target, name)| target.load(name, now))
             .collect();
         let view = View {
             recent: vec![Sent::default(); idle.len()],
@@ -146,12 +151,12 @@
     }
 
     /// Reports loads: what was reported last time comes to be known now.
-    pub fn report(&mut self) {
+    pub fn report(&mut self, now: u64) {
         let loads: Vec<Candidate> = self
             .targets
             .iter()
             .zip(&self.names)
-            .map(|(target, name)| target.load(name))
+            .map(|(target, name)| target.load(name, now))
             .collect();
         for view in &mut self.views {
             view.candidates = std::mem::replace(&mut view.newest, loads.clone());
--- a/crates/bench/src/place.rs
+++ b/crates/bench/src/place.rs
@@ -207,9 +207,9 @@
             let job = target.queue.pop(millis(now));
             self.deciding += begun.elapsed();
             let Some(job) = job else { break };
-            self.fleet(kind).targets[index]
-                .inside
-                .push_back(job.id as usize);
+            let target = &mut self.fleet(kind).targets[index];
+            target.inside.push_back(job.id as usize);
+            target.inside_cost += job.cost.0;
             self.fill(kind, index);
         }
         self.fill(kind, index);
@@ -232,7 +232,9 @@
     fn begin(&mut self, id: usize) {
         let call = self.calls[id];
         let now = self.now;
-        self.fleet(call.kind).targets[call.target].running_cost += call.cost;
+        let target = &mut self.fleet(call.kind).targets[call.target];
+        target.inside_cost -= call.cost;
+        target.running_cost += call.cost;
         if call.kind == Kind::Service {
             return self.after(call.output, Event::Done(id));
         }
