Expect a wait for prefill or for a slot, not for all queued cost

Cause: the expected wait divided the queued cost, decoding included, by the engine's rate; with free slots decoding delays nobody's prefill, so programs left their cache too early. Ruled out: the queue's order as the cause; FIFO and fair order lost as much.

--- a/crates/sched/src/route.rs
+++ b/crates/sched/src/route.rs
@@ -119,7 +119,7 @@
 pub fn completion(candidate: &Candidate, need: &Need) -> f64 {
     let uncached = need.input.0.saturating_sub(candidate.cached.0);
     let prefill = uncached as f64 / prefill_rate(candidate);
-    backlog(candidate) + prefill + decode(candidate, need) + distance(candidate)
+    backlog(candidate, need) + prefill + decode(candidate, need) + distance(candidate)
 }
 
 fn soonest(candidates: &[Candidate], need: &Need) -> Option<Placement> {
@@ -164,15 +164,26 @@
     completion(&received, need) + missing as f64 / need.transfer_rate as f64
 }
 
-/// Time until a call that comes now would start, in seconds.
-fn backlog(candidate: &Candidate) -> f64 {
+/// Time until a call that comes now would start, in seconds: the longer of what is left to prefill
+/// and, once the slots are taken, the wait for one.
+fn backlog(candidate: &Candidate, need: &Need) -> f64 {
+    prefill_wait(candidate, need).max(slot_wait(candidate, need))
+}
+
+/// Queued costs hold decoding too, which does not keep the next call from its prefill.
+fn prefill_wait(candidate: &Candidate, need: &Need) -> f64 {
     let ahead = candidate.queued_tokens.0 + candidate.sent_since.cost.0;
-    let running = candidate.running_tokens.0;
+    let calls = u64::from(candidate.queued + candidate.sent_since.calls);
+    let decode = cost::call(Tokens(0), need.output).0.saturating_mul(calls);
+    ahead.saturating_sub(decode) as f64 / prefill_rate(candidate)
+}
+
+fn slot_wait(candidate: &Candidate, need: &Need) -> f64 {
+    let slots = candidate.slots.max(1);
     let calls = candidate.running + candidate.queued + candidate.sent_since.calls;
-    let wait = ahead as f64 / work_rate(candidate);
-    match calls >= candidate.slots.max(1) {
-        true => wait + running as f64 / work_rate(candidate) / f64::from(candidate.slots.max(1)),
-        false => wait,
+    match (calls + 1).checked_sub(slots) {
+        Some(waiting) => f64::from(waiting) / f64::from(slots) * decode(candidate, need),
+        None => 0.0,
     }
 }
 
@@ -191,15 +202,6 @@
     }
 }
 
-/// Cost that a target works off a second.
-fn work_rate(candidate: &Candidate) -> f64 {
-    let decode = u64::from(candidate.slots) * candidate.decode_rate * cost::OUTPUT_WEIGHT;
-    match decode {
-        0 => prefill_rate(candidate),
-        decode => prefill_rate(candidate).min(decode as f64),
-    }
-}
-
 fn distance(candidate: &Candidate) -> f64 {
     match candidate.near {
         true => 0.0,
