Tell equal targets apart by how full they are

Cause: among targets with no expected wait the first won, so new programs crowded the first engines' caches and plain services, whose length is not known, all went to the first one.

--- a/crates/sched/src/route.rs
+++ b/crates/sched/src/route.rs
@@ -19,6 +19,12 @@
 /// Decode rate assumed for a target that reports none, in tokens a second and call.
 const DEFAULT_DECODE_RATE: u64 = 40;
 
+/// Shortest time that a call is taken to hold a slot, in seconds.
+const SLOT_SECONDS: f64 = 0.1;
+
+/// What a full set of slots counts where nothing else tells targets apart, in seconds.
+const OCCUPANCY_SECONDS: f64 = 0.001;
+
 /// Cost of a network hop to another data centre, in seconds.
 const FAR_SECONDS: f64 = 0.002;
 
@@ -119,7 +125,7 @@
 pub fn completion(candidate: &Candidate, need: &Need) -> f64 {
     let uncached = need.input.0.saturating_sub(candidate.cached.0);
     let prefill = uncached as f64 / prefill_rate(candidate);
-    backlog(candidate, need) + prefill + decode(candidate, need) + distance(candidate)
+    backlog(candidate, need) + prefill + decode(candidate, need) + preference(candidate)
 }
 
 fn soonest(candidates: &[Candidate], need: &Need) -> Option<Placement> {
@@ -182,7 +188,9 @@
     let slots = candidate.slots.max(1);
     let calls = candidate.running + candidate.queued + candidate.sent_since.calls;
     match (calls + 1).checked_sub(slots) {
-        Some(waiting) => f64::from(waiting) / f64::from(slots) * decode(candidate, need),
+        Some(waiting) => {
+            f64::from(waiting) / f64::from(slots) * decode(candidate, need).max(SLOT_SECONDS)
+        }
         None => 0.0,
     }
 }
@@ -202,11 +210,10 @@
     }
 }
 
-fn distance(candidate: &Candidate) -> f64 {
-    match candidate.near {
-        true => 0.0,
-        false => FAR_SECONDS,
-    }
+/// Small terms that tell equal targets apart, in seconds.
+fn preference(candidate: &Candidate) -> f64 {
+    let far = if candidate.near { 0.0 } else { FAR_SECONDS };
+    far + occupancy(candidate) * OCCUPANCY_SECONDS
 }
 
 /// Calls for each slot.
--- a/crates/sched/tests/route.rs
+++ b/crates/sched/tests/route.rs
@@ -172,3 +172,21 @@
         Some(0)
     );
 }
+
+#[test]
+fn plain_services_without_a_known_length_are_used_evenly() {
+    let blank = |name| Candidate {
+        prefill_rate: 0,
+        decode_rate: 0,
+        ..candidate(name)
+    };
+    let mut candidates = vec![blank("s1"), blank("s2"), blank("s3")];
+    for _ in 0..60 {
+        let chosen = route::choose(&Policy::default(), &candidates, &Need::default()).unwrap();
+        candidates[chosen].running += 1;
+    }
+    assert!(
+        candidates.iter().all(|one| one.running == 20),
+        "{candidates:?}"
+    );
+}
