Hand an engine as many calls as it has slots

Cause: handing it at most 250 ms of prefill ahead keeps more calls in the sidecar's queue, where order is ours, but it did not help. Conclusion: slots kept.

--- a/crates/bench/src/replay.rs
+++ b/crates/bench/src/replay.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::thread;
 
+use coord::time::Millis;
 use coord::time::Time;
 use eyre::eyre;
 use gumdrop::Options;
@@ -32,7 +33,7 @@
     "full-owner-killed",
 ];
 
-/// Prefill handed to an engine ahead, in microseconds.
+/// Prefill handed to an engine ahead where it is bounded, in microseconds.
 const WINDOW: u64 = 250_000;
 
 /// Calls handed to an engine beyond its slots, where a plain bounded queue is asked for.
@@ -72,6 +73,29 @@
         help = "worst-served customer or program latency first"
     )]
     emphasis: Option<f64>,
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "waiting that offsets a thousand tokens served"
+    )]
+    ageing: Option<u64>,
+    #[options(no_short, meta = "MS", help = "head start of a call with a warm cache")]
+    warm_bonus: Option<u64>,
+    #[options(
+        no_short,
+        meta = "MS",
+        help = "waiting that counts as a thousand tokens of share"
+    )]
+    share: Option<u64>,
+}
+
+impl Args {
+    fn adjust(&self, policy: &mut Policy) {
+        policy.emphasis = self.emphasis.unwrap_or(policy.emphasis);
+        policy.ageing = self.ageing.map_or(policy.ageing, Millis);
+        policy.warm_bonus = self.warm_bonus.map_or(policy.warm_bonus, Millis);
+        policy.share = self.share.map_or(policy.share, Millis);
+    }
 }
 
 /// Replays and prints one JSON line a run.
@@ -85,7 +109,7 @@
     for seed in args.seed..args.seed + args.seeds {
         for name in &names {
             let mut setup = setup(name, &trace, args.load, seed)?;
-            setup.policy.emphasis = args.emphasis.unwrap_or(setup.policy.emphasis);
+            args.adjust(&mut setup.policy);
             setups.push(setup);
         }
     }
@@ -155,12 +179,11 @@
             mode: Mode::OwnerKilled(Time(killed)),
             ..full
         },
-        "full-slots" => Setup {
-            window: None,
+        "full-window" => Setup {
+            window: Some(WINDOW),
             ..full
         },
         "full-bounded" => Setup {
-            window: None,
             spare: BOUNDED_QUEUE,
             ..full
         },
@@ -185,7 +208,7 @@
         mode: Mode::Owner,
         release: true,
         spare: 0,
-        window: Some(WINDOW),
+        window: None,
         transfer_rate: 0,
         flood: true,
         load,
