--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -11,6 +11,7 @@
 use node::settings;
 use node::shutdown;
 
+use crate::gauge;
 use crate::member::Member;
 use crate::operators;
 use crate::operators::Operators;
@@ -73,6 +74,7 @@
     let limit = Duration::from_millis(settings.limits.timeout_max_ms.0);
     let member = Member::start(settings);
     let service = Service::start(Arc::clone(&member), &metrics.meter()).await?;
+    gauge::register(&metrics.meter(), &member);
     let admission = Arc::clone(&service.admission);
     let operators = Operators {
         member,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fence;
 pub mod flight;
 pub mod gate;
+pub mod gauge;
 pub mod handover;
 pub mod heartbeat;
 pub mod ingress;
