Compact the log, split large records and settle maps one at a time

A record of more than a megabyte could never be written and would have held up the log for good; it is cut into parts now. An older map that was settled beside a newer one could have dropped a joined standby's link; maps are settled under a lock. Frozen shards are taken up again as soon as no write of the map is in doubt, also while the platform is away.

--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -25,7 +25,12 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Hands over what the plan says.
+///
+/// What is frozen stays so while a write of the map is in doubt; the map's next version tells.
 pub async fn hand_over(member: &Arc<Member>) -> Result<(), Error> {
+    if !member.given.is_writing() {
+        member.shards().thaw();
+    }
     let me = member.node();
     let mut plan = shard::transfers(&member.map(), &me);
     plan.truncate(BATCH);
@@ -34,18 +39,13 @@
     }
     let ready = member.shards().freeze(&plan, SYNC_LIMIT).await;
     let changed = change(member, |map| transfer(member, map, &ready)).await;
-    match changed {
-        // In doubt until the map has been read at a newer version.
-        Err(Error::Unknown) => refresh(member).await,
-        Err(error) => {
-            member.shards().thaw(&ready);
-            Err(error)
-        }
-        Ok(_) => {
-            member.shards().thaw(&ready);
-            Ok(())
-        }
+    if member.given.is_writing() {
+        refresh(member).await?;
+    }
+    if !member.given.is_writing() {
+        member.shards().thaw();
     }
+    changed.map(|_| ())
 }
 
 fn transfer(member: &Member, map: &shard::Map, ready: &[Shard]) -> Option<shard::Map> {
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -56,6 +56,8 @@
 pub enum Body {
     /// Encoded records in order.
     Records(Vec<Bytes>),
+    /// One part of a record that is too large for one object.
+    Part { part: u32, parts: u32, bytes: Bytes },
     /// One part of the shard's whole state before the entry's first record.
     Checkpoint { part: u32, parts: u32, bytes: Bytes },
 }
@@ -74,7 +76,7 @@
     fn size(&self) -> usize {
         let body = match &self.body {
             Body::Records(records) => records.iter().map(|record| record.len() + 8).sum(),
-            Body::Checkpoint { bytes, .. } => bytes.len(),
+            Body::Part { bytes, .. } | Body::Checkpoint { bytes, .. } => bytes.len(),
         };
         body + 64
     }
@@ -82,7 +84,8 @@
     fn next(&self) -> u64 {
         match &self.body {
             Body::Records(records) => self.first + records.len() as u64,
-            Body::Checkpoint { .. } => self.first,
+            Body::Part { part, parts, .. } if part + 1 == *parts => self.first + 1,
+            Body::Part { .. } | Body::Checkpoint { .. } => self.first,
         }
     }
 }
@@ -94,8 +97,14 @@
     pub epoch: Epoch,
     pub first: u64,
     pub next: u64,
-    /// A whole checkpoint was written.
-    pub checkpoint: bool,
+    pub checkpoint: Piece,
+}
+
+/// Which end of a checkpoint an entry holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Piece {
+    pub first: bool,
+    pub last: bool,
 }
 
 /// What the log tells the shards.
@@ -141,21 +150,42 @@
 
     /// Queues records of a shard.
     pub fn append(&self, shard: Shard, epoch: Epoch, first: u64, records: Vec<Bytes>) {
-        let body = Body::Records(records);
-        self.push([Entry {
-            shard,
-            epoch,
-            first,
-            body,
-        }]);
+        let mut entries: Vec<Entry> = Vec::new();
+        let mut size = 0;
+        for (first, record) in (first..).zip(records) {
+            size += record.len();
+            match entries.last_mut().map(|entry| &mut entry.body) {
+                Some(Body::Records(batch)) if size <= PART => batch.push(record),
+                _ if record.len() <= PART => {
+                    size = record.len();
+                    let body = Body::Records(vec![record]);
+                    entries.push(Entry {
+                        shard,
+                        epoch,
+                        first,
+                        body,
+                    });
+                }
+                _ => {
+                    let parts = split(&record).map(|(part, parts, bytes)| {
+                        let body = Body::Part { part, parts, bytes };
+                        Entry {
+                            shard,
+                            epoch,
+                            first,
+                            body,
+                        }
+                    });
+                    entries.extend(parts);
+                }
+            }
+        }
+        self.push(entries);
     }
 
     /// Queues a shard's whole state before its record number `next`.
     pub fn checkpoint(&self, shard: Shard, epoch: Epoch, next: u64, state: Bytes) {
-        let parts = state.len().div_ceil(PART).max(1);
-        let entries = (0..parts).map(|part| {
-            let bytes = state.slice(part * PART..state.len().min((part + 1) * PART));
-            let (part, parts) = (part as u32, parts as u32);
+        let parts = split(&state).map(|(part, parts, bytes)| {
             let body = Body::Checkpoint { part, parts, bytes };
             Entry {
                 shard,
@@ -164,7 +194,7 @@
                 body,
             }
         });
-        self.push(entries);
+        self.push(parts);
     }
 
     /// Tells how many nodes share the platform's writes.
@@ -292,8 +322,11 @@
 
 fn mark(entry: &Entry) -> Mark {
     let checkpoint = match &entry.body {
-        Body::Checkpoint { part, parts, .. } => part + 1 == *parts,
-        Body::Records(_) => false,
+        Body::Checkpoint { part, parts, .. } => Piece {
+            first: *part == 0,
+            last: part + 1 == *parts,
+        },
+        Body::Records(_) | Body::Part { .. } => Piece::default(),
     };
     Mark {
         shard: entry.shard,
@@ -304,6 +337,15 @@
     }
 }
 
+/// Cuts what is too large for one object into numbered parts.
+fn split(bytes: &Bytes) -> impl Iterator<Item = (u32, u32, Bytes)> {
+    let parts = bytes.len().div_ceil(PART).max(1);
+    (0..parts).map(move |part| {
+        let end = bytes.len().min((part + 1) * PART);
+        (part as u32, parts as u32, bytes.slice(part * PART..end))
+    })
+}
+
 /// Decodes an object of the log; none: damaged.
 pub fn decode(value: &[u8]) -> Option<Vec<Entry>> {
     postcard::from_bytes(value).ok()
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -41,6 +41,7 @@
 use wire::SyncChunk;
 
 use crate::clock::Clock;
+use crate::compaction;
 use crate::handover;
 use crate::heartbeat;
 use crate::journal;
@@ -83,6 +84,7 @@
     pub(crate) store: sync::Store,
     pub(crate) heard: heartbeat::Heard,
     pub(crate) given: promise::Given,
+    settling: Mutex<()>,
     /// Held while the shard map is being changed.
     pub(crate) changing: tokio::sync::Mutex<()>,
     /// Wakes the heartbeat when there is news to spread.
@@ -123,6 +125,7 @@
             store: sync::Store::default(),
             heard: heartbeat::Heard::default(),
             given,
+            settling: Mutex::default(),
             changing: tokio::sync::Mutex::default(),
             news: Notify::new(),
             peers,
@@ -141,7 +144,8 @@
         let (journal, lease) = (Arc::clone(&self.journal), Arc::clone(&self.lease));
         let loops = vec![
             tokio::spawn(async move { journal.run(|| lease.node()).await }),
-            tokio::spawn(take_written(Arc::clone(&self.shards), written)),
+            tokio::spawn(compaction::keep(Arc::clone(self), written)),
+            tokio::spawn(compaction::sweep(Arc::clone(self))),
             tokio::spawn(renewal::run(Arc::clone(self))),
             tokio::spawn(heartbeat::run(Arc::clone(self))),
             tokio::spawn(upkeep::run(Arc::clone(self))),
@@ -326,6 +330,8 @@
 
     /// Takes in a shard map; an older one than known changes nothing.
     pub(crate) fn take_map(&self, map: Map) -> bool {
+        // Maps are settled one after the other: an older one must not undo a newer one.
+        let _settling = self.settling.lock();
         let map = Arc::new(map);
         let newer = self.map.send_if_modified(|known| {
             let newer = map.version > known.version;
@@ -380,14 +386,3 @@
         ..Limits::default()
     }
 }
-
-async fn take_written(shards: Arc<Shards>, mut news: mpsc::UnboundedReceiver<journal::News>) {
-    while let Some(news) = news.recv().await {
-        match news {
-            journal::News::Written { marks, .. } => {
-                marks.iter().for_each(|mark| shards.written(mark))
-            }
-            journal::News::Dropped(dropped) => dropped.iter().for_each(|s| shards.checkpoint(*s)),
-        }
-    }
-}
--- a/crates/entry/src/renewal.rs
+++ b/crates/entry/src/renewal.rs
@@ -20,6 +20,9 @@
 /// Renewals in the length of a lease.
 const RENEWALS: u32 = 3;
 
+/// Rounds of promises in the length of a lease, besides the platform's time to answer.
+const PROMISES: u32 = 6;
+
 /// Attempts in the length of a lease while renewals fail.
 const ATTEMPTS: u32 = 12;
 
@@ -37,10 +40,18 @@
 
 /// Renews until dropped.
 pub async fn run(member: Arc<Member>) {
+    let mut outcome = Outcome::Failed;
     loop {
         let length = member.lease.duration();
-        let pause = match renew(&member).await {
-            Outcome::Renewed | Outcome::Promised => length / RENEWALS,
+        // The platform is given less time while promises have to be renewed beside it.
+        let limit = match outcome {
+            Outcome::Promised => length / PROMISES,
+            Outcome::Renewed | Outcome::Fenced | Outcome::Failed => length / RENEWALS,
+        };
+        outcome = renew(&member, limit).await;
+        let pause = match outcome {
+            Outcome::Renewed => length / RENEWALS,
+            Outcome::Promised => length / PROMISES,
             Outcome::Failed => length / ATTEMPTS,
             Outcome::Fenced => {
                 member.lose();
@@ -51,9 +62,8 @@
     }
 }
 
-async fn renew(member: &Member) -> Outcome {
+async fn renew(member: &Member, limit: Duration) -> Outcome {
     let sent = member.now();
-    let limit = member.lease.duration() / RENEWALS;
     match timeout(limit, write(member, sent)).await {
         Ok(Ok(outcome)) => {
             member.shards().upkeep.notify_one();
--- a/crates/entry/src/shards.rs
+++ b/crates/entry/src/shards.rs
@@ -42,6 +42,9 @@
 /// Gains of shards that a slow listener may be behind.
 const GAINED_BACKLOG: usize = 4096;
 
+/// Bytes of a shard's records in the log before a checkpoint takes their place, at least.
+const CHECKPOINT_MIN: usize = 256 * 1024;
+
 /// This node doesn't own the shard at present.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Moved {
@@ -173,6 +176,7 @@
     fn append(self: &Arc<Self>, slot: &Arc<Slot>, state: &mut State, records: Vec<Record>) {
         let first = state.next;
         let encoded: Vec<Bytes> = records.iter().map(encode).collect();
+        state.logged += encoded.iter().map(Bytes::len).sum::<usize>();
         records
             .iter()
             .for_each(|record| state.replica.apply(record));
@@ -182,6 +186,9 @@
         if state.send(encoded) {
             self.start_pump(slot);
         }
+        if state.logged >= state.checkpoint_due {
+            self.queue_checkpoint(slot.shard, state);
+        }
     }
 
     /// Starts sending to the standby; there is one sender for each shard at most.
@@ -195,7 +202,7 @@
         let slot = self.slot(mark.shard);
         let mut state = slot.state.lock();
         let current = state.role == Role::Primary && state.epoch == mark.epoch;
-        let contiguous = mark.checkpoint || mark.first <= state.journalled;
+        let contiguous = mark.checkpoint.last || mark.first <= state.journalled;
         if current && contiguous && mark.next > state.journalled {
             state.journalled = mark.next;
             slot.publish(&mut state);
@@ -204,17 +211,21 @@
 
     /// Queues a checkpoint of a shard that this node owns.
     pub fn checkpoint(&self, shard: Shard) {
-        let state = self.slot(shard).state.lock();
+        let mut state = self.slot(shard).state.lock();
         if state.role == Role::Primary {
-            self.queue_checkpoint(shard, &state);
+            self.queue_checkpoint(shard, &mut state);
         }
     }
 
-    pub(crate) fn queue_checkpoint(&self, shard: Shard, state: &State) {
+    /// A checkpoint is due again when as much has been logged as it is large.
+    fn queue_checkpoint(&self, shard: Shard, state: &mut State) {
         match state.replica.encode() {
-            Ok(bytes) => self
-                .journal
-                .checkpoint(shard, state.epoch, state.next, bytes.into()),
+            Ok(bytes) => {
+                state.logged = 0;
+                state.checkpoint_due = CHECKPOINT_MIN.max(bytes.len());
+                let (epoch, next) = (state.epoch, state.next);
+                self.journal.checkpoint(shard, epoch, next, bytes.into());
+            }
             Err(error) => log::error!(step = "encode checkpoint"; "{error}"),
         }
     }
@@ -267,7 +278,7 @@
         for shard in shards {
             match self.complete_by(*shard, end).await {
                 true => ready.push(*shard),
-                false => self.thaw(&[*shard]),
+                false => self.slot(*shard).state.lock().frozen = false,
             }
         }
         ready
@@ -285,10 +296,10 @@
         true
     }
 
-    /// Takes decisions again after a handover that didn't come about.
-    pub(crate) fn thaw(&self, shards: &[Shard]) {
-        for shard in shards {
-            self.slot(*shard).state.lock().frozen = false;
+    /// Takes decisions again on all shards that are this node's still.
+    pub(crate) fn thaw(&self) {
+        for slot in &self.slots {
+            slot.state.lock().frozen = false;
         }
     }
 }
--- a/crates/entry/src/shards/slot.rs
+++ b/crates/entry/src/shards/slot.rs
@@ -85,6 +85,9 @@
     pub next: u64,
     /// Number up to which the log in the platform holds everything.
     pub journalled: u64,
+    /// Bytes in the log since the last checkpoint, and how many make the next one due.
+    pub logged: usize,
+    pub checkpoint_due: usize,
     pub link: Option<Link>,
     /// Being handed over: takes no decisions.
     pub frozen: bool,
@@ -202,6 +205,8 @@
             replica: Replica::new(limits),
             next: 0,
             journalled: 0,
+            logged: 0,
+            checkpoint_due: 0,
             link: None,
             frozen: false,
             cautious: false,
