--- a/crates/entry/tests/member_common/mod.rs
+++ b/crates/entry/tests/member_common/mod.rs
@@ -2,7 +2,6 @@
 
 #![allow(dead_code)]
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -129,7 +128,9 @@
         outage_ms: u64,
         seeds: &[String],
     ) -> Node {
-        let peers = free_address().await;
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let peers = listener.local_addr().unwrap();
         let settings = json!({
             "node": name,
             "data_centre": data_centre,
@@ -149,7 +150,7 @@
             .enable_all()
             .build()
             .unwrap();
-        let member = runtime.spawn(serve(settings)).await.unwrap();
+        let member = runtime.spawn(serve(settings, listener)).await.unwrap();
         Node {
             member,
             runtime: Some(runtime),
@@ -194,8 +195,8 @@
     }
 }
 
-async fn serve(settings: Settings) -> Arc<Member> {
-    let listener = TcpListener::bind(settings.listen.peers).await.unwrap();
+async fn serve(settings: Settings, listener: std::net::TcpListener) -> Arc<Member> {
+    let listener = TcpListener::from_std(listener).unwrap();
     let member = Member::start(settings);
     let service = OwnerServer::new(Service(Arc::clone(&member)))
         .max_decoding_message_size(wire::MESSAGE_LIMIT);
@@ -206,11 +207,6 @@
     member
 }
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
-}
-
 fn opened(program: &coord::id::Program) -> Record {
     let budget = Budget {
         tokens: coord::id::Tokens(1_000),
