--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -50,6 +50,7 @@
 use crate::lease::Lease;
 use crate::peer::Peers;
 use crate::promise;
+use crate::quarantine;
 use crate::renewal;
 use crate::replicate;
 use crate::settings::Settings;
@@ -84,6 +85,7 @@
     pub(crate) store: sync::Store,
     pub(crate) heard: heartbeat::Heard,
     pub(crate) given: promise::Given,
+    pub(crate) quarantine: quarantine::Shared,
     settling: Mutex<()>,
     /// Held while the shard map is being changed.
     pub(crate) changing: tokio::sync::Mutex<()>,
@@ -125,6 +127,7 @@
             store: sync::Store::default(),
             heard: heartbeat::Heard::default(),
             given,
+            quarantine: quarantine::Shared::default(),
             settling: Mutex::default(),
             changing: tokio::sync::Mutex::default(),
             news: Notify::new(),
@@ -204,6 +207,11 @@
         self.fresh() && !self.is_stopping() && owned()
     }
 
+    /// Requests remembered because they were in flight when a target died.
+    pub fn quarantined(&self) -> usize {
+        self.quarantine.len()
+    }
+
     /// Length of a lease.
     pub fn lease_duration(&self) -> Duration {
         self.lease.duration()
