--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod fence;
 pub mod flight;
 pub mod gate;
+pub mod gauges;
 pub mod handover;
 pub mod heartbeat;
 pub mod ingress;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -21,6 +21,7 @@
 use crate::call::Call;
 use crate::callers::Callers;
 use crate::clock;
+use crate::gauges;
 use crate::ingress::Ingress;
 use crate::instruments::Instruments;
 use crate::member::Member;
@@ -58,6 +59,7 @@
         let admission = Admission::new(Arc::clone(&member), limits.admission_wait_ms);
         let admission = Arc::new(admission);
         let instruments = Arc::new(Instruments::new(meter));
+        gauges::observe(&member, meter);
         let call = Call::new(
             Arc::clone(&member),
             Arc::new(settings.clone()),
