--- a/crates/entry/tests/member_common/mod.rs
+++ b/crates/entry/tests/member_common/mod.rs
@@ -42,6 +42,9 @@
 /// How long a member goes on without the platform, in milliseconds.
 pub const OUTAGE: u64 = 300_000;
 
+/// Threads of a member.
+const WORKERS: usize = 2;
+
 const POLL: Duration = Duration::from_millis(10);
 
 /// The members' part of the service between entries.
@@ -146,7 +149,7 @@
         let settings: Settings =
             node::settings::parse(Path::new("test"), &settings.to_string()).unwrap();
         let runtime = Builder::new_multi_thread()
-            .worker_threads(2)
+            .worker_threads(WORKERS)
             .enable_all()
             .build()
             .unwrap();
@@ -164,6 +167,14 @@
         }
     }
 
+    /// Stops all its threads for a while, as a stopped process does.
+    pub fn pause(&self, length: Duration) {
+        let runtime = self.runtime.as_ref().unwrap();
+        for _ in 0..WORKERS {
+            runtime.spawn(async move { std::thread::sleep(length) });
+        }
+    }
+
     pub fn address(&self) -> String {
         self.member.settings().listen.peers.to_string()
     }
