--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -4,19 +4,19 @@
 //! ever reverts. Nodes compare digests of the objects by bucket and send each other the buckets
 //! that differ.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use coord::config::Change;
 use coord::config::Config;
-use coord::config::Entry;
-use coord::config::Name;
+use coord::gossip;
+use coord::gossip::Summary;
 use coord::id::Ticket;
 use coord::id::Version;
-use coord::id::fingerprint;
 use coord::shard;
 use node::platform::Error;
 use node::platform::Platform;
@@ -31,16 +31,13 @@
 /// Prefix of the ticket objects.
 pub const PREFIX: &str = "ticket/";
 
-/// Buckets into which objects fall for comparison.
-const BUCKETS: u64 = 64;
-
-/// Bytes of tickets sent in one exchange.
-const NEWS_LIMIT: usize = 1024 * 1024;
+/// Objects sent in one exchange.
+const NEWS_LIMIT: usize = 2048;
 
 #[derive(Debug, Default)]
 struct Snapshot {
     config: Arc<Config>,
-    digests: Arc<HashMap<String, u64>>,
+    summary: Arc<Summary>,
 }
 
 /// The configuration and how far the platform's tickets were read.
@@ -49,6 +46,7 @@
     snapshot: RwLock<Snapshot>,
     newest: watch::Sender<Ticket>,
     read: Mutex<Version>,
+    rounds: AtomicUsize,
 }
 
 impl Default for Store {
@@ -57,6 +55,7 @@
             snapshot: RwLock::default(),
             newest: watch::Sender::new(Ticket(0)),
             read: Mutex::new(Version(0)),
+            rounds: AtomicUsize::new(0),
         }
     }
 }
@@ -88,7 +87,7 @@
         if altered == 0 {
             return false;
         }
-        snapshot.digests = Arc::new(digests(&config));
+        snapshot.summary = Arc::new(Summary::of(&config));
         snapshot.config = Arc::new(config);
         let newest = snapshot.config.newest();
         drop(snapshot);
@@ -119,39 +118,31 @@
         altered
     }
 
-    /// Digest of the objects of each bucket.
-    pub fn digests(&self) -> Arc<HashMap<String, u64>> {
-        Arc::clone(&self.snapshot.read().digests)
+    /// Hash of each bucket of objects, for others to compare.
+    pub fn seen(&self) -> HashMap<String, u64> {
+        let summary = Arc::clone(&self.snapshot.read().summary);
+        let pairs = summary.pairs();
+        pairs
+            .map(|(bucket, hash)| (bucket.to_string(), hash))
+            .collect()
     }
 
-    /// Tickets of the buckets in which a peer's objects differ from ours.
+    /// Tickets that a peer may lack, by the hashes that it has seen.
     pub fn missing(&self, seen: &HashMap<String, u64>) -> Vec<TicketBytes> {
+        let pairs = seen
+            .iter()
+            .filter_map(|(bucket, hash)| Some((bucket.parse().ok()?, *hash)));
+        let theirs = Summary::from_pairs(pairs);
         let (config, ours) = {
             let snapshot = self.snapshot.read();
-            (Arc::clone(&snapshot.config), Arc::clone(&snapshot.digests))
+            (Arc::clone(&snapshot.config), Arc::clone(&snapshot.summary))
         };
-        if *ours == *seen {
+        if *ours == theirs {
             return Vec::new();
         }
-        let differs = |bucket: &str| ours.get(bucket) != seen.get(bucket);
-        let mut buckets: BTreeMap<String, Vec<(&Name, &Entry)>> = BTreeMap::new();
-        for (name, entry) in config.entries() {
-            buckets.entry(bucket(name)).or_default().push((name, entry));
-        }
-        let mut size = 0;
-        let whole = buckets
-            .iter()
-            .filter(|(bucket, _)| differs(bucket))
-            .map(|(_, e)| encode(e));
-        let fits = |tickets: &Vec<TicketBytes>| {
-            let first = size == 0;
-            size += tickets
-                .iter()
-                .map(|ticket| ticket.body.len())
-                .sum::<usize>();
-            first || size <= NEWS_LIMIT
-        };
-        whole.take_while(fits).flatten().collect()
+        let round = self.rounds.fetch_add(1, Ordering::Relaxed);
+        let news = gossip::news(&config, &theirs, round, NEWS_LIMIT);
+        news.iter().filter_map(encode).collect()
     }
 
     /// Joins tickets from a peer in; true: something was new.
@@ -162,30 +153,12 @@
     }
 }
 
-/// Groups entries by the ticket that gave them.
-fn encode(entries: &[(&Name, &Entry)]) -> Vec<TicketBytes> {
-    let mut changes: BTreeMap<Ticket, Change> = BTreeMap::new();
-    for (name, entry) in entries {
-        let number = entry.ticket;
-        let empty = Change {
-            number,
-            set: Vec::new(),
-            remove: Vec::new(),
-        };
-        let change = changes.entry(number).or_insert(empty);
-        match &entry.object {
-            Some(object) => change.set.push(object.clone()),
-            None => change.remove.push(Name::clone(name)),
-        }
-    }
-    let ticket = |change: &Change| {
-        let body = Bytes::from(serde_json::to_vec(change).ok()?);
-        Some(TicketBytes {
-            number: change.number.0,
-            body,
-        })
-    };
-    changes.values().filter_map(ticket).collect()
+fn encode(change: &Change) -> Option<TicketBytes> {
+    let body = Bytes::from(serde_json::to_vec(change).ok()?);
+    Some(TicketBytes {
+        number: change.number.0,
+        body,
+    })
 }
 
 fn decode(body: &[u8]) -> Option<Change> {
@@ -194,24 +167,6 @@
     change.map_err(warn).ok()
 }
 
-fn bucket(name: &Name) -> String {
-    (hash(name) % BUCKETS).to_string()
-}
-
-fn hash(name: &Name) -> u64 {
-    fingerprint(&[&postcard::to_stdvec(name).unwrap_or_default()])
-}
-
-fn digests(config: &Config) -> HashMap<String, u64> {
-    let mut digests = HashMap::new();
-    for (name, entry) in config.entries() {
-        let hash = hash(name);
-        let digest = fingerprint(&[&hash.to_be_bytes(), &entry.ticket.0.to_be_bytes()]);
-        *digests.entry((hash % BUCKETS).to_string()).or_insert(0) ^= digest;
-    }
-    digests
-}
-
 /// Longest time that one watch waits.
 const WATCH: Duration = Duration::from_secs(10);
 
