Test answers cut short and drains of work whose caller has left

Cause: trial mutations of these two decisions left all tests green: a stream that ends cleanly without its mark, and the drain's wait for running work. The engine's stand-in can now cut a stream short.

--- a/crates/fakes/src/batch.rs
+++ b/crates/fakes/src/batch.rs
@@ -99,6 +99,7 @@
     pub(crate) fn flaw(&self) -> Flaw {
         let mut faults = self.faults.lock();
         Flaw {
+            cuts: fault::spend(&mut faults.cut_streams),
             breaks: fault::spend(&mut faults.break_streams),
             crosses: fault::spend(&mut faults.cross_streams),
         }
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -13,6 +13,8 @@
     pub hang_on: Option<String>,
     /// Breaks the streams of this many requests midway.
     pub break_streams: u32,
+    /// Ends the streams of this many requests early, as if they were whole, but for the end mark.
+    pub cut_streams: u32,
     /// Also refuses to resume the broken streams.
     pub no_resume: bool,
     /// Mixes another request's chunk into the streams of this many requests.
--- a/crates/fakes/src/generation.rs
+++ b/crates/fakes/src/generation.rs
@@ -129,6 +129,8 @@
 /// What a stream does wrong.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Flaw {
+    /// Ends after the first chunk.
+    pub cuts: bool,
     /// Breaks after the first chunk.
     pub breaks: bool,
     /// Sends a chunk of another request first.
@@ -153,6 +155,9 @@
             if !fresh.is_empty() {
                 offset += fresh.len();
                 yield Ok(chunk(&generation.request, &fresh));
+                if flaw.cuts {
+                    return;
+                }
                 if flaw.breaks {
                     yield Err(io::Error::from(io::ErrorKind::ConnectionReset));
                     return;
--- a/crates/sidecar/tests/dispatch.rs
+++ b/crates/sidecar/tests/dispatch.rs
@@ -312,6 +312,21 @@
     assert_eq!(tool.stats.counts().list.len(), 2);
 }
 
+#[tokio::test]
+async fn drain_waits_for_what_runs_although_its_caller_has_left() {
+    let tool = tool(slow_tool(300)).await;
+    let (daemon, client) = before_tool(&tool).await;
+    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
+    running.started().await;
+    eventually("it runs", || async { tool.stats.counts().running == 1 }).await;
+    drop(running);
+    drop(client);
+    let state = daemon.state().clone();
+    daemon.drain().await.unwrap();
+    assert!(state.queue.is_idle());
+    assert_eq!(tool.stats.counts().running, 0);
+}
+
 #[tokio::test]
 async fn plain_answer_passes_method_path_body_and_status() {
     let tool = tool(Default::default()).await;
--- a/crates/sidecar/tests/faults.rs
+++ b/crates/sidecar/tests/faults.rs
@@ -24,6 +24,7 @@
 
 #[rstest]
 #[case::broken(Faults { break_streams: 2, ..Faults::default() })]
+#[case::cut_short(Faults { cut_streams: 2, ..Faults::default() })]
 #[case::crossed(Faults { cross_streams: 2, ..Faults::default() })]
 #[tokio::test]
 async fn stream_that_goes_wrong_is_resumed_and_whole(#[case] faults: Faults) {
@@ -38,14 +39,13 @@
     assert!(counts.resumed > 0);
 }
 
+#[rstest]
+#[case::broken(Faults { break_streams: 1, no_resume: true, ..Faults::default() })]
+#[case::cut_short(Faults { cut_streams: 1, no_resume: true, ..Faults::default() })]
 #[tokio::test]
-async fn stream_that_cannot_be_resumed_never_looks_complete() {
+async fn stream_that_cannot_be_resumed_never_looks_complete(#[case] faults: Faults) {
     let engine = slow_engine().await;
-    engine.set_faults(Faults {
-        break_streams: 1,
-        no_resume: true,
-        ..Faults::default()
-    });
+    engine.set_faults(faults);
     let (_daemon, client) = before_engine(&engine).await;
     let answer = client.run(generate("a1", "report")).await;
     assert!(text("report").starts_with(&answer.text));
