Bound the bytes that wait, and report no models of an engine that is down

Cause: the queue was bounded in requests, not in bytes, and entries kept sending to an engine that no longer answered. Searching for keys byte by byte was slow on large bodies; the library's text search replaces it. Ruled out: refusing by the size of one request, which a queue of many defeats.

--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::dump::Dump;
+use crate::health::Reach;
 use crate::order::Reconciler;
 use crate::release;
 use crate::rpc;
@@ -154,7 +155,12 @@
     if !state.is_engine() {
         return;
     }
-    match state.upstream.models().await {
+    let models = match state.health.reach() {
+        Reach::Up => state.upstream.models().await,
+        // Entries send nothing to an engine that serves no model.
+        Reach::Unknown | Reach::Silent | Reach::Down => Ok(Vec::new()),
+    };
+    match models {
         Ok(models) => *state.models.lock() = models,
         Err(error) => state.failed("models", &error),
     }
@@ -166,6 +172,9 @@
             () = state.release.notified() => {}
             () = tokio::time::sleep(RELEASE_INTERVAL) => {}
         }
+        if state.health.reach() != Reach::Up {
+            continue;
+        }
         if let Err(error) = release::pass(&state).await {
             state.failed("release", &error);
         }
--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -12,6 +12,7 @@
 use coord::time::Time;
 use sched::cost;
 use sched::queue::Job;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::mpsc::UnboundedReceiver;
 use wire::Ran;
 use wire::Refusal;
@@ -27,6 +28,7 @@
 use crate::intake;
 use crate::intake::Request;
 use crate::ledger::Authority;
+use crate::ledger::Denied;
 use crate::ledger::Named;
 use crate::meter::Sample;
 use crate::plain;
@@ -51,6 +53,7 @@
     cost: Tokens,
     keep: bool,
     request: Request,
+    _room: OwnedSemaphorePermit,
     /// Keeps the model loaded.
     _model: Option<Use>,
     start: Start,
@@ -72,6 +75,8 @@
         let authority = intake::authority(start.shard, start.epoch)?;
         let cost = intake::expected_cost(&state, &start);
         let keep = matches!(&start.work, Some(Work::Generate(work)) if work.keep);
+        let room = state.take_room(intake::size(&start));
+        let room = room.ok_or_else(|| intake::refuse(Denied::Full))?;
         let model = match &start.work {
             Some(Work::Generate(work)) => Some(state.use_model(&work.model)),
             _ => None,
@@ -87,6 +92,7 @@
             cost,
             keep,
             request,
+            _room: room,
             _model: model,
             start,
         })
--- a/crates/sidecar/src/intake.rs
+++ b/crates/sidecar/src/intake.rs
@@ -62,6 +62,15 @@
     }
 }
 
+/// Bytes that a request takes up.
+pub fn size(start: &Start) -> usize {
+    match &start.work {
+        Some(Work::Generate(work)) => work.messages.len(),
+        Some(Work::Plain(work)) => work.body.len(),
+        None => 0,
+    }
+}
+
 /// Expected cost of a request.
 pub fn expected_cost(state: &State, start: &Start) -> Tokens {
     match &start.work {
@@ -84,7 +93,7 @@
         Denied::Fenced => refusal::new(Code::NotRun, Ran::No, "the attempt was fenced off"),
         Denied::Full => refusal::later(
             Code::Overloaded,
-            "too many attempts remembered",
+            "too much waits or is remembered",
             OVERLOAD_DELAY,
         ),
     }
--- a/crates/sidecar/src/key.rs
+++ b/crates/sidecar/src/key.rs
@@ -1,17 +1,16 @@
 //! Finds callers' keys, `tk.<name>.<secret>`, in what is about to be sent to a target.
 
 /// How a key begins.
-const PREFIX: &[u8] = b"tk.";
+const PREFIX: &str = "tk.";
 
 /// Fewest hexadecimal digits that count as a secret.
 const SECRET_DIGITS: usize = 32;
 
 /// Whether some bytes hold a key.
 pub fn is_in(bytes: &[u8]) -> bool {
-    let windows = bytes.windows(PREFIX.len()).enumerate();
-    windows
-        .filter(|(_, window)| *window == PREFIX)
-        .any(|(at, _)| is_key(&bytes[at + PREFIX.len()..]))
+    let texts = bytes.utf8_chunks().map(|chunk| chunk.valid());
+    let mut words = texts.flat_map(|text| text.match_indices(PREFIX).map(move |at| (text, at.0)));
+    words.any(|(text, at)| is_key(&text.as_bytes()[at + PREFIX.len()..]))
 }
 
 /// Whether a path or query holds a key, also a percent-encoded one.
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -11,6 +11,8 @@
 use parking_lot::Mutex;
 use serde::Serialize;
 use tokio::sync::Notify;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use wire::Load;
 
@@ -28,6 +30,9 @@
 use crate::settings::Settings;
 use crate::upstream::Upstream;
 
+/// Room for requests that wait or run, in KiB.
+const ROOM: usize = 256 * 1024;
+
 /// Failures shown in the dump.
 const FAILURES: usize = 32;
 
@@ -66,6 +71,7 @@
     pub models: Mutex<Vec<String>>,
     /// Wakes the release of cached histories.
     pub release: Notify,
+    room: Arc<Semaphore>,
     wanted: Mutex<Option<Wanted>>,
     uses: Mutex<Map<String, usize>>,
     controls: Mutex<Map<Attempt, mpsc::UnboundedSender<Control>>>,
@@ -92,6 +98,7 @@
             leases: Mutex::new(Leases::new(clock.now())),
             models: Mutex::default(),
             release: Notify::new(),
+            room: Arc::new(Semaphore::new(ROOM)),
             wanted: Mutex::default(),
             uses: Mutex::default(),
             controls: Mutex::default(),
@@ -134,6 +141,12 @@
         self.settings.kind == Kind::Engine
     }
 
+    /// Takes room for a request of so many bytes; none: there is too much here already.
+    pub fn take_room(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        let kib = u32::try_from(bytes.div_ceil(1024)).ok()?;
+        self.room.clone().try_acquire_many_owned(kib).ok()
+    }
+
     /// What the engine is to serve, if it is known.
     pub fn wanted(&self) -> Option<Wanted> {
         self.wanted.lock().clone()
--- a/crates/sidecar/tests/dispatch.rs
+++ b/crates/sidecar/tests/dispatch.rs
@@ -292,6 +292,31 @@
     assert!(answer.refusal().retry_after_ms > 0);
 }
 
+#[tokio::test]
+async fn bytes_that_wait_are_bounded() {
+    const MIB: usize = 1024 * 1024;
+    let tool = tool(Default::default()).await;
+    let (daemon, client) = before_tool(&tool).await;
+    let body = "x".repeat(2 * MIB);
+    let others = daemon.state().take_room(255 * MIB).unwrap();
+    let answer = client.run(plain("a1", "POST", "/fee", &body)).await;
+    assert_eq!(answer.refusal().code, "overloaded");
+    assert_eq!(answer.refusal().ran(), Ran::No);
+    assert!(answer.refusal().retry_after_ms > 0);
+    drop(others);
+    assert!(
+        client
+            .run(plain("a2", "POST", "/fee", &body))
+            .await
+            .is_done()
+    );
+    assert_eq!(tool.stats.counts().list.len(), 1);
+    eventually("all room is free", || async {
+        daemon.state().take_room(256 * MIB).is_some()
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn drain_finishes_what_runs_and_waits_and_refuses_the_rest() {
     let tool = tool(slow_tool(200)).await;
--- a/crates/sidecar/tests/faults.rs
+++ b/crates/sidecar/tests/faults.rs
@@ -112,6 +112,40 @@
     assert_eq!(client.cancelled("a1").await, State::Done);
 }
 
+#[tokio::test]
+async fn plain_request_that_crashes_its_service_is_reported_and_not_repeated() {
+    let tool = tool(Default::default()).await;
+    tool.set_faults(Faults {
+        crash_on: Some("poison".to_owned()),
+        ..Faults::default()
+    });
+    let (_daemon, client) = before_tool(&tool).await;
+    assert!(client.run(plain("a1", "POST", "/fee", "1")).await.is_done());
+    let poison = plain("a2", "POST", "/fee", "poison");
+    let expected = poison.fingerprint;
+    let answer = client.run(poison).await;
+    assert_eq!(answer.crashed().fingerprints, [expected]);
+    assert!(answer.crashed().alone);
+    assert_eq!(tool.stats.counts().executions.get("a2"), Some(&1));
+}
+
+#[tokio::test]
+async fn engine_that_is_down_is_reported_without_models() {
+    let mut engine = engine(Default::default()).await;
+    let (daemon, _client) = before_engine(&engine).await;
+    assert_eq!(daemon.state().load().models, ["m1"]);
+    engine.crash();
+    eventually("no models", || async {
+        daemon.state().load().models.is_empty()
+    })
+    .await;
+    engine.restart().await.unwrap();
+    eventually("models", || async {
+        daemon.state().load().models == ["m1"]
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn suspect_runs_with_no_companion() {
     let tool = support::tool(fakes::tool::Settings {
--- a/crates/sidecar/tests/keys.rs
+++ b/crates/sidecar/tests/keys.rs
@@ -73,6 +73,12 @@
     assert!(engine.stats.counts().keys_seen.is_empty());
 }
 
+#[test]
+fn key_is_found_among_bytes_that_are_no_text() {
+    let bytes = [&[0xff, 0xfe], KEY.as_bytes(), &[0xff]].concat();
+    assert!(sidecar::key::is_in(&bytes));
+}
+
 #[rstest]
 #[case("https://gtk.org/tk.example.com")]
 #[case("tk.office")]
