--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -14,7 +14,6 @@
 use coord::record::Outcome;
 use parking_lot::Mutex;
 use rand::RngExt;
-use sched::quarantine::Quarantine;
 use sched::quarantine::Verdict;
 use sched::retry::Budget;
 use wire::CallRequest;
@@ -59,10 +58,9 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) admission: Arc<Admission>,
     pub(crate) instruments: Arc<Instruments>,
-    pub(crate) table: Table,
+    pub table: Table,
     pub(crate) caches: Caches,
     pub(crate) flight: Flight,
-    pub(crate) quarantine: Mutex<Quarantine>,
     retries: Mutex<Budget>,
 }
 
@@ -82,7 +80,6 @@
             table: Table::default(),
             caches: Caches::default(),
             flight: Flight::default(),
-            quarantine: Mutex::new(Quarantine::new()),
             retries: Mutex::new(Budget::new()),
         })
     }
@@ -299,16 +296,13 @@
     }
 
     async fn settle(&self, job: &Job, name: &id::Attempt, outcome: Outcome) -> Result<(), Stop> {
-        let settled = match job.recorded {
-            true => outcome::report(&self.member, &job.call, job.shard, name, outcome).await,
-            false => Ok(()),
-        };
+        let settled = outcome::settle(&self.member, job, name, outcome).await;
         self.flight.settled(job.shard);
         settled
     }
 
     fn completed(&self, job: &Job, attempt: &Attempt, done: &Done) {
-        self.quarantine.lock().completed(job.fingerprint());
+        self.member.quarantine.completed(job.fingerprint());
         if let (Some(program), Service::Model(_)) = (&job.program, &job.service) {
             let tokens = id::Tokens(done.prompt_tokens + done.completion_tokens);
             let epoch = attempt.authority.epoch;
@@ -326,7 +320,8 @@
         out: &Out,
     ) -> Result<Option<Again>, Stop> {
         let now = self.member.now();
-        self.quarantine.lock().crashed(&crashed.fingerprints, now);
+        self.member.quarantine.crashed(crashed, now);
+        self.member.news.notify_one();
         self.instruments.crashed();
         let target = &attempt.target.id;
         self.table.failed(target, Instant::now());
@@ -353,7 +348,7 @@
             return Err(Stop::Gone);
         }
         trials.count += 1;
-        trials.may_have_run |= !again.free;
+        trials.may_have_run |= again.may_have_run;
         trials.barred.insert(attempt.target.id.clone());
         let delay = crate::clock::duration(trials.delay.next(rand::rng().random()));
         let in_time = delay < job.left();
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -49,6 +49,7 @@
 use crate::lease::Lease;
 use crate::peer::Peers;
 use crate::promise;
+use crate::quarantine;
 use crate::renewal;
 use crate::replicate;
 use crate::settings::Settings;
@@ -83,6 +84,7 @@
     pub(crate) store: sync::Store,
     pub(crate) heard: heartbeat::Heard,
     pub(crate) given: promise::Given,
+    pub(crate) quarantine: quarantine::Shared,
     /// Held while the shard map is being changed.
     pub(crate) changing: tokio::sync::Mutex<()>,
     /// Wakes the heartbeat when there is news to spread.
@@ -115,13 +117,15 @@
             Arc::clone(&peers),
             limits,
         );
+        let given = promise::Given::new(&settings.lease);
         let member = Arc::new(Member {
             settings,
             platform,
             lease,
             store: sync::Store::default(),
             heard: heartbeat::Heard::default(),
-            given: promise::Given::default(),
+            given,
+            quarantine: quarantine::Shared::default(),
             changing: tokio::sync::Mutex::default(),
             news: Notify::new(),
             peers,
@@ -150,13 +154,18 @@
         self.loops.lock().extend(loops);
     }
 
-    /// Leaves the fleet for good: hands over every shard, writes out the log, waits until `idle`,
-    /// as the outcomes of calls in progress are reported by members only, and gives up the lease.
-    /// Takes up to `limit` beside the wait; calls for shards handed over are answered `moved`
-    /// until the process ends.
-    pub async fn leave(self: &Arc<Self>, limit: Duration, idle: impl Future<Output = ()>) {
-        handover::leave(self, limit, idle).await;
+    /// Hands over every shard; calls that are in progress go on, and their outcomes go to the new
+    /// owners. Takes up to `limit`.
+    pub async fn shed(self: &Arc<Self>, limit: Duration) {
+        handover::shed(self, limit).await;
+    }
+
+    /// Writes out the log and gives up the lease; only once no call is in progress any more.
+    /// Takes up to `limit`.
+    pub async fn depart(self: &Arc<Self>, limit: Duration) {
+        handover::depart(self, limit).await;
         self.abort();
+        renewal::release(self).await;
     }
 
     /// Ends all loops at once, as a crash would.
@@ -194,6 +203,16 @@
         self.fresh() && !self.is_stopping() && owned()
     }
 
+    /// Requests remembered because they were in flight when a target died.
+    pub fn quarantined(&self) -> usize {
+        self.quarantine.len()
+    }
+
+    /// Length of a lease.
+    pub fn lease_duration(&self) -> Duration {
+        self.lease.duration()
+    }
+
     /// Authority over a shard at this very moment; checked right before each effect.
     pub fn authority(&self, shard: Shard) -> Option<Authority> {
         self.shards.authority(shard)
@@ -323,6 +342,8 @@
             }
             newer
         });
+        self.given
+            .saw(map.version, map.member(&self.node()).is_some());
         if newer {
             self.journal.set_members(map.members.len());
             upkeep::settle(self);
@@ -346,6 +367,7 @@
         self.lease.restart(fresh_name(&self.settings.node));
         self.shards.drop_all();
         self.heard.clear();
+        self.given.restart();
     }
 }
 
--- a/crates/entry/src/trial.rs
+++ b/crates/entry/src/trial.rs
@@ -51,8 +51,9 @@
 /// A call without an answer that may be tried again.
 pub struct Again {
     pub refusal: Refusal,
-    /// Costs no target anything.
+    /// Costs no target anything, so that it needs no retry budget.
     pub free: bool,
+    pub may_have_run: bool,
     pub repeatable: bool,
 }
 
@@ -60,13 +61,18 @@
     /// Confirmed not to have run.
     pub fn not_run(refusal: Refusal, left: Duration) -> Again {
         let hopeless = match refusal.code.parse() {
-            Ok(Code::Unauthorized | Code::Quarantined | Code::BadRequest) => true,
+            Ok(Code::Unauthorized | Code::Quarantined | Code::BadRequest | Code::Ended) => true,
             // Otherwise it was this node's authority that ran out, not the call's time.
             Ok(Code::Deadline) => left < LATE,
             Ok(_) | Err(_) => false,
         };
+        let free = matches!(
+            refusal.code.parse(),
+            Ok(Code::Draining | Code::NotRun | Code::Deadline | Code::Conflict)
+        );
         Again {
-            free: true,
+            free,
+            may_have_run: false,
             repeatable: !hopeless,
             refusal,
         }
@@ -74,10 +80,13 @@
 
     /// May have run, and may be repeated.
     pub fn lost(refusal: Refusal) -> Again {
+        let repeatable = !refusal::is(&refusal, Code::Ended);
+        let retry_after = RETRY_AFTER * u64::from(repeatable);
         Again {
-            refusal: refusal::retry_after(refusal, RETRY_AFTER),
+            repeatable,
+            refusal: refusal::retry_after(refusal, retry_after),
             free: false,
-            repeatable: true,
+            may_have_run: true,
         }
     }
 }
@@ -100,6 +109,11 @@
     refusal::retry_after(refusal, RETRY_AFTER)
 }
 
+/// The call's program ended while it ran.
+pub fn ended() -> Refusal {
+    refusal::unknown(Code::Ended, STEP, "the program has ended")
+}
+
 /// The request has crashed targets.
 pub fn quarantined() -> Refusal {
     refusal::not_run(
--- a/crates/entry/tests/call/fleet.rs
+++ b/crates/entry/tests/call/fleet.rs
@@ -1,5 +1,8 @@
 //! A small fleet in one process: a platform, two entries, sidecars with their targets.
 
+// Each test binary uses a part.
+#![allow(dead_code)]
+
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -7,6 +10,9 @@
 
 use bytes::Bytes;
 use coord::config::Change;
+use coord::id::SHARDS;
+use coord::id::Shard;
+use coord::shard;
 use entry::member::Member;
 use entry::service::Service;
 use entry::settings::Settings;
@@ -25,17 +31,21 @@
 use serde_json::Value;
 use serde_json::json;
 use sidecar::daemon::Daemon;
+use tokio::task::JoinHandle;
 
 const PATIENCE: Duration = Duration::from_secs(20);
+const ENTRIES: usize = 2;
+/// Places at each target.
+const SLOTS: u64 = 4;
 const SALT: &str = "00ff";
 
 /// Everything of one test; it ends with it.
 pub struct Fleet {
-    pub platform: Platform,
+    _platform: Platform,
     pub services: Vec<Service>,
     pub engine: Engine,
     pub tool: Tool,
-    pub sidecars: Vec<Daemon>,
+    _sidecars: Vec<Daemon>,
     ticket: u64,
 }
 
@@ -46,8 +56,6 @@
     pub retry_after: Option<u64>,
     pub text: String,
     pub body: Value,
-    /// Whether the body ended as it should.
-    pub whole: bool,
 }
 
 impl Reply {
@@ -73,21 +81,21 @@
         let tool = Tool::start(fakes::tool::Settings::default());
         let tool = tool.await.expect("a tool");
         let mut services = Vec::new();
-        for number in 1..=2 {
+        for number in 1..=ENTRIES {
             services.push(start_entry(number, platform.address()).await);
         }
         let (first, engine_at) = start_sidecar("engine-1", "engine", engine.address).await;
         let (second, tool_at) = start_sidecar("tool-1", "plain", tool.address).await;
         let mut fleet = Fleet {
-            platform,
+            _platform: platform,
             services,
             engine,
             tool,
-            sidecars: vec![first, second],
+            _sidecars: vec![first, second],
             ticket: 0,
         };
         fleet.change(objects(engine_at, tool_at), json!([])).await;
-        fleet.wait_owned().await;
+        fleet.wait_settled().await;
         fleet
     }
 
@@ -110,17 +118,12 @@
         .await;
     }
 
-    async fn wait_owned(&self) {
-        within("all shards are owned", async || {
-            (0..coord::id::SHARDS).all(|number| {
-                let shard = coord::id::Shard(number);
-                let owns = |service: &Service| service.member.authority(shard).is_some();
-                self.services.iter().any(owns)
-                    && self
-                        .services
-                        .iter()
-                        .all(|service| service.member.owner(shard).is_some())
-            })
+    /// Waits until each shard has its owner and standby, and none is about to move.
+    async fn wait_settled(&self) {
+        within("the shards have settled", async || {
+            self.services
+                .iter()
+                .all(|service| is_settled(&service.member))
         })
         .await;
     }
@@ -135,36 +138,42 @@
         body: impl Into<Bytes>,
     ) -> Reply {
         let address = self.services[entry].callers();
-        let mut request = Request::builder()
-            .method(method)
-            .uri(format!("http://{address}{path}"));
-        if !customer.is_empty() {
-            let key = format!("Bearer tk.{customer}-key.{customer}-secret");
-            request = request.header("authorization", key);
-        }
-        for (name, value) in headers {
-            request = request.header(*name, *value);
-        }
-        let request = request
-            .body(Full::new(body.into()))
-            .expect("a sound request");
-        let client = Client::builder(TokioExecutor::new()).build_http();
-        let response = client.request(request).await.expect("a reply");
-        let status = response.status().as_u16();
-        let retry_after = response.headers().get("retry-after");
-        let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
-        let body = response.into_body().collect().await;
-        let whole = body.is_ok();
-        let bytes = body.map(|body| body.to_bytes()).unwrap_or_default();
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        let body = serde_json::from_str(&text).unwrap_or(Value::Null);
-        Reply {
-            status,
-            retry_after,
-            text,
-            body,
-            whole,
-        }
+        let request = request(address, customer, method, path, headers);
+        send(request.body(Full::new(body.into())).expect("sound")).await
+    }
+
+    /// Posts in the background.
+    pub fn background(
+        &self,
+        entry: usize,
+        customer: &str,
+        path: &str,
+        name: &str,
+        body: String,
+    ) -> JoinHandle<Reply> {
+        let address = self.services[entry].callers();
+        let headers = [("idempotency-key", name)];
+        let request = request(address, customer, Method::POST, path, &headers);
+        tokio::spawn(send(request.body(Full::new(body.into())).expect("sound")))
+    }
+
+    /// Occupies all of the tool's places.
+    pub async fn fill_tool(&self) -> Vec<JoinHandle<Reply>> {
+        let fill = |number| {
+            let name = format!("fill-{number}");
+            self.background(0, "large", "/r/book/fill", &name, String::new())
+        };
+        let fillers = (0..SLOTS).map(fill).collect();
+        within("the tool is full", async || self.executions() == SLOTS).await;
+        fillers
+    }
+
+    /// Calls that wait at the tool's sidecar, as the entries know.
+    pub fn queued(&self) -> u32 {
+        let reports = |service: &Service| service.call.table.reports();
+        let reports = self.services.iter().flat_map(reports);
+        let tool = reports.filter(|(target, _)| target.as_str() == "tool-1");
+        tool.map(|(_, load)| load.queued).max().unwrap_or(0)
     }
 
     pub async fn post(&self, entry: usize, customer: &str, path: &str, body: Value) -> Reply {
@@ -204,6 +213,18 @@
         .await
     }
 
+    /// A request name whose shard an entry owns.
+    pub fn name_at(&self, entry: usize, customer: &str) -> String {
+        let customer = customer.parse().expect("a customer's name");
+        let owned = |name: &String| {
+            let request = name.parse().expect("a request's name");
+            let shard = Shard::of_request(&customer, &request);
+            self.services[entry].member.authority(shard).is_some()
+        };
+        let names = (0..10_000).map(|number| format!("request-{number}"));
+        names.into_iter().find(owned).expect("an owned shard")
+    }
+
     /// Executions that the tool has counted.
     pub fn executions(&self) -> u64 {
         self.tool.stats.counts().executions.values().sum()
@@ -219,6 +240,57 @@
     })
 }
 
+fn is_settled(member: &Member) -> bool {
+    let map = member.map();
+    let paired = |number| {
+        let owner = map.owner(Shard(number));
+        owner.is_some_and(|owner| owner.primary.is_some() && owner.standby.is_some())
+    };
+    let resting = map
+        .members
+        .iter()
+        .all(|one| shard::transfers(&map, &one.node).is_empty());
+    map.members.len() == ENTRIES && resting && (0..SHARDS).all(paired)
+}
+
+fn request(
+    address: SocketAddr,
+    customer: &str,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> http::request::Builder {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    if !customer.is_empty() {
+        let key = format!("Bearer tk.{customer}-key.{customer}-secret");
+        request = request.header("authorization", key);
+    }
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request
+}
+
+async fn send(request: Request<Full<Bytes>>) -> Reply {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let response = client.request(request).await.expect("a reply");
+    let status = response.status().as_u16();
+    let retry_after = response.headers().get("retry-after");
+    let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+    let body = response.into_body().collect().await;
+    let bytes = body.map(|body| body.to_bytes()).unwrap_or_default();
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let body = serde_json::from_str(&text).unwrap_or(Value::Null);
+    Reply {
+        status,
+        retry_after,
+        text,
+        body,
+    }
+}
+
 /// Polls a condition until it holds.
 pub async fn within(what: &str, holds: impl AsyncFn() -> bool) {
     let end = tokio::time::Instant::now() + PATIENCE;
@@ -235,7 +307,7 @@
         "listen": { "callers": free(), "peers": free(), "admin": free() },
         "platform": format!("http://{platform}"),
         "lease": { "duration_ms": 1500, "margin_ms": 150 },
-        "limits": { "body_bytes": 100_000 },
+        "limits": { "body_bytes": 100_000, "grace_ms": 100 },
     }))
     .expect("sound settings");
     let metrics = Metrics::new().expect("metrics");
@@ -252,6 +324,7 @@
         "listen": { "peers": peers, "admin": free() },
         "url": format!("http://{url}"),
         "kind": kind,
+        "limits": { "slots": SLOTS },
     }));
     let daemon = Daemon::start(settings.expect("sound settings")).await;
     (daemon.expect("a sidecar"), peers)
--- a/crates/entry/tests/call_path.rs
+++ b/crates/entry/tests/call/path.rs
@@ -1,16 +1,14 @@
 //! Calls from a caller to a target and back, through the owner of their shard.
 
-#[path = "call/fleet.rs"]
-mod fleet;
-
 use std::time::Duration;
 
-use fleet::Fleet;
-use fleet::chat;
-use fleet::within;
 use http::Method;
 use serde_json::json;
 
+use crate::fleet::Fleet;
+use crate::fleet::chat;
+use crate::fleet::within;
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_program_runs_its_turns_in_order_and_leaves_no_cache() {
     let fleet = Fleet::start().await;
