--- a/crates/coord/src/promise.rs
+++ b/crates/coord/src/promise.rs
@@ -12,7 +12,8 @@
 //! doesn't ask it; so it writes an owner out only after it has heard that the owner knows the map
 //! with it, or after [`Terms::limit`], up to which an owner goes on at most.
 //!
-//! A node's name is that of one process: one that starts again joins under another name.
+//! A node's name is that of one process: one that starts again joins under another name. A member
+//! that was written out and joins again counts as new.
 
 use crate::Map;
 use crate::id::Node;
@@ -48,6 +49,7 @@
     known: Version,
     writing: Option<Version>,
     promised_until: Time,
+    reached: Option<Time>,
     heard: Map<Node, Version>,
 }
 
@@ -60,22 +62,36 @@
             known: Version::default(),
             writing: None,
             promised_until: Time::default(),
+            reached: None,
             heard: Map::default(),
         }
     }
 
-    /// This process's own entry stands in the map of this version, by its own write.
+    /// This process's own write that made it a member stands as the map of this version.
     pub fn joined(&mut self, version: Version) {
         self.joined.get_or_insert(version);
         self.saw(version);
     }
 
+    /// The map of this version is without this process; if it joins again, it counts as new.
+    pub fn left(&mut self, version: Version) {
+        self.joined = self.joined.filter(|joined| *joined > version);
+        self.saw(version);
+    }
+
     /// A map of this version was read, from the platform or from a peer.
     pub fn saw(&mut self, version: Version) {
         self.known = self.known.max(version);
         self.writing = self.writing.filter(|base| *base >= self.known);
     }
 
+    /// The platform has answered this member.
+    ///
+    /// It promises nothing for a while then, so that an owner that alone is cut off is written out.
+    pub fn reached(&mut self, now: Time) {
+        self.reached = self.reached.max(Some(now));
+    }
+
     /// A peer says that it knows the map of this version.
     pub fn heard(&mut self, node: &Node, version: Version) {
         let known = self.heard.entry(node.clone()).or_default();
@@ -89,6 +105,7 @@
             None => Vote::Refused,
             Some(_) if version < self.known => Vote::Behind(self.known),
             Some(_) if self.writing.is_some() => Vote::Refused,
+            Some(_) if self.reached.is_some_and(|at| now < at + duration) => Vote::Refused,
             Some(_) => {
                 let until = now + duration + self.terms.margin;
                 self.promised_until = self.promised_until.max(until);
@@ -102,7 +119,10 @@
         self.joined.is_some() && now >= self.promised_until
     }
 
-    /// Whether a node whose lease was fenced may be written out of the map now.
+    /// Whether a node whose lease was fenced may be written out of the map now, by this member.
+    ///
+    /// To be asked before the write, not only before the fence: a fenced owner that is cut off goes
+    /// on by promises, and whoever writes it out must be one whom it asks for them.
     ///
     /// `standing` is how long its lease had stood unrenewed, as [`crate::lease::Observer`] tells.
     pub fn may_write_out(&self, node: &Node, standing: Millis, now: Time) -> bool {
@@ -112,6 +132,27 @@
         self.may_write(now) && (knows_me || standing.0 >= limit)
     }
 
+    /// The newest write, conditional on this version, was surely refused.
+    pub fn withdrawn(&mut self, base: Version) {
+        self.writing = self.writing.filter(|writing| *writing != base);
+    }
+
+    /// Whether a write is under way or in doubt.
+    pub fn is_writing(&self) -> bool {
+        self.writing.is_some()
+    }
+
+    /// A write that takes a fenced node out is about to be sent; false: it must not be.
+    pub fn begin_write_out(
+        &mut self,
+        node: &Node,
+        standing: Millis,
+        base: Version,
+        now: Time,
+    ) -> bool {
+        self.may_write_out(node, standing, now) && self.begin_write(base, now)
+    }
+
     /// A write conditional on this version is about to be sent; false: it must not be.
     pub fn begin_write(&mut self, base: Version, now: Time) -> bool {
         let allowed = self.may_write(now) && base >= self.known;
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -117,13 +117,14 @@
             Arc::clone(&peers),
             limits,
         );
+        let given = promise::Given::new(&settings.lease);
         let member = Arc::new(Member {
             settings,
             platform,
             lease,
             store: sync::Store::default(),
             heard: heartbeat::Heard::default(),
-            given: promise::Given::default(),
+            given,
             quarantine: quarantine::Shared::default(),
             changing: tokio::sync::Mutex::default(),
             news: Notify::new(),
@@ -164,6 +165,7 @@
     pub async fn depart(self: &Arc<Self>, limit: Duration) {
         handover::depart(self, limit).await;
         self.abort();
+        renewal::release(self).await;
     }
 
     /// Ends all loops at once, as a crash would.
@@ -340,6 +342,8 @@
             }
             newer
         });
+        self.given
+            .saw(map.version, map.member(&self.node()).is_some());
         if newer {
             self.journal.set_members(map.members.len());
             upkeep::settle(self);
@@ -363,6 +367,7 @@
         self.lease.restart(fresh_name(&self.settings.node));
         self.shards.drop_all();
         self.heard.clear();
+        self.given.restart();
     }
 }
 
