--- a/crates/entry/src/ingress.rs
+++ b/crates/entry/src/ingress.rs
@@ -212,13 +212,13 @@
     frames.boxed()
 }
 
-/// A refusal after a send that was lost: calls that the ledger doesn't keep, or wasn't asked for,
-/// may have run then.
+/// A refusal after a send that was lost: a call may have run then that the ledger doesn't keep, or
+/// that its new owner couldn't make out.
 fn honest(refusal: Refusal, lost: bool, request: &CallRequest) -> Refusal {
     let step = matches!(request.what, Some(What::Step(_)));
-    let unkept = !step && request::is_fresh(&request.request);
-    let unasked = refusal.code == Code::Unauthorized.as_str();
-    match lost && (unkept || unasked) && refusal.ran() == Ran::No {
+    let kept = step || !request::is_fresh(&request.request);
+    let read = !matches!(refusal.code.parse(), Ok(Code::BadRequest | Code::NotFound));
+    match lost && refusal.ran() == Ran::No && !(kept && read) {
         true => Refusal {
             ran: Ran::Unknown.into(),
             ..refusal
