--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -149,7 +149,7 @@
     /// The whole way of a call.
     async fn job(&self, job: &Job, out: &Out) -> Result<(), Stop> {
         let _counted = self.flight.enter(job.shard);
-        self.check(job)?;
+        self.admitted(job)?;
         let prompt = match self.turn(job, out).await? {
             Turn::Replay(answer) => return replay(out, &answer).await,
             Turn::Go(prompt) => prompt,
@@ -207,7 +207,7 @@
                 () = tokio::time::sleep_until(job.deadline) => return Err(refusal.into()),
                 () = out.closed() => return Err(Stop::Gone),
             }
-            self.check(job)?;
+            self.admitted(job)?;
         }
     }
 
