Let a call with a warm cache go well ahead of the others

Cause: near saturation programs waited for a slot until their cache had been dropped, and then computed their history again.

--- a/crates/sched/src/policy.rs
+++ b/crates/sched/src/policy.rs
@@ -58,8 +58,8 @@
             order: Order::default(),
             choice: Choice::default(),
             emphasis: 0.25,
-            ageing: Millis(250),
-            warm_bonus: Millis(2_000),
+            ageing: Millis(50),
+            warm_bonus: Millis(60_000),
             share: Millis(1_000),
         }
     }
