Charge a move with the caches that it drops

Cause: computing or receiving a history elsewhere fills a cache that others lose; the choice counted only the mover's own time, so moves bred moves. A test asked that a program leave its cache at 5 s of wait against 1.9 s of prefill; that was the old price (1 x). The new one holds the price from both sides, within 1 %.

--- a/crates/sched/src/route.rs
+++ b/crates/sched/src/route.rs
@@ -2,7 +2,8 @@
 //!
 //! The least expected completion: the backlog ahead, prefill of what the target has not cached (or
 //! the transfer of a cache from another target), then decode. A program so stays with its cache
-//! unless waiting there costs more than computing it anew. Load reports lag, so the caller adds
+//! unless waiting there costs more than computing it anew, and than what it drops of others' caches
+//! elsewhere. Load reports lag, so the caller adds
 //! what it has sent since the report was made.
 
 use coord::id::Target;
@@ -19,6 +20,9 @@
 /// Decode rate assumed for a target that reports none, in tokens a second and call.
 const DEFAULT_DECODE_RATE: u64 = 40;
 
+/// What storing a token costs the others whose cache it drops, in prefills of a token.
+const EVICTION_WEIGHT: f64 = 2.0;
+
 /// Shortest time that a call is taken to hold a slot, in seconds.
 const SLOT_SECONDS: f64 = 0.1;
 
@@ -121,10 +125,11 @@
     })
 }
 
-/// Time until the call's last token, in seconds, if it computes what isn't cached.
+/// Time until the call's last token, in seconds, if it computes what isn't cached; with what that
+/// costs others.
 pub fn completion(candidate: &Candidate, need: &Need) -> f64 {
     let uncached = need.input.0.saturating_sub(candidate.cached.0);
-    let prefill = uncached as f64 / prefill_rate(candidate);
+    let prefill = (1.0 + EVICTION_WEIGHT) * uncached as f64 / prefill_rate(candidate);
     backlog(candidate, need) + prefill + decode(candidate, need) + preference(candidate)
 }
 
@@ -167,7 +172,9 @@
         ..candidate.clone()
     };
     let missing = holder.cached.0.saturating_sub(candidate.cached.0);
-    completion(&received, need) + missing as f64 / need.transfer_rate as f64
+    let transfer = missing as f64 / need.transfer_rate as f64;
+    let eviction = EVICTION_WEIGHT * missing as f64 / prefill_rate(candidate);
+    completion(&received, need) + transfer + eviction
 }
 
 /// Time until a call that comes now would start, in seconds: the longer of what is left to prefill
--- a/crates/sched/tests/route.rs
+++ b/crates/sched/tests/route.rs
@@ -99,15 +99,19 @@
     );
 }
 
-#[test]
-fn program_leaves_its_cache_when_waiting_costs_more_than_computing() {
+/// Computing 15,000 tokens takes 15,000 of prefill and drops others' caches worth twice that.
+#[rstest]
+#[case(44_500, true)]
+#[case(45_500, false)]
+fn program_leaves_its_cache_just_when_waiting_costs_more_than_computing_and_eviction(
+    #[case] queued: u64,
+    #[case] stays: bool,
+) {
     let mut candidates = three();
     candidates[1].cached = Tokens(15_000);
-    candidates[1].queued_tokens = Tokens(40_000);
-    assert_ne!(
-        route::choose(&Policy::default(), &candidates, &need()),
-        Some(1)
-    );
+    candidates[1].queued_tokens = Tokens(queued);
+    let chosen = route::choose(&Policy::default(), &candidates, &need());
+    assert_eq!(chosen == Some(1), stays);
 }
 
 #[test]
