--- a/crates/entry/src/resolve.rs
+++ b/crates/entry/src/resolve.rs
@@ -8,11 +8,9 @@
 
 use coord::decision::Flight;
 use coord::id::Epoch;
-use coord::id::Node;
 use coord::id::SHARDS;
 use coord::id::Shard;
 use coord::record::Outcome;
-use coord::shard::Map;
 use futures::StreamExt;
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::Instant;
@@ -24,6 +22,7 @@
 use crate::ledger;
 use crate::run;
 use crate::shards::Gained;
+use crate::shards::Role;
 
 const STEP: &str = "resolve";
 /// Attempts resolved at once in one shard.
@@ -32,93 +31,68 @@
 const TRIES: u32 = 4;
 /// Time beyond the longest request for a former owner to finish.
 const LINGER: Duration = Duration::from_secs(60);
+/// Pause between two looks for attempts that no call follows.
+const ABANDONED_PAUSE: Duration = Duration::from_secs(2);
 /// Pause between two tries.
 const PAUSE: Duration = Duration::from_millis(250);
 
-/// Owners of each shard, the newest two that were seen.
-#[derive(Debug, Default)]
-struct Owners(Vec<[Option<(Epoch, Node)>; 2]>);
-
-impl Owners {
-    fn see(&mut self, map: &Map) {
-        self.0.resize_with(usize::from(SHARDS), Default::default);
-        for (seen, number) in self.0.iter_mut().zip(0..SHARDS) {
-            let owner = map.owner(Shard(number));
-            let owner = owner.and_then(|owner| Some((owner.epoch, owner.primary.clone()?)));
-            let newest = seen[0].as_ref().map(|(epoch, _)| *epoch);
-            match owner {
-                Some(owner) if newest < Some(owner.0) => {
-                    seen[1] = seen[0].replace(owner);
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Who owned a shard before an epoch, as far as was seen.
-    fn before(&self, shard: Shard, epoch: Epoch) -> Option<Node> {
-        let seen = self.0.get(usize::from(shard.0))?;
-        let mut earlier = seen.iter().flatten().filter(|(other, _)| *other < epoch);
-        earlier.next().map(|(_, node)| node.clone())
-    }
-}
-
 /// Resolves each shard that this node gains, until the process ends.
 pub async fn keep(call: Arc<Call>) {
     let mut gained = call.member.gained();
-    let mut maps = call.member.map_changes();
-    let mut owners = Owners::default();
     loop {
-        owners.see(&call.member.map());
-        tokio::select! {
-            gain = gained.recv() => match gain {
-                Ok(Gained { shard, epoch }) => start(&call, &owners, shard, epoch),
-                Err(RecvError::Lagged(_)) => all(&call, &owners),
-                Err(RecvError::Closed) => return,
-            },
-            Ok(()) = maps.changed() => {}
+        match gained.recv().await {
+            Ok(Gained { shard, epoch }) => start(&call, shard, epoch),
+            Err(RecvError::Lagged(_)) => all(&call),
+            Err(RecvError::Closed) => return,
         }
     }
 }
 
-/// Resolves all shards that this node owns at present.
-fn all(call: &Arc<Call>, owners: &Owners) {
-    for number in 0..SHARDS {
-        let shard = Shard(number);
-        if let Some(authority) = call.member.authority(shard) {
-            start(call, owners, shard, authority.epoch);
+/// Resolves attempts of this process that no call follows any more, until the process ends. A call
+/// leaves one behind when neither its dispatch nor its outcome reached a second place.
+pub async fn sweep(call: Arc<Call>) {
+    loop {
+        tokio::time::sleep(ABANDONED_PAUSE).await;
+        for number in 0..SHARDS {
+            let shard = Shard(number);
+            if let Some(authority) = call.member.authority(shard) {
+                abandoned(&call, shard, authority.epoch).await;
+            }
         }
     }
 }
 
-fn start(call: &Arc<Call>, owners: &Owners, shard: Shard, epoch: Epoch) {
-    let call = Arc::clone(call);
-    let former = owners.before(shard, epoch);
-    tokio::spawn(async move {
-        if let Some(former) = former {
-            finished(&call, shard, &former).await;
+async fn abandoned(call: &Call, shard: Shard, epoch: Epoch) {
+    let me = call.member.node();
+    let fence = Fence {
+        node: me.clone(),
+        shard,
+        epoch,
+    };
+    let flights = call
+        .member
+        .shards()
+        .inspect(shard, |state| state.replica.in_flight());
+    for flight in flights.unwrap_or_default() {
+        if flight.by == me && !call.flight.is_own(&flight.attempt) {
+            settle(call, &fence, flight).await;
         }
-        resolve(&call, shard, epoch).await;
-    });
+    }
 }
 
-/// Waits while the former owner, which handed the shard over, finishes what it began.
-async fn finished(call: &Call, shard: Shard, former: &Node) {
-    let end = Instant::now() + clock::duration(call.settings.limits.timeout_max_ms) + LINGER;
-    while Instant::now() < end && call.member.map().member(former).is_some() {
-        if !has_foreign(call, shard) {
-            return;
+/// Resolves all shards that this node owns at present.
+fn all(call: &Arc<Call>) {
+    for number in 0..SHARDS {
+        let shard = Shard(number);
+        if let Some(authority) = call.member.authority(shard) {
+            start(call, shard, authority.epoch);
         }
-        call.flight.news(shard).await;
     }
 }
 
-/// Whether a call that another node began is in flight.
-fn has_foreign(call: &Call, shard: Shard) -> bool {
-    let foreign = |flight: &Flight| !call.flight.is_own(&flight.attempt);
-    let shards = call.member.shards();
-    let found = shards.inspect(shard, |state| state.replica.in_flight().iter().any(foreign));
-    found.unwrap_or(false)
+fn start(call: &Arc<Call>, shard: Shard, epoch: Epoch) {
+    let call = Arc::clone(call);
+    tokio::spawn(async move { resolve(&call, shard, epoch).await });
 }
 
 async fn resolve(call: &Call, shard: Shard, epoch: Epoch) {
@@ -139,42 +113,39 @@
 }
 
 async fn settle(call: &Call, fence: &Fence, flight: Flight) {
-    if !is_orphan(call, fence, &flight).await {
-        return;
-    }
-    let fenced = is_fenced(call, fence, &flight).await;
-    let outcome = match fenced {
-        true => Outcome::NotRun,
-        false => Outcome::Unknown,
-    };
-    let shards = call.member.shards();
-    let settled =
-        ledger::record_outcome(shards, &flight.call, fence.shard, &flight.attempt, outcome).await;
-    if settled.is_err() {
-        log::warn!(step = STEP, peer = flight.target.as_str(); "the outcome wasn't recorded");
+    while is_orphan(call, fence, &flight).await {
+        let outcome = match is_fenced(call, fence, &flight).await {
+            true => Outcome::NotRun,
+            false => Outcome::Unknown,
+        };
+        let shards = call.member.shards();
+        let (asked, attempt) = (&flight.call, &flight.attempt);
+        let settled = ledger::record_outcome(shards, asked, fence.shard, attempt, outcome).await;
+        call.flight.settled(fence.shard);
+        match settled {
+            Ok(()) => return,
+            Err(_) => {
+                log::warn!(step = STEP, peer = flight.target.as_str(); "the outcome wasn't recorded");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
     }
-    call.flight.settled(fence.shard);
 }
 
-/// Waits until the attempt's node reports its outcome or is no member any more; false: nothing is
-/// left to resolve here.
+/// Waits until the attempt's node reports its outcome, is no member any more or has had more time
+/// than any request; false: nothing is left to resolve here.
 async fn is_orphan(call: &Call, fence: &Fence, flight: &Flight) -> bool {
     let mut maps = call.member.map_changes();
+    let longest = clock::duration(call.settings.limits.timeout_max_ms);
+    let end = Instant::now() + longest + LINGER;
     loop {
         let news = call.flight.news(fence.shard);
-        let shards = call.member.shards();
-        let held = shards
-            .authority(fence.shard)
-            .is_some_and(|held| held.epoch == fence.epoch);
-        let awaited = || {
-            shards.inspect(fence.shard, |state| {
-                state.replica.awaits(&flight.call, &flight.attempt)
-            })
-        };
+        let awaited = is_awaited(call, fence, flight);
         match maps.borrow_and_update().member(&flight.by) {
-            _ if !held || awaited() != Some(true) => return false,
-            None => return true,
-            Some(_) => {}
+            _ if !awaited => return false,
+            Some(_) if flight.by == fence.node => return !call.flight.is_own(&flight.attempt),
+            Some(_) if Instant::now() < end => {}
+            Some(_) | None => return true,
         }
         tokio::select! {
             () = news => {}
@@ -183,6 +154,15 @@
     }
 }
 
+/// Whether this node owns the shard as when it gained it, and awaits the outcome.
+fn is_awaited(call: &Call, fence: &Fence, flight: &Flight) -> bool {
+    let awaited = call.member.shards().inspect(fence.shard, |state| {
+        let held = state.role == Role::Primary && state.epoch == fence.epoch;
+        held && state.replica.awaits(&flight.call, &flight.attempt)
+    });
+    awaited.unwrap_or(false)
+}
+
 async fn is_fenced(call: &Call, fence: &Fence, flight: &Flight) -> bool {
     let config = call.member.config();
     let Some(target) = config.target(&flight.target) else {
--- a/crates/sched/src/route.rs
+++ b/crates/sched/src/route.rs
@@ -2,7 +2,8 @@
 //!
 //! The least expected completion: the backlog ahead, prefill of what the target has not cached (or
 //! the transfer of a cache from another target), then decode. A program so stays with its cache
-//! unless waiting there costs more than computing it anew. Load reports lag, so the caller adds
+//! unless waiting there costs more than computing it anew, and than what it drops of others' caches
+//! elsewhere. Load reports lag, so the caller adds
 //! what it has sent since the report was made.
 
 use coord::id::Target;
@@ -19,6 +20,15 @@
 /// Decode rate assumed for a target that reports none, in tokens a second and call.
 const DEFAULT_DECODE_RATE: u64 = 40;
 
+/// What storing a token costs the others whose cache it drops, in prefills of a token.
+const EVICTION_WEIGHT: f64 = 2.0;
+
+/// Shortest time that a call is taken to hold a slot, in seconds.
+const SLOT_SECONDS: f64 = 0.1;
+
+/// What a full set of slots counts where nothing else tells targets apart, in seconds.
+const OCCUPANCY_SECONDS: f64 = 0.001;
+
 /// Cost of a network hop to another data centre, in seconds.
 const FAR_SECONDS: f64 = 0.002;
 
@@ -115,11 +125,12 @@
     })
 }
 
-/// Time until the call's last token, in seconds, if it computes what isn't cached.
+/// Time until the call's last token, in seconds, if it computes what isn't cached; with what that
+/// costs others.
 pub fn completion(candidate: &Candidate, need: &Need) -> f64 {
     let uncached = need.input.0.saturating_sub(candidate.cached.0);
-    let prefill = uncached as f64 / prefill_rate(candidate);
-    backlog(candidate) + prefill + decode(candidate, need) + distance(candidate)
+    let prefill = (1.0 + EVICTION_WEIGHT) * uncached as f64 / prefill_rate(candidate);
+    backlog(candidate, need) + prefill + decode(candidate, need) + preference(candidate)
 }
 
 fn soonest(candidates: &[Candidate], need: &Need) -> Option<Placement> {
@@ -161,18 +172,33 @@
         ..candidate.clone()
     };
     let missing = holder.cached.0.saturating_sub(candidate.cached.0);
-    completion(&received, need) + missing as f64 / need.transfer_rate as f64
+    let transfer = missing as f64 / need.transfer_rate as f64;
+    let eviction = EVICTION_WEIGHT * missing as f64 / prefill_rate(candidate);
+    completion(&received, need) + transfer + eviction
 }
 
-/// Time until a call that comes now would start, in seconds.
-fn backlog(candidate: &Candidate) -> f64 {
+/// Time until a call that comes now would start, in seconds: the longer of what is left to prefill
+/// and, once the slots are taken, the wait for one.
+fn backlog(candidate: &Candidate, need: &Need) -> f64 {
+    prefill_wait(candidate, need).max(slot_wait(candidate, need))
+}
+
+/// Queued costs hold decoding too, which does not keep the next call from its prefill.
+fn prefill_wait(candidate: &Candidate, need: &Need) -> f64 {
     let ahead = candidate.queued_tokens.0 + candidate.sent_since.cost.0;
-    let running = candidate.running_tokens.0;
+    let calls = u64::from(candidate.queued + candidate.sent_since.calls);
+    let decode = cost::call(Tokens(0), need.output).0.saturating_mul(calls);
+    ahead.saturating_sub(decode) as f64 / prefill_rate(candidate)
+}
+
+fn slot_wait(candidate: &Candidate, need: &Need) -> f64 {
+    let slots = candidate.slots.max(1);
     let calls = candidate.running + candidate.queued + candidate.sent_since.calls;
-    let wait = ahead as f64 / work_rate(candidate);
-    match calls >= candidate.slots.max(1) {
-        true => wait + running as f64 / work_rate(candidate) / f64::from(candidate.slots.max(1)),
-        false => wait,
+    match (calls + 1).checked_sub(slots) {
+        Some(waiting) => {
+            f64::from(waiting) / f64::from(slots) * decode(candidate, need).max(SLOT_SECONDS)
+        }
+        None => 0.0,
     }
 }
 
@@ -191,20 +217,10 @@
     }
 }
 
-/// Cost that a target works off a second.
-fn work_rate(candidate: &Candidate) -> f64 {
-    let decode = u64::from(candidate.slots) * candidate.decode_rate * cost::OUTPUT_WEIGHT;
-    match decode {
-        0 => prefill_rate(candidate),
-        decode => prefill_rate(candidate).min(decode as f64),
-    }
-}
-
-fn distance(candidate: &Candidate) -> f64 {
-    match candidate.near {
-        true => 0.0,
-        false => FAR_SECONDS,
-    }
+/// Small terms that tell equal targets apart, in seconds.
+fn preference(candidate: &Candidate) -> f64 {
+    let far = if candidate.near { 0.0 } else { FAR_SECONDS };
+    far + occupancy(candidate) * OCCUPANCY_SECONDS
 }
 
 /// Calls for each slot.
