--- a/crates/coord/tests/common/mod.rs
+++ b/crates/coord/tests/common/mod.rs
@@ -5,7 +5,12 @@
 use coord::record::Answer;
 use coord::record::Budget;
 use coord::record::Call;
+use coord::record::Outcome;
+use coord::refusal::Code;
 use coord::replica::Begin;
+use coord::replica::Decision;
+use coord::replica::Opening;
+use coord::replica::Replica;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 
@@ -72,3 +77,53 @@
         wall_ms,
     }
 }
+
+pub const PLENTY: Budget = Budget {
+    tokens: Tokens(1000),
+    calls: 100,
+    wall_ms: 1_000_000,
+};
+
+pub fn open(replica: &mut Replica, program: &str, budget: Budget) {
+    let opening = match program.contains('.') {
+        true => replica.child(&name(program), &name("ana"), budget, 1000),
+        false => replica.open(&name(program), &name("ana"), budget, 1000),
+    };
+    match opening {
+        Opening::New(records) => records.iter().for_each(|record| replica.apply(record)),
+        other => panic!("not opened: {other:?}"),
+    }
+}
+
+pub fn begin(replica: &mut Replica, ask: Begin) -> Decision {
+    let decision = replica.begin(ask);
+    if let Decision::Dispatch(records) | Decision::Close(records, _) = &decision {
+        records.iter().for_each(|record| replica.apply(record));
+    }
+    decision
+}
+
+pub fn settle(replica: &mut Replica, call: &Call, attempt: &str, outcome: Outcome) -> usize {
+    let records = replica.settle(call, &name(attempt), outcome, 2000);
+    records.iter().for_each(|record| replica.apply(record));
+    records.len()
+}
+
+/// Runs a step whole.
+pub fn run(replica: &mut Replica, program: &str, number: u32, tokens: u64) {
+    let call = step(program, number);
+    let ask = Begin {
+        content: u64::from(number),
+        ..ask(call.clone(), "a")
+    };
+    assert!(matches!(begin(replica, ask), Decision::Dispatch(_)));
+    let outcome = Outcome::Answered(answer(&format!("answer {number}"), tokens));
+    assert_eq!(settle(replica, &call, "a", outcome), 1);
+}
+
+pub fn code(decision: &Decision) -> Code {
+    match decision {
+        Decision::Refuse(refusal) | Decision::Close(_, refusal) => refusal.code,
+        other => panic!("not refused: {other:?}"),
+    }
+}
--- a/crates/coord/tests/ledger.rs
+++ b/crates/coord/tests/ledger.rs
@@ -4,6 +4,7 @@
 
 use common::answer;
 use common::ask;
+use common::begin;
 use common::name;
 use common::single;
 use coord::id::Customer;
@@ -16,18 +17,8 @@
 use coord::replica::Replica;
 use rstest::rstest;
 
-fn begun(replica: &mut Replica, ask: Begin) -> Decision {
-    let decision = replica.begin(ask);
-    if let Decision::Dispatch(records) | Decision::Close(records, _) = &decision {
-        records.iter().for_each(|record| replica.apply(record));
-    }
-    decision
-}
-
 fn settle(replica: &mut Replica, request: &str, attempt: &str, outcome: Outcome) -> usize {
-    let records = replica.settle(&single("ana", request), &name(attempt), outcome, 2000);
-    records.iter().for_each(|record| replica.apply(record));
-    records.len()
+    common::settle(replica, &single("ana", request), attempt, outcome)
 }
 
 fn request(request: &str, attempt: &str) -> Begin {
@@ -72,7 +63,7 @@
         idempotent,
         ..request("r", attempt)
     };
-    assert_eq!(kind(begun(&mut replica, ask("a"))), Kind::Dispatch);
+    assert_eq!(kind(begin(&mut replica, ask("a"))), Kind::Dispatch);
     if let Some(outcome) = outcome {
         settle(&mut replica, "r", "a", outcome);
     }
@@ -82,7 +73,7 @@
 #[test]
 fn a_name_belongs_to_its_content_and_its_customer() {
     let mut replica = Replica::default();
-    begun(&mut replica, request("r", "a"));
+    begin(&mut replica, request("r", "a"));
     let other = Begin {
         content: 2,
         ..request("r", "b")
@@ -110,9 +101,9 @@
 #[test]
 fn only_the_awaited_attempt_settles_and_only_once() {
     let mut replica = Replica::default();
-    begun(&mut replica, request("r", "a"));
+    begin(&mut replica, request("r", "a"));
     settle(&mut replica, "r", "a", Outcome::NotRun);
-    begun(&mut replica, request("r", "b"));
+    begin(&mut replica, request("r", "b"));
     assert_eq!(
         settle(&mut replica, "r", "a", Outcome::Answered(answer("old", 2))),
         0
@@ -129,7 +120,7 @@
 fn a_new_primary_resolves_what_was_in_flight() {
     let mut replica = Replica::default();
     for request in ["fenced", "silent"] {
-        begun(&mut replica, self::request(request, request));
+        begin(&mut replica, self::request(request, request));
     }
     let bytes = replica.encode().unwrap();
     let mut replica = Replica::decode(&bytes, Limits::default()).unwrap();
@@ -148,7 +139,7 @@
     let limits = Limits::default();
     let mut replica = Replica::new(limits);
     for request in ["in-flight", "not-run", "answered"] {
-        begun(&mut replica, self::request(request, "a"));
+        begin(&mut replica, self::request(request, "a"));
     }
     settle(&mut replica, "not-run", "a", Outcome::NotRun);
     settle(
@@ -163,7 +154,7 @@
         ..request(name, "b")
     };
     for name in ["in-flight", "not-run", "never-seen"] {
-        assert_eq!(kind(begun(&mut replica, at(name, 6000))), UNKNOWN, "{name}");
+        assert_eq!(kind(begin(&mut replica, at(name, 6000))), UNKNOWN, "{name}");
     }
     assert_eq!(kind(replica.begin(at("answered", 6000))), Kind::Replay);
     let fresh = Begin {
@@ -201,7 +192,7 @@
     };
     for name in ["a", "b", "c", "d"] {
         let idempotent = name == "a";
-        begun(
+        begin(
             &mut replica,
             Begin {
                 idempotent,
@@ -231,7 +222,7 @@
     let limits = Limits::default();
     let mut replica = Replica::new(limits);
     for name in ["a", "b"] {
-        begun(&mut replica, request(name, name));
+        begin(&mut replica, request(name, name));
     }
     settle(&mut replica, "a", "a", Outcome::Answered(answer("x", 2)));
     let crowded = Limits { bytes: 1, ..limits };
--- a/crates/coord/tests/program.rs
+++ b/crates/coord/tests/program.rs
@@ -2,15 +2,19 @@
 
 mod common;
 
+use common::PLENTY;
 use common::answer;
 use common::ask;
+use common::begin;
 use common::budget;
+use common::code;
 use common::name;
+use common::open;
+use common::run;
+use common::settle;
 use common::step;
-use coord::id::Step;
 use coord::id::Tokens;
 use coord::record::Budget;
-use coord::record::Call;
 use coord::record::Ending;
 use coord::record::Outcome;
 use coord::record::Record;
@@ -24,12 +28,6 @@
 use rstest::fixture;
 use rstest::rstest;
 
-const PLENTY: Budget = Budget {
-    tokens: Tokens(1000),
-    calls: 100,
-    wall_ms: 1_000_000,
-};
-
 #[fixture]
 fn replica() -> Replica {
     opened(PLENTY)
@@ -41,50 +39,6 @@
     replica
 }
 
-fn open(replica: &mut Replica, program: &str, budget: Budget) {
-    let opening = match program.contains('.') {
-        true => replica.child(&name(program), &name("ana"), budget, 1000),
-        false => replica.open(&name(program), &name("ana"), budget, 1000),
-    };
-    match opening {
-        Opening::New(records) => records.iter().for_each(|record| replica.apply(record)),
-        other => panic!("not opened: {other:?}"),
-    }
-}
-
-fn begin(replica: &mut Replica, ask: Begin) -> Decision {
-    let decision = replica.begin(ask);
-    if let Decision::Dispatch(records) | Decision::Close(records, _) = &decision {
-        records.iter().for_each(|record| replica.apply(record));
-    }
-    decision
-}
-
-fn settle(replica: &mut Replica, call: &Call, attempt: &str, outcome: Outcome) -> usize {
-    let records = replica.settle(call, &name(attempt), outcome, 2000);
-    records.iter().for_each(|record| replica.apply(record));
-    records.len()
-}
-
-/// Runs a step whole.
-fn run(replica: &mut Replica, program: &str, number: u32, tokens: u64) {
-    let call = step(program, number);
-    let ask = Begin {
-        content: u64::from(number),
-        ..ask(call.clone(), "a")
-    };
-    assert!(matches!(begin(replica, ask), Decision::Dispatch(_)));
-    let outcome = Outcome::Answered(answer(&format!("answer {number}"), tokens));
-    assert_eq!(settle(replica, &call, "a", outcome), 1);
-}
-
-fn code(decision: &Decision) -> Code {
-    match decision {
-        Decision::Refuse(refusal) | Decision::Close(_, refusal) => refusal.code,
-        other => panic!("not refused: {other:?}"),
-    }
-}
-
 #[rstest]
 fn a_step_ahead_of_its_turn_waits_until_the_one_before_is_answered(mut replica: Replica) {
     let second = ask(step("p", 2), "b");
@@ -366,101 +320,3 @@
         matches!(&ended[..], [Record::Ended { program, reason: Ending::Idle, .. }] if *program == name("q.1"))
     );
 }
-
-#[rstest]
-fn the_history_is_the_whole_conversation_and_a_foreign_segment_breaks_it(mut replica: Replica) {
-    run(&mut replica, "p", 1, 4);
-    run(&mut replica, "p", 2, 4);
-    let messages = replica.history(&name("p")).unwrap().unwrap();
-    let expected = r#"[{"role":"user","content":"hi"},{"content":"answer 1","role":"assistant"},{"role":"user","content":"hi"},{"content":"answer 2","role":"assistant"}]"#;
-    assert_eq!(String::from_utf8(messages).unwrap(), expected);
-    open(&mut replica, "q", budget(100, 10, 1000));
-    run(&mut replica, "q", 1, 4);
-    let foreign = replica.snapshot(&name("q")).unwrap().segments[0].clone();
-    let mut mixed = replica.snapshot(&name("p")).unwrap();
-    mixed.segments[0] = foreign;
-    assert!(mixed.messages().is_err());
-    let mut gap = replica.snapshot(&name("p")).unwrap();
-    gap.segments.remove(0);
-    assert!(gap.verify().is_err());
-}
-
-#[rstest]
-#[case::completion(
-    "application/json",
-    r#"{"choices":[{"message":{"role":"assistant","content":"yes"}}]}"#,
-    "yes"
-)]
-#[case::stream(
-    "text/event-stream; charset=utf-8",
-    "data: {\"choices\":[{\"delta\":{\"content\":\"y\"}}]}\n\ndata: {\"choices\":[{\"delta\":{\"content\":\"es\"}}]}\n\ndata: [DONE]\n\n",
-    "yes"
-)]
-#[case::text("text/plain", "yes", "yes")]
-fn the_history_reads_each_kind_of_answer(
-    mut replica: Replica,
-    #[case] kind: &str,
-    #[case] body: &str,
-    #[case] said: &str,
-) {
-    begin(&mut replica, ask(step("p", 1), "a"));
-    let answer = coord::record::Answer {
-        content_type: kind.into(),
-        ..answer(body, 4)
-    };
-    settle(&mut replica, &step("p", 1), "a", Outcome::Answered(answer));
-    let messages = replica.history(&name("p")).unwrap().unwrap();
-    let messages: serde_json::Value = serde_json::from_slice(&messages).unwrap();
-    assert_eq!(messages[1]["content"], said);
-}
-
-#[rstest]
-fn a_step_in_flight_at_a_loss_is_unknown_unless_idempotent(mut replica: Replica) {
-    open(&mut replica, "q", PLENTY);
-    begin(&mut replica, ask(step("p", 1), "a"));
-    let idempotent = Begin {
-        idempotent: true,
-        ..ask(step("q", 1), "b")
-    };
-    begin(&mut replica, idempotent);
-    replica.mark_lost(5000);
-    assert_eq!(
-        code(&replica.begin(ask(step("p", 1), "c"))),
-        Code::OutcomeUnknown
-    );
-    let left: Vec<Call> = replica
-        .in_flight()
-        .into_iter()
-        .map(|flight| flight.call)
-        .collect();
-    assert_eq!(left, [step("q", 1)]);
-}
-
-#[rstest]
-fn the_next_step_after_a_loss_is_refused_as_unknown_unless_idempotent(mut replica: Replica) {
-    run(&mut replica, "p", 1, 4);
-    replica.mark_lost(5000);
-    let idempotent = Begin {
-        content: 2,
-        idempotent: true,
-        ..ask(step("p", 2), "b")
-    };
-    assert!(matches!(replica.begin(idempotent), Decision::Dispatch(_)));
-    let risky = Begin {
-        content: 2,
-        ..ask(step("p", 2), "b")
-    };
-    assert_eq!(
-        code(&begin(&mut replica, risky.clone())),
-        Code::OutcomeUnknown
-    );
-    assert_eq!(code(&replica.begin(risky)), Code::OutcomeUnknown);
-    assert!(matches!(
-        replica.begin(Begin {
-            content: 3,
-            ..ask(step("p", 3), "c")
-        }),
-        Decision::Dispatch(_)
-    ));
-    assert_eq!(replica.program(&name("p")).unwrap().next_step(), Step(3));
-}
--- a/crates/coord/tests/promise.rs
+++ b/crates/coord/tests/promise/world.rs
@@ -1,10 +1,7 @@
-//! No two nodes hold authority for one shard, whichever of them are cut from the platform.
-
-mod common;
+//! A platform, some processes, and what is under way between them.
 
 use std::collections::HashMap;
 
-use common::name;
 use coord::id::Node;
 use coord::id::Shard;
 use coord::id::Version;
@@ -22,13 +19,13 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::common::name;
+
 const NODES: usize = 4;
-const SCHEDULES: usize = 300;
-const STEPS: usize = 300;
 const LEASE: Millis = Millis(300);
 const MARGIN: Millis = Millis(20);
-const PROMISE: Millis = Millis(200);
-const TERMS: Terms = Terms {
+pub const PROMISE: Millis = Millis(200);
+pub const TERMS: Terms = Terms {
     margin: MARGIN,
     limit: Millis(1500),
 };
@@ -111,9 +108,9 @@
     }
 }
 
-struct World {
+pub struct World {
     clock: u64,
-    map: Map,
+    pub map: Map,
     /// Version of each node's lease object, and whether it is revoked.
     leases: HashMap<Node, (Version, bool)>,
     processes: Vec<Process>,
@@ -122,12 +119,12 @@
     started: usize,
     rng: StdRng,
     /// How often one acted without the platform, and how often one was written out.
-    alone: usize,
-    written_out: usize,
+    pub alone: usize,
+    pub written_out: usize,
 }
 
 impl World {
-    fn new(seed: u64) -> World {
+    pub fn new(seed: u64) -> World {
         let mut world = World {
             clock: 1000,
             map: Map {
@@ -202,7 +199,7 @@
     }
 
     /// Some time passes, and each process does some of what it would do.
-    fn step(&mut self) {
+    pub fn step(&mut self) {
         self.clock += self.rng.random_range(5..60);
         self.deliver_due();
         if self.rng.random_ratio(1, 60) {
@@ -414,7 +411,7 @@
         }
     }
 
-    fn check(&mut self) {
+    pub fn check(&mut self) {
         let now = self.now();
         for shard in (0..NODES as u16).map(Shard) {
             let holders = self.processes.iter();
@@ -424,78 +421,3 @@
         }
     }
 }
-
-#[test]
-fn at_most_one_node_acts_for_a_shard() {
-    let (mut alone, mut written_out) = (0, 0);
-    for seed in 0..SCHEDULES {
-        let mut world = World::new(seed as u64);
-        for _ in 0..STEPS {
-            world.step();
-            world.check();
-        }
-        alone += usize::from(world.alone > 0);
-        written_out += usize::from(world.written_out > 0);
-    }
-    let half = SCHEDULES / 2;
-    assert!(
-        alone > half && written_out > half,
-        "{alone} and {written_out} of {SCHEDULES}"
-    );
-}
-
-#[test]
-fn an_owner_goes_on_while_all_promise_up_to_the_limit() {
-    let members = World::new(0).map.members;
-    let mut holder = Holder::new(TERMS);
-    let version = Version(7);
-    let valid = |holder: &Holder, now| holder.valid(&members, version, Time(0), Time(now));
-    for member in members.iter().skip(1) {
-        holder.promised(&member.node, version, PROMISE, Time(100));
-    }
-    assert!(!valid(&holder, 150));
-    holder.promised(&members[0].node, Version(6), PROMISE, Time(100));
-    assert!(!valid(&holder, 150));
-    holder.promised(&members[0].node, version, PROMISE, Time(120));
-    holder.promised(&members[0].node, Version(6), PROMISE, Time(90));
-    assert!(valid(&holder, 299) && !valid(&holder, 300));
-    for member in &members {
-        holder.promised(&member.node, version, PROMISE, Time(1400));
-    }
-    assert!(valid(&holder, 1499) && !valid(&holder, 1500));
-}
-
-#[test]
-fn a_process_that_has_not_joined_or_has_a_write_under_way_promises_nothing() {
-    let owner: Node = name("n1");
-    let mut voter = Voter::new(TERMS);
-    let ask =
-        |voter: &mut Voter, version, at| voter.ask(&owner, Version(version), PROMISE, Time(at));
-    assert_eq!(ask(&mut voter, 3, 200), Vote::Refused);
-    voter.joined(Version(3));
-    assert!(voter.begin_write(Version(3), Time(0)));
-    assert_eq!(ask(&mut voter, 3, 200), Vote::Refused);
-    voter.saw(Version(4));
-    voter.reached(Time(0));
-    assert_eq!(ask(&mut voter, 4, 199), Vote::Refused);
-    assert_eq!(ask(&mut voter, 3, 200), Vote::Behind(Version(4)));
-    assert_eq!(ask(&mut voter, 4, 200), Vote::Promised);
-    assert!(!voter.begin_write(Version(4), Time(419)));
-    assert!(voter.begin_write(Version(4), Time(420)));
-    voter.left(Version(5));
-    assert!(!voter.may_write(Time(900)));
-    assert_eq!(ask(&mut voter, 5, 200), Vote::Refused);
-}
-
-#[test]
-fn a_new_member_writes_out_only_an_owner_that_knows_it_or_has_passed_the_limit() {
-    let owner: Node = name("n1");
-    let mut voter = Voter::new(TERMS);
-    voter.joined(Version(3));
-    voter.heard(&owner, Version(2));
-    let may = |voter: &Voter, standing| voter.may_write_out(&owner, Millis(standing), Time(0));
-    assert!(!may(&voter, 1519));
-    assert!(may(&voter, 1520));
-    voter.heard(&owner, Version(3));
-    assert!(may(&voter, 0));
-}
