--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -174,7 +174,7 @@
 async fn check(fleet: &Fleet) -> eyre::Result<Vec<String>> {
     let mut faults = Vec::new();
     for target in fleet.engines.iter().chain(&fleet.tools) {
-        let stats = fleet.stats(target.url).await?;
+        let stats = fleet.stats(target.url).await?["counts"].clone();
         if stats["keys_seen"]
             .as_array()
             .is_none_or(|seen| !seen.is_empty())
@@ -186,7 +186,7 @@
         }
     }
     for tool in &fleet.tools {
-        let stats = fleet.stats(tool.url).await?;
+        let stats = fleet.stats(tool.url).await?["counts"].clone();
         let contents = stats["contents"].as_object().cloned().unwrap_or_default();
         let twice = contents
             .iter()
