Tell standbys apart by name and refuse copies older than the one held

Reading the code for it found four faults, mended here: a node that came back at the same address took records meant for its former self (standby's name added to ReplicateRequest and SyncChunk); an older copy could replace a newer one; a map that was older than a sync dropped the synced copy; a frozen shard took decisions again at any newer map while its handover was being written.

--- a/crates/entry/src/replicate.rs
+++ b/crates/entry/src/replicate.rs
@@ -100,6 +100,7 @@
         epoch: epoch.0,
         first: link.acked,
         records: fits.cloned().collect(),
+        standby: link.node.to_string(),
     };
     Some(Sending {
         link: link.id,
@@ -196,6 +197,7 @@
 /// A whole copy of a shard for a new link.
 struct Copy {
     link: u64,
+    standby: Node,
     epoch: Epoch,
     next: u64,
     bytes: Bytes,
@@ -214,6 +216,7 @@
     state.link = Some(link);
     Some(Copy {
         link: id,
+        standby: node.clone(),
         epoch: state.epoch,
         next: state.next,
         bytes,
@@ -227,7 +230,11 @@
 ) -> impl Iterator<Item = SyncChunk> + Send + 'static {
     let node = shards.lease().node().to_string();
     let Copy {
-        epoch, next, bytes, ..
+        standby,
+        epoch,
+        next,
+        bytes,
+        ..
     } = copy;
     let parts = bytes.len().div_ceil(PART).max(1);
     (0..parts).map(move |part| SyncChunk {
@@ -236,6 +243,7 @@
         epoch: epoch.0,
         next,
         part: bytes.slice(part * PART..bytes.len().min((part + 1) * PART)),
+        standby: standby.to_string(),
     })
 }
 
@@ -254,6 +262,7 @@
 /// A standby whose lease has lapsed may have been taken out of the map already.
 fn may_follow(shards: &Shards, state: &State, request: &ReplicateRequest) -> bool {
     state.role == Role::Standby
+        && request.standby == shards.lease().node().as_str()
         && state.epoch.0 == request.epoch
         && request.first <= state.next
         && shards.lease().authority().is_some()
@@ -303,7 +312,10 @@
     let slot = shards.slot(Shard(head.shard as u16));
     let mut state = slot.state.lock();
     let free = matches!(state.role, Role::None | Role::Standby);
-    let accepted = free && head.epoch >= state.epoch.0 && shards.lease().authority().is_some();
+    // A copy that was under way for long must not replace a newer one.
+    let newer = (head.epoch, head.next) >= (state.epoch.0, state.next);
+    let meant = head.standby == shards.lease().node().as_str();
+    let accepted = free && newer && meant && shards.lease().authority().is_some();
     if accepted {
         state.reset(shards.limits());
         state.role = Role::Standby;
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -1,7 +1,6 @@
 //! What a new shard map means for the copies that this node holds.
 
 use coord::id::Node;
-use coord::id::Shard;
 use coord::replica::Replica;
 use coord::shard::Map;
 use coord::shard::Owner;
@@ -47,10 +46,15 @@
     state.cautious = owner.cautious;
     match state.role {
         Role::Primary if state.epoch == owner.epoch => {
-            state.frozen = false;
             review_link(state, owner.standby.as_ref());
         }
+        Role::Recovering if state.epoch == owner.epoch => (),
         Role::Recovering => state.change_epoch(owner.epoch),
+        // Handed over and back unseen: nothing was durable in between without this copy.
+        Role::Primary if !owner.lost && state.frozen && state.is_complete() => {
+            state.link = None;
+            member.shards().promote(slot, state, owner.epoch);
+        }
         Role::Standby if state.epoch < owner.epoch => {
             state.link = owner
                 .standby
@@ -111,15 +115,16 @@
     owner.epoch.0 == state.epoch.0 + 1 && owner.primary.as_ref() == heir
 }
 
-/// This node has no part in the shard, unless it is a candidate that is being synced.
+/// This node has no part in the shard. A copy of the present epoch is kept: its primary may have
+/// sent it already, to write it into a newer map than this one.
 fn release(member: &Member, slot: &Slot, state: &mut State, owner: &Owner) {
-    let candidate =
-        state.role == Role::Standby && state.epoch == owner.epoch && owner.standby.is_none();
-    if state.role != Role::None && !candidate {
-        log::info!(step = "release shard"; "shard {} epoch {}", Shard(slot.shard.0), owner.epoch);
-        state.reset(member.shards().limits());
+    let candidate = state.role == Role::Standby && state.epoch == owner.epoch;
+    if candidate {
+        return;
     }
-    if !candidate {
-        state.epoch = owner.epoch;
+    if state.role != Role::None {
+        log::info!(step = "release shard"; "shard {} epoch {}", slot.shard, owner.epoch);
+        state.reset(member.shards().limits());
     }
+    state.epoch = owner.epoch;
 }
