Take the fleet's ports from below the kernel's range

Cause: of five runs of the calls' tests two failed in starting an entry, as a connection took the port between choosing and binding.

--- a/crates/entry/tests/call/fleet.rs
+++ b/crates/entry/tests/call/fleet.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -37,8 +39,12 @@
 const ENTRIES: usize = 2;
 /// Places at each target.
 const SLOTS: u64 = 4;
+/// First port and number of ports.
+const PORTS: (u16, u16) = (8_000, 4_000);
 const SALT: &str = "00ff";
 
+static NEXT: AtomicU16 = AtomicU16::new(0);
+
 /// Everything of one test; it ends with it.
 pub struct Fleet {
     _platform: Platform,
@@ -367,7 +373,12 @@
     digest.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
+/// A port below the range that the kernel hands out for connections.
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
+    let start = std::process::id() as u16 % PORTS.1;
+    (0..PORTS.1)
+        .map(|_| PORTS.0 + (start + NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS.1)
+        .map(|port| SocketAddr::from(([127, 0, 0, 1], port)))
+        .find(|address| TcpListener::bind(address).is_ok())
+        .expect("a port is free")
 }
