Give each request to a target a connection of its own

Cause: a connection that the target closed while it was idle made a request that never arrived look as though it may have run, and a probe on one counted the target as dead, which blames what runs for the crash. The new test failed with kept connections and passes without. Ruled out: retrying on a fresh connection, since a broken one doesn't tell whether the request was read.

--- a/crates/sidecar/src/upstream.rs
+++ b/crates/sidecar/src/upstream.rs
@@ -30,9 +30,6 @@
 /// Largest reply to a short call, in bytes.
 const SHORT_LIMIT: usize = 8 * 1024 * 1024;
 
-/// How long an idle connection is kept.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// A failed call to the target.
 #[derive(Debug)]
 pub enum Error {
@@ -108,8 +105,10 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
+        // Each request has a connection of its own: on a kept one that the target closes meanwhile, a
+        // request that never arrived would look as though it may have run, and a target as dead.
         let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(0)
             .build(connector);
         Upstream {
             base: base.trim_end_matches('/').to_owned(),
--- a/crates/sidecar/tests/dispatch.rs
+++ b/crates/sidecar/tests/dispatch.rs
@@ -4,9 +4,13 @@
 
 use std::time::Duration;
 
+use fakes::engine;
+use fakes::engine::Engine;
 use fakes::fault::Faults;
 use fakes::tool;
+use fakes::tool::Tool;
 use rstest::rstest;
+use sidecar::daemon::Daemon;
 use sidecar::settings::Kind;
 use support::*;
 use wire::Ran;
@@ -21,6 +25,26 @@
     }
 }
 
+/// A service that takes so long for each request, its one place taken by `a1`.
+async fn occupied(work_ms: u64, queue: usize) -> (Tool, Daemon, Client, Ongoing) {
+    let tool = tool(slow_tool(work_ms)).await;
+    let mut settings = settings(tool.address, Kind::Plain);
+    settings.limits.slots = 1;
+    settings.limits.queue = queue;
+    let (daemon, client) = sidecar(settings).await;
+    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
+    running.started().await;
+    (tool, daemon, client, running)
+}
+
+async fn slow_engine(decode_rate: u64) -> Engine {
+    engine(engine::Settings {
+        decode_rate,
+        ..Default::default()
+    })
+    .await
+}
+
 #[tokio::test]
 async fn each_caller_receives_the_answer_to_its_own_messages() {
     let engine = engine(Default::default()).await;
@@ -67,12 +91,7 @@
 
 #[tokio::test]
 async fn waiting_attempt_is_fenced_by_a_cancel_and_a_running_one_is_not() {
-    let tool = tool(slow_tool(300)).await;
-    let mut settings = settings(tool.address, Kind::Plain);
-    settings.limits.slots = 1;
-    let (_daemon, client) = sidecar(settings).await;
-    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
-    running.started().await;
+    let (tool, _daemon, client, running) = occupied(300, 64).await;
     let waiting = client.begin(plain("a2", "POST", "/fee", "2")).await;
     assert_eq!(client.cancelled("a2").await, State::Fenced);
     assert_eq!(client.cancelled("a1").await, State::Running);
@@ -105,12 +124,7 @@
 
 #[tokio::test]
 async fn waiting_attempt_of_a_superseded_owner_never_starts() {
-    let tool = tool(slow_tool(200)).await;
-    let mut settings = settings(tool.address, Kind::Plain);
-    settings.limits.slots = 1;
-    let (_daemon, client) = sidecar(settings).await;
-    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
-    running.started().await;
+    let (tool, _daemon, client, running) = occupied(200, 64).await;
     let waiting = client.begin(plain("a2", "POST", "/fee", "2")).await;
     assert_eq!(client.cancel("unknown", 2).await.state(), State::Fenced);
     let refused = waiting.answer().await;
@@ -124,12 +138,7 @@
 #[case::extended(true)]
 #[tokio::test]
 async fn attempt_not_started_in_time_never_runs_unless_extended(#[case] extended: bool) {
-    let tool = tool(slow_tool(400)).await;
-    let mut settings = settings(tool.address, Kind::Plain);
-    settings.limits.slots = 1;
-    let (_daemon, client) = sidecar(settings).await;
-    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
-    running.started().await;
+    let (tool, _daemon, client, running) = occupied(400, 64).await;
     let late = Start {
         start_by_ms: 100,
         ..plain("a2", "POST", "/fee", "2")
@@ -155,12 +164,7 @@
 
 #[tokio::test]
 async fn waiting_attempt_whose_caller_leaves_never_runs() {
-    let tool = tool(slow_tool(300)).await;
-    let mut settings = settings(tool.address, Kind::Plain);
-    settings.limits.slots = 1;
-    let (daemon, client) = sidecar(settings).await;
-    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
-    running.started().await;
+    let (tool, daemon, client, running) = occupied(300, 64).await;
     let waiting = client.begin(plain("a2", "POST", "/fee", "2")).await;
     drop(waiting);
     eventually("the queue is empty", || async {
@@ -177,11 +181,7 @@
 #[case::idempotent_is_stopped(true, 1)]
 #[tokio::test]
 async fn running_generation_whose_caller_leaves(#[case] idempotent: bool, #[case] stopped: u64) {
-    let settings = fakes::engine::Settings {
-        decode_rate: 50,
-        ..Default::default()
-    };
-    let engine = engine(settings).await;
+    let engine = slow_engine(50).await;
     let (daemon, client) = before_engine(&engine).await;
     let start = Start {
         idempotent,
@@ -202,11 +202,7 @@
 
 #[tokio::test]
 async fn running_generation_is_cancelled_after_a_late_extension() {
-    let settings = fakes::engine::Settings {
-        decode_rate: 10,
-        ..Default::default()
-    };
-    let engine = engine(settings).await;
+    let engine = slow_engine(10).await;
     let (_daemon, client) = before_engine(&engine).await;
     let mut running = client.begin(generate("a1", "report")).await;
     running.started().await;
@@ -228,12 +224,7 @@
 
 #[tokio::test]
 async fn permission_to_start_that_is_withdrawn_stops_what_waits() {
-    let tool = tool(slow_tool(300)).await;
-    let mut settings = settings(tool.address, Kind::Plain);
-    settings.limits.slots = 1;
-    let (_daemon, client) = sidecar(settings).await;
-    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
-    running.started().await;
+    let (tool, _daemon, client, running) = occupied(300, 64).await;
     let waiting = client.begin(plain("a2", "POST", "/fee", "2")).await;
     for dispatch in [&waiting, &running] {
         dispatch.tell(Message::Extend(wire::Extend { start_by_ms: 0 }));
@@ -278,13 +269,7 @@
 
 #[tokio::test]
 async fn full_queue_refuses_and_says_when_to_come_back() {
-    let tool = tool(slow_tool(300)).await;
-    let mut settings = settings(tool.address, Kind::Plain);
-    settings.limits.slots = 1;
-    settings.limits.queue = 1;
-    let (_daemon, client) = sidecar(settings).await;
-    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
-    running.started().await;
+    let (_tool, _daemon, client, _running) = occupied(300, 1).await;
     let _waiting = client.begin(plain("a2", "POST", "/fee", "2")).await;
     let answer = client.run(plain("a3", "POST", "/fee", "3")).await;
     assert_eq!(answer.refusal().code, "overloaded");
@@ -319,12 +304,7 @@
 
 #[tokio::test]
 async fn drain_finishes_what_runs_and_waits_and_refuses_the_rest() {
-    let tool = tool(slow_tool(200)).await;
-    let mut settings = settings(tool.address, Kind::Plain);
-    settings.limits.slots = 1;
-    let (daemon, client) = sidecar(settings).await;
-    let mut running = client.begin(plain("a1", "POST", "/fee", "1")).await;
-    running.started().await;
+    let (tool, daemon, client, running) = occupied(200, 64).await;
     let waiting = client.begin(plain("a2", "POST", "/fee", "2")).await;
     daemon.state().drain();
     let refused = client.run(plain("a3", "POST", "/fee", "3")).await;
--- a/crates/sidecar/tests/faults.rs
+++ b/crates/sidecar/tests/faults.rs
@@ -8,7 +8,11 @@
 use fakes::engine::Engine;
 use fakes::fault::Faults;
 use rstest::rstest;
+use sidecar::settings::Kind;
 use support::*;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use wire::Ran;
 use wire::Start;
 use wire::cancel_reply::State;
@@ -129,6 +133,36 @@
     assert_eq!(tool.stats.counts().executions.get("a2"), Some(&1));
 }
 
+/// Answers one request on each connection, keeps it open, and closes it on the next one.
+async fn serve_one_request_a_connection(listener: TcpListener) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        tokio::spawn(async move {
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request).await;
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            let _ = stream.write_all(answer).await;
+            let _ = stream.read(&mut request).await;
+        });
+    }
+}
+
+#[tokio::test]
+async fn connection_closed_while_idle_makes_no_request_unknown_and_no_target_dead() {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve_one_request_a_connection(listener));
+    let (daemon, client) = sidecar(settings(address, Kind::Plain)).await;
+    for n in 0..20 {
+        let answer = client
+            .run(plain(&format!("a{n}"), "POST", "/fee", ""))
+            .await;
+        assert!(answer.is_done(), "{answer:?}");
+        daemon.state().health.probe().await;
+    }
+    assert_eq!(daemon.state().health.life(), 0);
+}
+
 #[tokio::test]
 async fn engine_that_is_down_is_reported_without_models() {
     let mut engine = engine(Default::default()).await;
