--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -15,6 +15,7 @@
 use coord::refusal::Code;
 use coord::replica::Replica;
 use coord::segment::History;
+use wire::Ran;
 use wire::Refusal;
 
 use crate::clock::unix_ms;
@@ -26,6 +27,7 @@
 use crate::shards::Durable;
 use crate::shards::Moved;
 use crate::shards::Shards;
+use crate::trial;
 
 const STEP: &str = "ledger";
 /// Tokens that an engine may count for each message beyond its text.
@@ -94,6 +96,24 @@
     }
 }
 
+/// Whether an earlier send of the same call may have run, as the ledger knows.
+pub fn ran(member: &Member, job: &Job) -> Result<Ran, Moved> {
+    if !job.recorded {
+        return Ok(Ran::No);
+    }
+    let ask = ask(member, job, unplaced(), id_of_no_target(), [Tokens(0); 2]);
+    let decide = |replica: &Replica| (Vec::new(), replica.review(&ask));
+    let (decision, _nothing_rests_on_it) = member.shards().decide(job.shard, decide)?;
+    Ok(match decision {
+        Some(Decision::Replay(_)) => Ran::Yes,
+        Some(Decision::Attach) => Ran::Unknown,
+        Some(Decision::Refuse(refusal) | Decision::Close(_, refusal)) => {
+            refusal::from_decision(refusal, STEP).ran()
+        }
+        Some(Decision::Early | Decision::Dispatch(_)) | None => Ran::No,
+    })
+}
+
 /// Records the dispatch of an attempt; it may be sent once this returns `Go`.
 pub async fn begin(
     member: &Member,
@@ -148,7 +168,8 @@
 /// Waits for what a decision rests on.
 async fn settled(decision: Decision, durable: Durable) -> Result<Turn, Stop> {
     if durable.wait().await.is_err() {
-        return Err(no_second_place().into());
+        // What was decided may rest on a run that is recorded in one place only.
+        return Err(trial::ran_when(no_second_place()).into());
     }
     match decision {
         Decision::Replay(answer) => Ok(Turn::Replay(answer)),
--- a/crates/entry/tests/member_common/mod.rs
+++ b/crates/entry/tests/member_common/mod.rs
@@ -2,7 +2,6 @@
 
 #![allow(dead_code)]
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +42,9 @@
 /// How long a member goes on without the platform, in milliseconds.
 pub const OUTAGE: u64 = 300_000;
 
+/// Threads of a member.
+const WORKERS: usize = 2;
+
 const POLL: Duration = Duration::from_millis(10);
 
 /// The members' part of the service between entries.
@@ -129,7 +131,9 @@
         outage_ms: u64,
         seeds: &[String],
     ) -> Node {
-        let peers = free_address().await;
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let peers = listener.local_addr().unwrap();
         let settings = json!({
             "node": name,
             "data_centre": data_centre,
@@ -145,11 +149,11 @@
         let settings: Settings =
             node::settings::parse(Path::new("test"), &settings.to_string()).unwrap();
         let runtime = Builder::new_multi_thread()
-            .worker_threads(2)
+            .worker_threads(WORKERS)
             .enable_all()
             .build()
             .unwrap();
-        let member = runtime.spawn(serve(settings)).await.unwrap();
+        let member = runtime.spawn(serve(settings, listener)).await.unwrap();
         Node {
             member,
             runtime: Some(runtime),
@@ -163,6 +167,14 @@
         }
     }
 
+    /// Stops all its threads for a while, as a stopped process does.
+    pub fn pause(&self, length: Duration) {
+        let runtime = self.runtime.as_ref().unwrap();
+        for _ in 0..WORKERS {
+            runtime.spawn(async move { std::thread::sleep(length) });
+        }
+    }
+
     pub fn address(&self) -> String {
         self.member.settings().listen.peers.to_string()
     }
@@ -194,8 +206,8 @@
     }
 }
 
-async fn serve(settings: Settings) -> Arc<Member> {
-    let listener = TcpListener::bind(settings.listen.peers).await.unwrap();
+async fn serve(settings: Settings, listener: std::net::TcpListener) -> Arc<Member> {
+    let listener = TcpListener::from_std(listener).unwrap();
     let member = Member::start(settings);
     let service = OwnerServer::new(Service(Arc::clone(&member)))
         .max_decoding_message_size(wire::MESSAGE_LIMIT);
@@ -206,11 +218,6 @@
     member
 }
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
-}
-
 fn opened(program: &coord::id::Program) -> Record {
     let budget = Budget {
         tokens: coord::id::Tokens(1_000),
