Charge no customer for what never ran; claim no run that nobody saw

Cause: an attempt that a dead target refused kept its estimated charge in the fair queue. A generation stopped midway was reported as run although nothing may have reached the engine: it is unknown now, and the test asks for just that.

--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -304,7 +304,7 @@
                 if let Err(error) = self.state.upstream.cancel(self.attempt.as_str()).await {
                     self.state.failed("cancel", &error);
                 }
-                refusal::new(code, Ran::Yes, "stopped while it ran")
+                refusal::new(code, Ran::Unknown, "stopped while it ran")
             }
             Request::Plain(_) => {
                 let message = "stopped while it ran; the service may finish it";
@@ -318,7 +318,12 @@
         let now = self.state.clock.now();
         let unsent = matches!(outcome, Outcome::Refused(refusal) if refusal.ran() == Ran::No);
         match unsent {
-            true => self.state.ledger.lock().end_unsent(&self.attempt, now),
+            true => {
+                self.state.ledger.lock().end_unsent(&self.attempt, now);
+                self.state
+                    .queue
+                    .settle(&self.customer, self.cost, Tokens(0));
+            }
             false => self.state.ledger.lock().end(&self.attempt, now),
         }
         self.release_cache(now);
