Make the test of the refund tell a refund from none

Cause: a trial mutation that takes the refund out left it green, by a tie. With unequal weights it turns red, and is green as the code stands.

--- a/crates/sidecar/tests/dispatch.rs
+++ b/crates/sidecar/tests/dispatch.rs
@@ -276,6 +276,7 @@
     let (_daemon, client) = sidecar(settings).await;
     let by = |customer: &str, attempt: &str| Start {
         customer: customer.to_owned(),
+        weight: if customer == "large" { 2 } else { 1 },
         ..plain(attempt, "POST", "/fee", "1")
     };
     tool.crash();
