Check a planned stop for lost outcomes in the rate test, and a new process's state by its dump

An entry that starts in an outage holds no lease and serves nobody, so its callers can't show what it knows; its dump does, and the wanted state is the same.

--- a/tests/tests/config.rs
+++ b/tests/tests/config.rs
@@ -207,7 +207,11 @@
     fleet.faults(fleet.store, json!({ "down": true })).await?;
     fleet.entries[2].process.kill();
     fleet.restart_entry(2)?;
-    let known = async || takes(&fleet, 2, "newest").await == Some(true);
+    // It holds no lease in the outage, so its dump tells, not its callers.
+    let known = async || {
+        let state = fleet.state(fleet.entries[2].admin).await;
+        state.is_ok_and(|state| state["config"]["newest"] == json!(100))
+    };
     fleet
         .until("the new process knows the newest state", known)
         .await?;
--- a/tests/tests/rate.rs
+++ b/tests/tests/rate.rs
@@ -99,6 +99,9 @@
     let executions = executions(&fleet)?;
     greedy.audit.check(&executions)?;
     let tally = modest.audit.check(&executions)?;
+    let unknown = refusals(&modest.audit, "outcome-unknown");
+    let lost = (fault == Fault::Rolled).then_some(unknown);
+    assert_eq!(lost.unwrap_or(0), 0, "a planned stop loses no outcome");
     let limited = refusals(&modest.audit, "rate-limited");
     let refused = tally.requests - tally.answered;
     eprintln!("{fault:?}: within the rate {tally:?}: {refused} not answered at the first try");
