--- a/tests/tests/order.rs
+++ b/tests/tests/order.rs
@@ -244,12 +244,14 @@
             let Ok(child) = caller.child(&program, slice).await else {
                 return;
             };
-            for step in 1..=8 {
-                let entry = (agent + step as usize) % callers.len();
-                let caller = &callers[entry];
+            let mut step = 1;
+            for number in agent..agent + TRIES {
+                let caller = &callers[number % callers.len()];
                 let answer = caller.turn(&child, step, "race", MAX_TOKENS).await;
-                if matches!(answer.code(), "budget" | "ended") {
-                    return;
+                match answer.code() {
+                    "budget" | "ended" => return,
+                    _ if answer.ok() => step += 1,
+                    _ => tokio::time::sleep(PAUSE).await,
                 }
             }
         }));
