--- a/crates/bench/src/drive.rs
+++ b/crates/bench/src/drive.rs
@@ -11,12 +11,13 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use sched::policy::Policy;
 use sched::retry::Delay;
 
-use crate::engine::Course;
 use crate::engine::PREFILL_RATE;
 use crate::engine::Prefix;
+use crate::event::Call;
+use crate::event::Event;
+use crate::event::Run;
 use crate::fleet::Fleet;
 use crate::fleet::Kind;
 use crate::fleet::millis;
@@ -24,9 +25,9 @@
 use crate::load::Scaled;
 use crate::rate::Admission;
 use crate::rate::Gate;
-use crate::rate::Mode;
 use crate::score::Sample;
 use crate::score::Tally;
+use crate::setup::Setup;
 use crate::trace::CALL_LIMIT;
 use crate::trace::IDLE_LIMIT_MS;
 use crate::trace::Outcome;
@@ -50,90 +51,6 @@
 /// Output assumed of a customer's first call.
 const FIRST_OUTPUT: f64 = 200.0;
 
-/// What a run varies.
-#[derive(Debug, Clone)]
-pub struct Setup {
-    /// Name in the output.
-    pub name: String,
-    /// Policy.
-    pub policy: Policy,
-    /// Who keeps the rate.
-    pub mode: Mode,
-    /// Whether caches are released when their program ends.
-    pub release: bool,
-    /// Calls handed to a target beyond its slots.
-    pub spare: u32,
-    /// Prefill handed to an engine ahead, in microseconds; none: as much as it has slots for.
-    pub window: Option<u64>,
-    /// Rate at which engines transfer caches, in tokens a second; 0: not at all.
-    pub transfer_rate: u64,
-    /// Whether the flood is sent.
-    pub flood: bool,
-    /// Share of the fleet's capacity without caches that the trace offers.
-    pub load: f64,
-    /// 0 replays as recorded; others permute the arrivals of each customer.
-    pub seed: u64,
-}
-
-/// What happens next.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Event {
-    /// A program arrives.
-    Start(usize),
-    /// A run asks for its next model call.
-    Issue(usize),
-    /// A call reaches its target's sidecar.
-    Arrive(usize),
-    /// A call's first token.
-    First(usize),
-    /// A call's last token.
-    Done(usize),
-    /// A run's pause or sub-agent ends.
-    Resume(usize),
-    /// An engine may take more prefill.
-    Wake(usize),
-    /// A run's cache was dropped by an engine.
-    Evicted { run: usize, engine: usize },
-    /// Loads are reported.
-    Report(u64),
-}
-
-/// A program or sub-agent on its way.
-#[derive(Debug)]
-pub(crate) struct Run<'a> {
-    pub program: usize,
-    pub customer: usize,
-    pub steps: &'a [Step],
-    pub next: usize,
-    pub root: usize,
-    pub parent: Option<usize>,
-    pub pending: usize,
-    pub history: u64,
-    pub computed: u64,
-    pub attained: u64,
-    pub calls: usize,
-    pub held: Vec<(usize, u64)>,
-    pub asked: Option<u64>,
-    pub delay: Delay,
-    pub started: u64,
-    pub ended: bool,
-}
-
-/// A call on its way.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Call {
-    pub run: usize,
-    pub kind: Kind,
-    pub target: usize,
-    pub input: u64,
-    pub output: u64,
-    pub cost: u64,
-    pub issued: u64,
-    pub transferred: u64,
-    pub actual: u64,
-    pub course: Course,
-}
-
 /// The state of a replay.
 pub struct Drive<'a> {
     pub(crate) trace: &'a Trace,
@@ -386,8 +303,9 @@
     }
 
     fn report(&mut self, number: u64) {
-        self.engines.report(self.now);
-        self.services.report(self.now);
+        let now = Some(self.now).filter(|_| self.setup.reports_prefill);
+        self.engines.report(now);
+        self.services.report(now);
         let now = millis(self.now);
         self.gates.iter_mut().for_each(|gate| gate.exchange(now));
         if number.is_multiple_of(REPORTS_PER_LOOK) {
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -70,8 +70,9 @@
         }
     }
 
-    fn load(&self, name: &str, now: u64) -> Candidate {
-        let prefill = self.compute.prefill_backlog(now) * PREFILL_RATE / 1_000_000;
+    fn load(&self, name: &str, now: Option<u64>) -> Candidate {
+        let backlog = now.map_or(0, |now| self.compute.prefill_backlog(now));
+        let prefill = backlog * PREFILL_RATE / 1_000_000;
         let (prefill_rate, decode_rate) = match self.kind {
             Kind::Engine => (PREFILL_RATE, DECODE_RATE),
             Kind::Service => (0, 0),
@@ -129,7 +130,7 @@
 impl Fleet {
     /// An idle fleet.
     pub fn new(kind: Kind, count: u32, entries: u32, policy: &Policy) -> Fleet {
-        let now = 0;
+        let now = None;
         let targets: Vec<Target> = (0..count).map(|_| Target::new(kind, policy)).collect();
         let names: Vec<String> = (1..=count).map(|number| format!("t{number}")).collect();
         let idle: Vec<Candidate> = targets
@@ -150,8 +151,9 @@
         }
     }
 
-    /// Reports loads: what was reported last time comes to be known now.
-    pub fn report(&mut self, now: u64) {
+    /// Reports loads: what was reported last time comes to be known now. Given the time, prefill
+    /// that engines have yet to do counts too.
+    pub fn report(&mut self, now: Option<u64>) {
         let loads: Vec<Candidate> = self
             .targets
             .iter()
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,8 +5,10 @@
 //! target and `rate` the ways to share a rate; `score` turns a run into the measures that `replay`
 //! prints and `plot` draws.
 
+pub mod decide;
 pub mod drive;
 pub mod engine;
+pub(crate) mod event;
 pub mod fleet;
 pub mod generate;
 pub mod load;
@@ -15,4 +17,5 @@
 pub mod rate;
 pub mod replay;
 pub mod score;
+pub mod setup;
 pub mod trace;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 
 use std::process::ExitCode;
 
+use bench::decide;
 use bench::generate;
 use bench::plot;
 use bench::replay;
@@ -25,6 +26,8 @@
     Trace(generate::Args),
     #[options(help = "replay a trace through the decisions in virtual time")]
     Replay(replay::Args),
+    #[options(help = "time a call's decisions with many calls queued")]
+    Decide(decide::Args),
     #[options(help = "draw a comparison as SVG")]
     Plot(plot::Args),
 }
@@ -42,6 +45,7 @@
         Some(Command::Demo(_)) => runtime.block_on(demo::run()),
         Some(Command::Trace(args)) => generate::run(&args),
         Some(Command::Replay(args)) => replay::run(&args),
+        Some(Command::Decide(args)) => decide::run(&args),
         Some(Command::Plot(args)) => plot::run(&args),
         None => Err(eyre::eyre!("no command; see --help")),
     };
--- a/crates/bench/src/place.rs
+++ b/crates/bench/src/place.rs
@@ -9,11 +9,11 @@
 use sched::route;
 use sched::route::Need;
 
-use crate::drive::Call;
 use crate::drive::Drive;
-use crate::drive::Event;
 use crate::engine::Course;
 use crate::engine::Prefix;
+use crate::event::Call;
+use crate::event::Event;
 use crate::fleet::Fleet;
 use crate::fleet::Kind;
 use crate::fleet::millis;
--- a/crates/bench/src/replay.rs
+++ b/crates/bench/src/replay.rs
@@ -5,43 +5,16 @@
 use std::thread;
 
 use coord::time::Millis;
-use coord::time::Time;
-use eyre::eyre;
 use gumdrop::Options;
-use sched::policy::Choice;
-use sched::policy::Order;
 use sched::policy::Policy;
 
 use crate::drive;
-use crate::drive::Setup;
-use crate::load::Scaled;
-use crate::rate::Mode;
 use crate::score;
 use crate::score::Score;
+use crate::setup;
+use crate::setup::Setup;
 use crate::trace::Trace;
 
-/// Setups of a comparison.
-pub const COMPARED: [&str; 9] = [
-    "rr-fifo",
-    "ll-fifo",
-    "affinity-fifo",
-    "fair",
-    "full",
-    "full-calm",
-    "full-split",
-    "full-gossip",
-    "full-owner-killed",
-];
-
-/// Prefill handed to an engine ahead where it is bounded, in microseconds.
-const WINDOW: u64 = 250_000;
-
-/// Calls handed to an engine beyond its slots, where a plain bounded queue is asked for.
-const BOUNDED_QUEUE: u32 = 64;
-
-/// Rate of cache transfers where they are asked for, in tokens a second.
-const TRANSFER_RATE: u64 = 25_000;
-
 /// Arguments of `bench replay`.
 #[derive(Debug, Options)]
 pub struct Args {
@@ -101,14 +74,14 @@
 /// Replays and prints one JSON line a run.
 pub fn run(args: &Args) -> eyre::Result<bool> {
     let names: Vec<&str> = match (args.compare, args.policy.as_deref()) {
-        (true, _) => COMPARED.to_vec(),
+        (true, _) => setup::COMPARED.to_vec(),
         (false, name) => vec![name.unwrap_or("full")],
     };
     let trace = Trace::read(&args.trace)?;
     let mut setups = Vec::new();
     for seed in args.seed..args.seed + args.seeds {
         for name in &names {
-            let mut setup = setup(name, &trace, args.load, seed)?;
+            let mut setup = setup::named(name, &trace, args.load, seed)?;
             args.adjust(&mut setup.policy);
             setups.push(setup);
         }
@@ -136,91 +109,6 @@
     })
 }
 
-/// A setup by name.
-pub fn setup(name: &str, trace: &Trace, load: f64, seed: u64) -> eyre::Result<Setup> {
-    let killed = Scaled::to(trace, load).at(trace.head.length / 2) / 1_000;
-    let plain = |order, choice| Setup {
-        release: false,
-        ..full(
-            name,
-            Policy {
-                order,
-                choice,
-                ..Policy::default()
-            },
-            load,
-            seed,
-        )
-    };
-    let full = full(name, Policy::default(), load, seed);
-    Ok(match name {
-        "rr-fifo" => plain(Order::Fifo, Choice::RoundRobin),
-        "ll-fifo" => plain(Order::Fifo, Choice::LeastLoaded),
-        "affinity-fifo" => plain(Order::Fifo, Choice::Affinity),
-        "fair" => plain(Order::Fair, Choice::LeastLoaded),
-        "full" => full,
-        "full-calm" => Setup {
-            flood: false,
-            ..full
-        },
-        "ll-fifo-calm" => Setup {
-            flood: false,
-            ..plain(Order::Fifo, Choice::LeastLoaded)
-        },
-        "full-split" => Setup {
-            mode: Mode::Split,
-            ..full
-        },
-        "full-gossip" => Setup {
-            mode: Mode::Gossip,
-            ..full
-        },
-        "full-owner-killed" => Setup {
-            mode: Mode::OwnerKilled(Time(killed)),
-            ..full
-        },
-        "full-window" => Setup {
-            window: Some(WINDOW),
-            ..full
-        },
-        "full-bounded" => Setup {
-            spare: BOUNDED_QUEUE,
-            ..full
-        },
-        "full-fifo" => with(full, |policy| policy.order = Order::Fifo),
-        "full-fair" => with(full, |policy| policy.order = Order::Fair),
-        "full-kept" => Setup {
-            release: false,
-            ..full
-        },
-        "full-transfer" => Setup {
-            transfer_rate: TRANSFER_RATE,
-            ..full
-        },
-        name => return Err(eyre!("no setup is named {name}")),
-    })
-}
-
-fn full(name: &str, policy: Policy, load: f64, seed: u64) -> Setup {
-    Setup {
-        name: name.to_string(),
-        policy,
-        mode: Mode::Owner,
-        release: true,
-        spare: 0,
-        window: None,
-        transfer_rate: 0,
-        flood: true,
-        load,
-        seed,
-    }
-}
-
-fn with(mut setup: Setup, change: impl Fn(&mut Policy)) -> Setup {
-    change(&mut setup.policy);
-    setup
-}
-
 /// Reads lines that `run` printed.
 pub fn read(path: &Path) -> eyre::Result<Vec<Score>> {
     let text = std::fs::read_to_string(path)?;
--- a/crates/bench/src/score.rs
+++ b/crates/bench/src/score.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::drive::Setup;
+use crate::setup::Setup;
 use crate::trace::Outcome;
 use crate::trace::Trace;
 
--- a/crates/bench/tests/replay.rs
+++ b/crates/bench/tests/replay.rs
@@ -3,11 +3,11 @@
 use std::path::PathBuf;
 
 use bench::drive;
-use bench::drive::Setup;
 use bench::generate;
-use bench::replay;
 use bench::score;
 use bench::score::Score;
+use bench::setup;
+use bench::setup::Setup;
 use bench::trace::Outcome;
 use bench::trace::Trace;
 use rstest::rstest;
@@ -28,7 +28,7 @@
 }
 
 fn named(trace: &Trace, name: &str, seed: u64) -> Score {
-    let setup = replay::setup(name, trace, 0.9, seed).unwrap();
+    let setup = setup::named(name, trace, 0.9, seed).unwrap();
     replayed(trace, &setup)
 }
 
@@ -48,7 +48,7 @@
 fn every_program_reaches_its_stated_outcome(#[case] name: &str) {
     let trace = trace(name);
     for setup in ["ll-fifo", "full", "full-owner-killed"] {
-        let setup = replay::setup(setup, &trace, 0.9, 1).unwrap();
+        let setup = setup::named(setup, &trace, 0.9, 1).unwrap();
         let tally = drive::run(&trace, &setup);
         for outcome in [Outcome::Finished, Outcome::Looped, Outcome::Idle] {
             let stated = trace
