--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -4,16 +4,21 @@
 //! actions come out. The daemons supply sockets and clocks; tests supply seeded schedules.
 
 mod apply;
+mod opening;
+mod redact;
 mod sweep;
 
 pub mod bucket;
+pub mod bytes;
 pub mod config;
 pub mod decision;
+pub mod gossip;
 pub mod id;
 pub mod key;
 pub mod lease;
 pub mod ledger;
 pub mod program;
+pub mod promise;
 pub mod record;
 pub mod refusal;
 pub mod replica;
@@ -21,6 +26,7 @@
 pub mod shard;
 pub mod ticket;
 pub mod time;
+pub mod tomb;
 
 /// Hash map with a fast hasher.
 pub type Map<K, V> = rustc_hash::FxHashMap<K, V>;
--- /dev/null
+++ b/crates/coord/tests/promise.rs
@@ -0,0 +1,501 @@
+//! No two nodes hold authority for one shard, whichever of them are cut from the platform.
+
+mod common;
+
+use std::collections::HashMap;
+
+use common::name;
+use coord::id::Node;
+use coord::id::Shard;
+use coord::id::Version;
+use coord::lease;
+use coord::promise::Holder;
+use coord::promise::Terms;
+use coord::promise::Vote;
+use coord::promise::Voter;
+use coord::shard::Map;
+use coord::shard::Member;
+use coord::shard::Owner;
+use coord::time::Millis;
+use coord::time::Time;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const NODES: usize = 4;
+const SCHEDULES: usize = 300;
+const STEPS: usize = 300;
+const LEASE: Millis = Millis(300);
+const MARGIN: Millis = Millis(20);
+const PROMISE: Millis = Millis(200);
+const TERMS: Terms = Terms {
+    margin: MARGIN,
+    limit: Millis(1500),
+};
+
+enum Message {
+    /// A conditional write of the map; joins tell their sender.
+    Write {
+        base: Version,
+        map: Map,
+        join: Option<(usize, Node)>,
+    },
+    Ask {
+        from: usize,
+        name: Node,
+        to: usize,
+        version: Version,
+        sent: Time,
+    },
+    Promised {
+        to: usize,
+        name: Node,
+        from: Node,
+        version: Version,
+        sent: Time,
+    },
+}
+
+struct Process {
+    name: Node,
+    map: Option<Map>,
+    lease: lease::Holder,
+    renewed: Option<Time>,
+    observers: HashMap<Node, lease::Observer>,
+    voter: Voter,
+    promises: Holder,
+    cut: bool,
+    paused_until: u64,
+}
+
+impl Process {
+    fn new(name: Node) -> Process {
+        Process {
+            name,
+            voter: Voter::new(TERMS),
+            map: None,
+            lease: lease::Holder::new(LEASE, MARGIN),
+            renewed: None,
+            observers: Default::default(),
+            promises: Holder::new(TERMS),
+            cut: false,
+            paused_until: 0,
+        }
+    }
+
+    fn learn(&mut self, map: &Map) {
+        match map.member(&self.name) {
+            Some(_) => self.voter.saw(map.version),
+            None => self.voter.left(map.version),
+        }
+        if self
+            .map
+            .as_ref()
+            .is_none_or(|old| old.version < map.version)
+        {
+            self.map = Some(map.clone());
+        }
+    }
+
+    /// Whether it may act for the shard now, and if so, without the platform.
+    fn authority(&self, shard: Shard, now: Time) -> Option<bool> {
+        let map = self.map.as_ref()?;
+        let owner = map.owner(shard)?;
+        let renewed = self.renewed?;
+        let promised = || self.promises.valid(&map.members, map.version, renewed, now);
+        match owner.primary.as_ref() == Some(&self.name) {
+            true if self.lease.valid(now) => Some(false),
+            true if promised() => Some(true),
+            _ => None,
+        }
+    }
+}
+
+struct World {
+    clock: u64,
+    map: Map,
+    /// Version of each node's lease object, and whether it is revoked.
+    leases: HashMap<Node, (Version, bool)>,
+    processes: Vec<Process>,
+    /// What is under way, and when it arrives.
+    messages: Vec<(u64, Message)>,
+    started: usize,
+    rng: StdRng,
+    /// How often one acted without the platform, and how often one was written out.
+    alone: usize,
+    written_out: usize,
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let mut world = World {
+            clock: 1000,
+            map: Map {
+                version: Version(1),
+                members: Vec::new(),
+                shards: vec![Owner::default(); NODES],
+            },
+            leases: HashMap::new(),
+            processes: Vec::new(),
+            messages: Vec::new(),
+            started: 0,
+            rng: StdRng::seed_from_u64(seed),
+            alone: 0,
+            written_out: 0,
+        };
+        for node in 0..NODES {
+            let process = world.start();
+            world.processes.push(process);
+            // The last one joins later.
+            if node + 1 < NODES {
+                world.processes[node].learn(&world.map);
+                world.join(node);
+                world.deliver_all();
+                world.renew(node, world.now());
+            }
+        }
+        world
+    }
+
+    fn start(&mut self) -> Process {
+        self.started += 1;
+        let name: Node = name(&format!("n{}", self.started));
+        self.leases.insert(name.clone(), (Version(1), false));
+        Process::new(name)
+    }
+
+    fn now(&self) -> Time {
+        Time(self.clock)
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_ratio(percent, 100)
+    }
+
+    /// Sends a message that is lost, quick or late.
+    fn send(&mut self, message: Message) {
+        let delay = match self.rng.random_range(0..10) {
+            0 => return,
+            1 => self.rng.random_range(0..800),
+            _ => self.rng.random_range(0..20),
+        };
+        self.messages.push((self.clock + delay, message));
+    }
+
+    fn deliver_due(&mut self) {
+        let clock = self.clock;
+        let due: Vec<Message> = self
+            .messages
+            .extract_if(.., |(at, _)| *at <= clock)
+            .map(|(_, m)| m)
+            .collect();
+        let now = self.now();
+        due.into_iter()
+            .for_each(|message| self.deliver(message, now));
+    }
+
+    fn deliver_all(&mut self) {
+        let now = self.now();
+        let all = std::mem::take(&mut self.messages);
+        all.into_iter()
+            .for_each(|(_, message)| self.deliver(message, now));
+    }
+
+    /// Some time passes, and each process does some of what it would do.
+    fn step(&mut self) {
+        self.clock += self.rng.random_range(5..60);
+        self.deliver_due();
+        if self.rng.random_ratio(1, 60) {
+            let cut = self.chance(60);
+            self.processes
+                .iter_mut()
+                .for_each(|process| process.cut = cut);
+        }
+        for a in 0..NODES {
+            match self.rng.random_range(0..400) {
+                0 => self.processes[a] = self.start(),
+                1..8 => self.processes[a].cut ^= true,
+                8..12 => {
+                    self.processes[a].paused_until = self.clock + self.rng.random_range(0..900)
+                }
+                _ => (),
+            }
+            if self.processes[a].paused_until <= self.clock {
+                self.act(a);
+            }
+        }
+    }
+
+    fn act(&mut self, a: usize) {
+        let now = self.now();
+        for b in 0..NODES {
+            if self.chance(70) {
+                self.ask(a, b, now);
+            }
+            if self.chance(20) {
+                self.tell_map(a, b);
+            }
+        }
+        if self.processes[a].cut {
+            return;
+        }
+        if self.chance(80) {
+            self.processes[a].voter.reached(now);
+            self.renew(a, now);
+        }
+        if self.chance(30) {
+            self.processes[a].learn(&self.map);
+            self.join(a);
+        }
+        for b in 0..NODES {
+            self.observe(a, b, now);
+            self.fence(a, b, now);
+            self.write_out(a, b, now);
+        }
+    }
+
+    fn tell_map(&mut self, a: usize, b: usize) {
+        if let Some(map) = self.processes[a].map.clone() {
+            let teller = self.processes[a].name.clone();
+            self.processes[b].voter.heard(&teller, map.version);
+            self.processes[b].learn(&map);
+        }
+    }
+
+    fn observe(&mut self, a: usize, b: usize, now: Time) {
+        let Some(other) = self.member(a, b) else {
+            return;
+        };
+        let version = self.leases[&other].0;
+        let observers = &mut self.processes[a].observers;
+        let observer = observers.entry(other);
+        let observer = observer.or_insert_with(|| lease::Observer::new(LEASE, MARGIN));
+        observer.saw(version, now);
+    }
+
+    fn renew(&mut self, a: usize, now: Time) {
+        let process = &mut self.processes[a];
+        let lease = self.leases.get_mut(&process.name).expect("has one");
+        match lease {
+            (version, false) => {
+                version.0 += 1;
+                process.lease.renewed(now, *version);
+                process.renewed = Some(now);
+            }
+            (_, true) => process.lease.lost(),
+        }
+    }
+
+    /// Names of the members that a process knows, in a stable order.
+    fn member(&self, a: usize, b: usize) -> Option<Node> {
+        let map = self.processes[a].map.as_ref()?;
+        let member = map.members.get(b % map.members.len().max(1))?;
+        Some(member.node.clone())
+    }
+
+    fn fence(&mut self, a: usize, b: usize, now: Time) {
+        let Some(other) = self.member(a, b) else {
+            return;
+        };
+        let process = &mut self.processes[a];
+        let expired = process.observers.get(&other).and_then(|o| o.expired(now));
+        let lease = self.leases.get_mut(&other).expect("has one");
+        if expired == Some(lease.0) {
+            *lease = (Version(lease.0.0 + 1), true);
+        }
+    }
+
+    fn write_out(&mut self, a: usize, b: usize, now: Time) {
+        let Some(other) = self.member(a, b) else {
+            return;
+        };
+        let process = &mut self.processes[a];
+        let observer = process.observers.get(&other);
+        let standing = observer.and_then(|o| o.standing(now)).unwrap_or_default();
+        let map = process.map.clone().expect("knows a member");
+        let voter = &mut process.voter;
+        let fenced = self.leases[&other].1;
+        if fenced && voter.begin_write_out(&other, standing, map.version, now) {
+            let write = Message::Write {
+                base: map.version,
+                map: map.died(&other),
+                join: None,
+            };
+            self.send(write);
+        }
+    }
+
+    fn join(&mut self, a: usize) {
+        let process = &self.processes[a];
+        let Some(map) = process.map.as_ref() else {
+            return;
+        };
+        if map.member(&process.name).is_none() {
+            let address = ([127, 0, 0, 1], a as u16).into();
+            let member = Member {
+                node: process.name.clone(),
+                data_centre: name(&format!("dc-{a}")),
+                peers: address,
+                callers: address,
+                leaving: false,
+            };
+            let join = Some((a, process.name.clone()));
+            let write = Message::Write {
+                base: map.version,
+                map: map.join(member),
+                join,
+            };
+            self.send(write);
+        }
+    }
+
+    fn ask(&mut self, a: usize, b: usize, now: Time) {
+        let process = &self.processes[a];
+        let Some(map) = process.map.as_ref() else {
+            return;
+        };
+        let (from, to, version, sent) = (a, b, map.version, now);
+        let name = process.name.clone();
+        self.send(Message::Ask {
+            from,
+            name,
+            to,
+            version,
+            sent,
+        });
+    }
+
+    fn deliver(&mut self, message: Message, now: Time) {
+        match message {
+            Message::Write { base, map, join } if base == self.map.version => {
+                self.map = Map {
+                    version: Version(base.0 + 1),
+                    ..map
+                };
+                self.written_out += usize::from(join.is_none());
+                let sender = join.map(|(a, name)| (&mut self.processes[a], name));
+                if let Some((process, _)) = sender.filter(|(process, name)| process.name == *name) {
+                    process.learn(&self.map);
+                    process.voter.joined(self.map.version);
+                }
+            }
+            Message::Write { .. } => (),
+            Message::Ask {
+                from,
+                name,
+                to,
+                version,
+                sent,
+            } => {
+                let voter = &mut self.processes[to].voter;
+                if voter.ask(&name, version, PROMISE, now) == Vote::Promised {
+                    let own = self.processes[to].name.clone();
+                    self.send(Message::Promised {
+                        to: from,
+                        name,
+                        from: own,
+                        version,
+                        sent,
+                    });
+                }
+            }
+            Message::Promised {
+                to,
+                name,
+                from,
+                version,
+                sent,
+            } => {
+                let process = &mut self.processes[to];
+                if process.name == name {
+                    process.promises.promised(&from, version, PROMISE, sent);
+                }
+            }
+        }
+    }
+
+    fn check(&mut self) {
+        let now = self.now();
+        for shard in (0..NODES as u16).map(Shard) {
+            let holders = self.processes.iter();
+            let held: Vec<bool> = holders.filter_map(|p| p.authority(shard, now)).collect();
+            assert!(held.len() <= 1, "{} nodes act for one shard", held.len());
+            self.alone += usize::from(held.contains(&true));
+        }
+    }
+}
+
+#[test]
+fn at_most_one_node_acts_for_a_shard() {
+    let (mut alone, mut written_out) = (0, 0);
+    for seed in 0..SCHEDULES {
+        let mut world = World::new(seed as u64);
+        for _ in 0..STEPS {
+            world.step();
+            world.check();
+        }
+        alone += usize::from(world.alone > 0);
+        written_out += usize::from(world.written_out > 0);
+    }
+    let half = SCHEDULES / 2;
+    assert!(
+        alone > half && written_out > half,
+        "{alone} and {written_out} of {SCHEDULES}"
+    );
+}
+
+#[test]
+fn an_owner_goes_on_while_all_promise_up_to_the_limit() {
+    let members = World::new(0).map.members;
+    let mut holder = Holder::new(TERMS);
+    let version = Version(7);
+    let valid = |holder: &Holder, now| holder.valid(&members, version, Time(0), Time(now));
+    for member in members.iter().skip(1) {
+        holder.promised(&member.node, version, PROMISE, Time(100));
+    }
+    assert!(!valid(&holder, 150));
+    holder.promised(&members[0].node, Version(6), PROMISE, Time(100));
+    assert!(!valid(&holder, 150));
+    holder.promised(&members[0].node, version, PROMISE, Time(120));
+    holder.promised(&members[0].node, Version(6), PROMISE, Time(90));
+    assert!(valid(&holder, 299) && !valid(&holder, 300));
+    for member in &members {
+        holder.promised(&member.node, version, PROMISE, Time(1400));
+    }
+    assert!(valid(&holder, 1499) && !valid(&holder, 1500));
+}
+
+#[test]
+fn a_process_that_has_not_joined_or_has_a_write_under_way_promises_nothing() {
+    let owner: Node = name("n1");
+    let mut voter = Voter::new(TERMS);
+    let ask =
+        |voter: &mut Voter, version, at| voter.ask(&owner, Version(version), PROMISE, Time(at));
+    assert_eq!(ask(&mut voter, 3, 200), Vote::Refused);
+    voter.joined(Version(3));
+    assert!(voter.begin_write(Version(3), Time(0)));
+    assert_eq!(ask(&mut voter, 3, 200), Vote::Refused);
+    voter.saw(Version(4));
+    voter.reached(Time(0));
+    assert_eq!(ask(&mut voter, 4, 199), Vote::Refused);
+    assert_eq!(ask(&mut voter, 3, 200), Vote::Behind(Version(4)));
+    assert_eq!(ask(&mut voter, 4, 200), Vote::Promised);
+    assert!(!voter.begin_write(Version(4), Time(419)));
+    assert!(voter.begin_write(Version(4), Time(420)));
+    voter.left(Version(5));
+    assert!(!voter.may_write(Time(900)));
+    assert_eq!(ask(&mut voter, 5, 200), Vote::Refused);
+}
+
+#[test]
+fn a_new_member_writes_out_only_an_owner_that_knows_it_or_has_passed_the_limit() {
+    let owner: Node = name("n1");
+    let mut voter = Voter::new(TERMS);
+    voter.joined(Version(3));
+    voter.heard(&owner, Version(2));
+    let may = |voter: &Voter, standing| voter.may_write_out(&owner, Millis(standing), Time(0));
+    assert!(!may(&voter, 1519));
+    assert!(may(&voter, 1520));
+    voter.heard(&owner, Version(3));
+    assert!(may(&voter, 0));
+}
--- /dev/null
+++ b/crates/entry/tests/call/main.rs
@@ -0,0 +1,5 @@
+//! The calls' path over a small fleet in one process.
+
+mod faults;
+mod fleet;
+mod path;
