--- a/crates/sched/src/route.rs
+++ b/crates/sched/src/route.rs
@@ -113,7 +113,7 @@
             let turn = need.turn.checked_rem(count)?;
             open().nth(turn as usize).map(|(index, _)| index)
         }
-        Choice::LeastLoaded => least(open().map(|(index, one)| (index, occupancy(one)))),
+        Choice::LeastLoaded => least_loaded(candidates, need),
         Choice::Affinity => open()
             .max_by_key(|(_, one)| affinity(one, need))
             .map(|(index, _)| index),
@@ -133,6 +133,15 @@
     backlog(candidate, need) + prefill + decode(candidate, need) + preference(candidate)
 }
 
+/// The least occupied; equals take turns.
+fn least_loaded(candidates: &[Candidate], need: &Need) -> Option<usize> {
+    let count = candidates.len();
+    let first = need.turn.checked_rem(count as u64)? as usize;
+    let turns = (0..count).map(|offset| (first + offset) % count);
+    let open = turns.filter(|index| !candidates[*index].draining);
+    least(open.map(|index| (index, occupancy(&candidates[index]))))
+}
+
 fn soonest(candidates: &[Candidate], need: &Need) -> Option<Placement> {
     let open = || {
         candidates
