--- a/crates/bench/src/score.rs
+++ b/crates/bench/src/score.rs
@@ -116,6 +116,8 @@
     pub worst_slowdown: f64,
     /// The highest mean slowdown among programs that came during the flood.
     pub worst_slowdown_in_flood: f64,
+    /// The highest mean slowdown among customers of weight 1.
+    pub worst_small_slowdown: f64,
     /// Jain's index over the customers' mean slowdowns.
     pub jain: f64,
     /// Calls admitted.
@@ -153,6 +155,13 @@
         .iter()
         .map(|customer| of(*customer, true))
         .fold(0.0, f64::max);
+    let is_small = |customer: &usize| head.customers[*customer].weight == 1;
+    let small = within
+        .iter()
+        .zip(&means)
+        .filter(|(customer, _)| is_small(customer))
+        .map(|(_, mean)| *mean)
+        .fold(0.0, f64::max);
     let worst = (0..means.len())
         .max_by(|a, b| means[*a].total_cmp(&means[*b]))
         .unwrap_or(0);
@@ -178,6 +187,7 @@
         worst_customer: head.customers[within[worst]].name.to_string(),
         worst_slowdown: round(means[worst]),
         worst_slowdown_in_flood: round(in_flood),
+        worst_small_slowdown: round(small),
         jain: round(jain(&means)),
         calls: tally.calls,
         refused: tally.refused,
