--- a/crates/bench/src/drive.rs
+++ b/crates/bench/src/drive.rs
@@ -340,6 +340,8 @@
         for gate in &self.gates {
             self.tally.refused += gate.errors.refused;
             self.tally.refused_within += gate.errors.within;
+            let share = gate.errors.share_within();
+            self.tally.refused_share = self.tally.refused_share.max(share);
             self.tally.overshoot += gate.errors.overshoot;
         }
         self.tally
--- a/crates/bench/src/rate.rs
+++ b/crates/bench/src/rate.rs
@@ -47,6 +47,8 @@
 /// What was decided wrongly.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Errors {
+    /// Calls granted.
+    pub granted: u64,
     /// Calls refused.
     pub refused: u64,
     /// Calls refused within the rate.
@@ -55,6 +57,13 @@
     pub overshoot: u64,
 }
 
+impl Errors {
+    /// Share of the calls that were refused within the rate.
+    pub fn share_within(&self) -> f64 {
+        self.within as f64 / (self.granted + self.refused).max(1) as f64
+    }
+}
+
 /// One customer's rate.
 #[derive(Debug)]
 pub struct Gate {
@@ -106,6 +115,7 @@
             None => {
                 granted(&mut self.entitled, now);
                 self.granted[index] += 1;
+                self.errors.granted += 1;
                 self.errors.overshoot += u64::from(!granted(&mut self.exact, now));
                 Admission::Granted
             }
--- a/crates/bench/src/score.rs
+++ b/crates/bench/src/score.rs
@@ -48,6 +48,8 @@
     pub refused: u64,
     /// Calls refused within the rate.
     pub refused_within: u64,
+    /// The largest share of a customer's calls that were refused within its rate.
+    pub refused_share: f64,
     /// Calls granted beyond the rate.
     pub overshoot: u64,
     /// Tokens prefilled while programs arrived.
@@ -126,6 +128,8 @@
     pub refused: u64,
     /// Calls refused within the rate.
     pub refused_within: u64,
+    /// The largest share of a customer's calls that were refused within its rate.
+    pub refused_share: f64,
     /// Calls granted beyond it.
     pub overshoot: u64,
     /// Time of the decisions for each call, in microseconds; varies with the machine.
@@ -192,6 +196,7 @@
         calls: tally.calls,
         refused: tally.refused,
         refused_within: tally.refused_within,
+        refused_share: tally.refused_share,
         overshoot: tally.overshoot,
         decision_micros: round(tally.decision_nanos as f64 / tally.decisions.max(1) as f64 / 1e3),
     }
