Count prompts that an engine is still to process as waiting

Ruled out: counting the whole cost of running requests, as decoding keeps nobody from prefill. A running request's uncached prompt now counts until its first token. Not measured through real processes.

--- a/crates/sidecar/src/dispatch.rs
+++ b/crates/sidecar/src/dispatch.rs
@@ -178,6 +178,16 @@
         }
     }
 
+    /// The part of the prompt that the engine has to process.
+    fn prefill(&self) -> Tokens {
+        match &self.request {
+            Request::Generate(_) => {
+                Tokens(self.start.prompt_tokens.saturating_sub(self.cached().0))
+            }
+            Request::Plain(_) => Tokens(0),
+        }
+    }
+
     fn enter(&self) -> Result<Place, Refusal> {
         let warm = self.cached() > Tokens(0);
         let job = Job {
@@ -190,7 +200,10 @@
             warm,
             arrived: self.arrived,
         };
-        let place = self.state.queue.enter(job, self.start.alone);
+        let place = self
+            .state
+            .queue
+            .enter(job, self.prefill(), self.start.alone);
         place.map_err(|_| {
             refusal::later(
                 Code::Overloaded,
@@ -230,7 +243,7 @@
             .state
             .health
             .enter(&self.attempt, self.start.fingerprint);
-        let (outcome, sample) = self.watch(&run, output, controls).await;
+        let (outcome, sample) = self.watch(&run, &permit, output, controls).await;
         drop(run);
         self.state.metrics.ran(since.elapsed());
         self.account(&outcome, sample);
@@ -242,10 +255,11 @@
     async fn watch(
         &self,
         run: &Run,
+        permit: &Permit,
         output: &Output,
         controls: &mut UnboundedReceiver<Control>,
     ) -> (Outcome, Option<Sample>) {
-        let mut work = std::pin::pin!(self.work(run, output));
+        let mut work = std::pin::pin!(self.work(run, permit, output));
         let deadline = self.state.clock.instant(self.deadline());
         let mut heard = true;
         loop {
@@ -268,7 +282,7 @@
         }
     }
 
-    async fn work(&self, run: &Run, output: &Output) -> (Outcome, Option<Sample>) {
+    async fn work(&self, run: &Run, permit: &Permit, output: &Output) -> (Outcome, Option<Sample>) {
         let state = &self.state;
         match &self.request {
             Request::Generate(body) => {
@@ -278,6 +292,7 @@
                     run,
                     attempt: &self.attempt,
                     output,
+                    permit,
                 };
                 generate::run(job, body.clone()).await
             }
--- a/crates/sidecar/src/generate.rs
+++ b/crates/sidecar/src/generate.rs
@@ -29,6 +29,7 @@
 use crate::meter::Sample;
 use crate::part::Part;
 use crate::part::Usage;
+use crate::queue::Permit;
 use crate::refusal;
 use crate::settings::Limits;
 use crate::upstream;
@@ -51,6 +52,7 @@
     pub run: &'a Run,
     pub attempt: &'a Attempt,
     pub output: &'a Output,
+    pub permit: &'a Permit,
 }
 
 /// Why a stream stopped before its end.
@@ -166,7 +168,10 @@
         if part.content.is_empty() {
             return Ok(());
         }
-        progress.first.get_or_insert_with(Instant::now);
+        if progress.first.is_none() {
+            progress.first = Some(Instant::now());
+            self.permit.prefilled();
+        }
         progress.offset += part.content.len();
         if progress.offset > self.limits.answer_bytes {
             return Err(Break::TooLarge);
--- a/crates/sidecar/src/queue.rs
+++ b/crates/sidecar/src/queue.rs
@@ -23,6 +23,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Depth {
     pub queued: usize,
+    /// Cost of what waits, and of the prompts that the target is still to process.
     pub queued_tokens: Tokens,
     pub running: usize,
     pub running_tokens: Tokens,
@@ -31,6 +32,7 @@
 #[derive(Debug)]
 struct Waiter {
     alone: bool,
+    prefill: Tokens,
     granted: oneshot::Sender<Permit>,
 }
 
@@ -42,10 +44,18 @@
     held: Option<(Job, Waiter)>,
     /// The running request that has the target to itself.
     alone: Option<u64>,
-    running: Map<u64, Tokens>,
+    running: Map<u64, Running>,
     next: u64,
 }
 
+/// A request at the target.
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    cost: Tokens,
+    /// Uncached prompt, until the first token shows that it is processed.
+    prefill: Tokens,
+}
+
 #[derive(Debug)]
 struct Inner {
     clock: Clock,
@@ -73,6 +83,13 @@
     id: u64,
 }
 
+impl Permit {
+    /// Notes that the target has processed the prompt.
+    pub fn prefilled(&self) {
+        self.queue.prefilled(self.id);
+    }
+}
+
 impl Queue {
     /// An empty queue before a target that runs `slots` requests, with room for `limit` more.
     pub fn new(policy: &Policy, slots: usize, limit: usize, clock: Clock) -> Queue {
@@ -92,10 +109,11 @@
         }))
     }
 
-    /// Takes a place; the job's id and time of arrival are set here.
+    /// Takes a place; the job's id and time of arrival are set here. `prefill` is the part of its
+    /// prompt that the target has to process.
     ///
     /// Errors: the queue is full.
-    pub fn enter(&self, mut job: Job, alone: bool) -> Result<Place, Full> {
+    pub fn enter(&self, mut job: Job, prefill: Tokens, alone: bool) -> Result<Place, Full> {
         let (sender, granted) = oneshot::channel();
         let now = self.0.clock.now();
         let mut state = self.0.state.lock();
@@ -108,6 +126,7 @@
         job.arrived = now;
         let waiter = Waiter {
             alone,
+            prefill,
             granted: sender,
         };
         state.waiters.insert(id, waiter);
@@ -131,11 +150,12 @@
     pub fn depth(&self) -> Depth {
         let state = self.0.state.lock();
         let held = state.held.as_ref().map_or(0, |(job, _)| job.cost.0);
+        let prefill: u64 = state.running.values().map(|run| run.prefill.0).sum();
         Depth {
             queued: state.queue.len() + usize::from(state.held.is_some()),
-            queued_tokens: Tokens(state.queue.tokens().0 + held),
+            queued_tokens: Tokens(state.queue.tokens().0 + held + prefill),
             running: state.running.len(),
-            running_tokens: Tokens(state.running.values().map(|tokens| tokens.0).sum()),
+            running_tokens: Tokens(state.running.values().map(|run| run.cost.0).sum()),
         }
     }
 
@@ -177,7 +197,11 @@
             return None;
         }
         state.alone = waiter.alone.then_some(job.id);
-        state.running.insert(job.id, job.cost);
+        let running = Running {
+            cost: job.cost,
+            prefill: waiter.prefill,
+        };
+        state.running.insert(job.id, running);
         Some((job.id, waiter))
     }
 
@@ -190,6 +214,12 @@
         self.pump();
     }
 
+    fn prefilled(&self, id: u64) {
+        if let Some(running) = self.0.state.lock().running.get_mut(&id) {
+            running.prefill = Tokens(0);
+        }
+    }
+
     fn finish(&self, id: u64) {
         let mut state = self.0.state.lock();
         state.running.remove(&id);
