Recover a lost shard from the log, never from a copy that the map didn't name

Cause: a node keeps the copy of a shard for which it was a standby or candidate; when the owner then died alone, the map gave the shard to such a node, which took its old copy for the newest and so lost what the log held. The new test failed before ('shard 253 was taken from a copy') and passes after.

--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -55,7 +55,8 @@
             state.link = None;
             member.shards().promote(slot, state, owner.epoch);
         }
-        Role::Standby if state.epoch < owner.epoch => {
+        // Only the standby that the last map named is sure to hold everything.
+        Role::Standby if !owner.lost && state.epoch < owner.epoch => {
             state.link = owner
                 .standby
                 .as_ref()
--- a/crates/entry/tests/member_shards.rs
+++ b/crates/entry/tests/member_shards.rs
@@ -2,7 +2,11 @@
 
 mod member_common;
 
+use coord::id::Shard;
+use coord::shard::Map;
+use entry::upkeep::OBJECT;
 use member_common::Node;
+use member_common::PATIENCE;
 use member_common::down;
 use member_common::open_all;
 use member_common::platform;
@@ -10,6 +14,8 @@
 use member_common::settled;
 use member_common::shared_programs;
 use member_common::until;
+use node::platform::Condition;
+use node::platform::Platform as Client;
 
 const PROGRAMS: usize = 40;
 
@@ -73,6 +79,53 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_copy_that_the_map_did_not_name_is_not_taken_for_the_newest() {
+    let platform = platform().await;
+    let a = Node::start(&platform, "a", "dc-1").await;
+    let b = Node::start(&platform, "b", "dc-2").await;
+    settled(&[&a, &b]).await;
+    let programs = programs_of(&a, "p", PROGRAMS);
+    open_all(&a, &programs).await;
+    until("a written log", || a.member.journal().is_idle()).await;
+    let shards: Vec<Shard> = programs
+        .iter()
+        .map(|program| Shard::of_program(&program.parse().unwrap()))
+        .collect();
+    let client = Client::new(&format!("http://{}", platform.address()), PATIENCE);
+    // As after the death of an owner without a standby; the other node still holds a copy.
+    loop {
+        let object = client.get(OBJECT).await.unwrap().unwrap();
+        let mut map: Map = serde_json::from_slice(&object.value).unwrap();
+        for shard in &shards {
+            let owner = &mut map.shards[usize::from(shard.0)];
+            owner.primary = Some(b.member.node());
+            owner.standby = None;
+            owner.epoch.0 += 2;
+            owner.lost = true;
+        }
+        let value = serde_json::to_vec(&map).unwrap();
+        let condition = Condition::At(object.version);
+        if client.put(OBJECT, value.into(), condition).await.is_ok() {
+            break;
+        }
+    }
+    until("recovery", || {
+        programs.iter().all(|program| b.holds(program))
+    })
+    .await;
+    for shard in shards {
+        let lost = b
+            .member
+            .shards()
+            .inspect(shard, |state| state.replica.lost_ms());
+        assert!(
+            lost.flatten().is_some(),
+            "shard {shard} was taken from a copy"
+        );
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_crash_of_all_is_recovered_after_the_bound_on_promises() {
     const OUTAGE: u64 = 2 * member_common::LEASE;
