Take a node's former names out of the map as soon as it knows them fenced

Cause: after several pauses a dead name could stay in the map until outage_ms: the node that fenced it had lost its own lease meanwhile, and nobody left was sure that the dead one knew of them. The process that bore the name knows it fenced, and a lease that reads as revoked needs no further proof.

--- a/crates/entry/src/fence.rs
+++ b/crates/entry/src/fence.rs
@@ -16,9 +16,15 @@
 use crate::renewal;
 use crate::upkeep::change;
 
-/// Fences members whose lease has run out and takes them out of the map.
+/// Fences members whose lease has run out and takes them out of the map, and this node's former
+/// names, whose leases others have fenced.
 pub async fn dead_members(member: &Arc<Member>) -> Result<(), Error> {
     let me = member.node();
+    for name in member.former_names() {
+        if member.map().member(&name).is_some() {
+            bury(member, &name).await?;
+        }
+    }
     for other in &member.map().members {
         let heard = &member.heard;
         let suspect =
@@ -38,7 +44,7 @@
     };
     let _changing = member.changing.lock().await;
     if !may_fence(member, node) || member.lease.authority().is_none() {
-        return Ok(false);
+        return look(member, node).await;
     }
     match revoke(member, node, Condition::At(version)).await {
         Ok(_) => Ok(true),
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -23,7 +23,6 @@
 use coord::shard::Map;
 use coord::time::Millis;
 use coord::time::Time;
-use futures::Stream;
 use node::platform::Platform;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
@@ -32,13 +31,6 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tonic::Status;
-use wire::Digest;
-use wire::PromiseReply;
-use wire::PromiseRequest;
-use wire::ReplicateReply;
-use wire::ReplicateRequest;
-use wire::SyncChunk;
 
 use crate::clock::Clock;
 use crate::compaction;
@@ -52,7 +44,6 @@
 use crate::promise;
 use crate::quarantine;
 use crate::renewal;
-use crate::replicate;
 use crate::settings::Settings;
 use crate::shards::Gained;
 use crate::shards::Shards;
@@ -87,6 +78,8 @@
     pub(crate) given: promise::Given,
     pub(crate) quarantine: quarantine::Shared,
     settling: Mutex<()>,
+    /// Names whose leases were fenced.
+    former: Mutex<Vec<Node>>,
     /// Held while the shard map is being changed.
     pub(crate) changing: tokio::sync::Mutex<()>,
     /// Wakes the heartbeat when there is news to spread.
@@ -129,6 +122,7 @@
             given,
             quarantine: quarantine::Shared::default(),
             settling: Mutex::default(),
+            former: Mutex::default(),
             changing: tokio::sync::Mutex::default(),
             news: Notify::new(),
             peers,
@@ -282,33 +276,6 @@
         self.platform.stats()
     }
 
-    /// Answers a primary that sends records of a shard.
-    pub fn replicate(&self, request: &ReplicateRequest) -> ReplicateReply {
-        replicate::append(&self.shards, request)
-    }
-
-    /// Takes in the whole copy of a shard from its primary.
-    ///
-    /// # Errors
-    ///
-    /// The stream breaks or holds no sound copy.
-    pub async fn install(
-        &self,
-        stream: impl Stream<Item = Result<SyncChunk, Status>> + Unpin,
-    ) -> Result<ReplicateReply, Status> {
-        replicate::install(&self.shards, stream).await
-    }
-
-    /// Answers another member's heartbeat.
-    pub fn exchange(self: &Arc<Self>, digest: &Digest) -> Digest {
-        heartbeat::answer(self, digest)
-    }
-
-    /// Answers a member that asks for a promise.
-    pub fn promise(&self, request: &PromiseRequest) -> PromiseReply {
-        promise::answer(self, request)
-    }
-
     pub(crate) fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
     }
@@ -359,6 +326,11 @@
         newer
     }
 
+    /// Names that this process had under fenced leases.
+    pub(crate) fn former_names(&self) -> Vec<Node> {
+        self.former.lock().clone()
+    }
+
     pub(crate) fn set_leaving(&self, leaving: Set<Target>) {
         *self.leaving.write() = Arc::new(leaving);
     }
@@ -370,6 +342,7 @@
     /// The lease was fenced: all authority goes, and the node starts over under a fresh name.
     pub(crate) fn lose(&self) {
         log::warn!(step = "lease", peer = "platform"; "lease of {} was fenced", self.node());
+        self.former.lock().push(self.node());
         self.lease.restart(fresh_name(&self.settings.node));
         self.shards.drop_all();
         self.heard.clear();
--- a/crates/entry/src/rpc.rs
+++ b/crates/entry/src/rpc.rs
@@ -26,8 +26,11 @@
 
 use crate::admission::Admission;
 use crate::call::Call;
+use crate::heartbeat;
 use crate::member::Member;
 use crate::outcome;
+use crate::promise;
+use crate::replicate;
 
 /// Serves other entries.
 pub struct Server {
@@ -80,7 +83,7 @@
         &self,
         request: Request<ReplicateRequest>,
     ) -> Result<Response<ReplicateReply>, Status> {
-        let reply = self.member.replicate(request.get_ref());
+        let reply = replicate::append(self.member.shards(), request.get_ref());
         Ok(Response::new(reply))
     }
 
@@ -88,18 +91,24 @@
         &self,
         request: Request<Streaming<SyncChunk>>,
     ) -> Result<Response<ReplicateReply>, Status> {
-        let reply = self.member.install(request.into_inner()).await?;
+        let reply = replicate::install(self.member.shards(), request.into_inner()).await?;
         Ok(Response::new(reply))
     }
 
     async fn exchange(&self, request: Request<Digest>) -> Result<Response<Digest>, Status> {
-        Ok(Response::new(self.member.exchange(request.get_ref())))
+        Ok(Response::new(heartbeat::answer(
+            &self.member,
+            request.get_ref(),
+        )))
     }
 
     async fn promise(
         &self,
         request: Request<PromiseRequest>,
     ) -> Result<Response<PromiseReply>, Status> {
-        Ok(Response::new(self.member.promise(request.get_ref())))
+        Ok(Response::new(promise::answer(
+            &self.member,
+            request.get_ref(),
+        )))
     }
 }
--- a/crates/entry/tests/member_common/mod.rs
+++ b/crates/entry/tests/member_common/mod.rs
@@ -11,7 +11,10 @@
 use coord::record::Budget;
 use coord::record::Record;
 use coord::shard;
+use entry::heartbeat;
 use entry::member::Member;
+use entry::promise;
+use entry::replicate;
 use entry::settings::Settings;
 use entry::shards::Durable;
 use entry::shards::Moved;
@@ -80,28 +83,33 @@
         &self,
         request: Request<wire::ReplicateRequest>,
     ) -> Result<Response<wire::ReplicateReply>, Status> {
-        Ok(Response::new(self.0.replicate(request.get_ref())))
+        Ok(Response::new(replicate::append(
+            self.0.shards(),
+            request.get_ref(),
+        )))
     }
 
     async fn sync(
         &self,
         request: Request<Streaming<wire::SyncChunk>>,
     ) -> Result<Response<wire::ReplicateReply>, Status> {
-        Ok(Response::new(self.0.install(request.into_inner()).await?))
+        Ok(Response::new(
+            replicate::install(self.0.shards(), request.into_inner()).await?,
+        ))
     }
 
     async fn exchange(
         &self,
         request: Request<wire::Digest>,
     ) -> Result<Response<wire::Digest>, Status> {
-        Ok(Response::new(self.0.exchange(request.get_ref())))
+        Ok(Response::new(heartbeat::answer(&self.0, request.get_ref())))
     }
 
     async fn promise(
         &self,
         request: Request<wire::PromiseRequest>,
     ) -> Result<Response<wire::PromiseReply>, Status> {
-        Ok(Response::new(self.0.promise(request.get_ref())))
+        Ok(Response::new(promise::answer(&self.0, request.get_ref())))
     }
 }
 
@@ -109,6 +117,7 @@
 pub struct Node {
     pub member: Arc<Member>,
     runtime: Option<Runtime>,
+    paused: Option<Instant>,
 }
 
 impl Drop for Node {
@@ -157,6 +166,7 @@
         Node {
             member,
             runtime: Some(runtime),
+            paused: None,
         }
     }
 
@@ -168,7 +178,8 @@
     }
 
     /// Stops all its threads for a while, as a stopped process does.
-    pub fn pause(&self, length: Duration) {
+    pub fn pause(&mut self, length: Duration) {
+        self.paused = Some(Instant::now() + length);
         let runtime = self.runtime.as_ref().unwrap();
         for _ in 0..WORKERS {
             runtime.spawn(async move { std::thread::sleep(length) });
@@ -186,6 +197,11 @@
             .collect()
     }
 
+    /// Whether it is stopped at present.
+    pub fn is_paused(&self) -> bool {
+        self.paused.is_some_and(|end| Instant::now() < end)
+    }
+
     /// Opens a program in its shard; the name tells them apart.
     pub fn open(&self, program: &str) -> Result<Durable, Moved> {
         let program: coord::id::Program = program.parse().unwrap();
@@ -251,19 +267,42 @@
 
 /// Waits until all shards have a primary with authority and a standby, and no plan moves any.
 pub async fn settled(nodes: &[&Node]) {
-    let count = usize::from(coord::id::SHARDS);
-    until("a settled shard map", || {
-        let map = nodes[0].member.map();
-        let led: usize = nodes.iter().map(|node| node.led().len()).sum();
-        let paired = map.shards.iter().all(|owner| owner.standby.is_some());
-        let at_rest = nodes.iter().all(|node| {
-            let name = node.member.node();
-            let moves = shard::recruits(&map, &name).len() + shard::transfers(&map, &name).len();
-            node.member.map().version == map.version && moves == 0
-        });
-        map.members.len() == nodes.len() && led == count && paired && at_rest
-    })
-    .await;
+    let end = Instant::now() + PATIENCE;
+    while let Some(why) = unsettled(nodes) {
+        assert!(Instant::now() < end, "not in time: {why}");
+        sleep(POLL).await;
+    }
+}
+
+/// What is missing, for a failing test to show.
+fn unsettled(nodes: &[&Node]) -> Option<String> {
+    let map = nodes[0].member.map();
+    let members: Vec<&str> = map
+        .members
+        .iter()
+        .map(|member| member.node.as_str())
+        .collect();
+    let alone = map
+        .shards
+        .iter()
+        .filter(|owner| owner.standby.is_none())
+        .count();
+    let led: Vec<usize> = nodes.iter().map(|node| node.led().len()).collect();
+    let behind = nodes
+        .iter()
+        .any(|node| node.member.map().version != map.version);
+    let moves = nodes.iter().map(|node| {
+        let name = node.member.node();
+        shard::recruits(&map, &name).len() + shard::transfers(&map, &name).len()
+    });
+    let moves: usize = moves.sum();
+    let settled = members.len() == nodes.len()
+        && alone == 0
+        && led.iter().sum::<usize>() == usize::from(coord::id::SHARDS)
+        && !behind
+        && moves == 0;
+    let why = format!("members {members:?} led {led:?} alone {alone} moves {moves} {behind}");
+    (!settled).then_some(why)
 }
 
 /// Programs named so that they fall on shards that this node leads.
--- a/crates/entry/tests/member_faults.rs
+++ b/crates/entry/tests/member_faults.rs
@@ -69,7 +69,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_paused_owner_wakes_up_without_authority() {
     let platform = platform().await;
-    let a = Node::start(&platform, "a", "dc-1").await;
+    let mut a = Node::start(&platform, "a", "dc-1").await;
     let b = Node::start(&platform, "b", "dc-2").await;
     settled(&[&a, &b]).await;
     let programs = programs_of(&a, "p", 20);
@@ -97,8 +97,9 @@
     );
 }
 
-fn inflict(random: &mut StdRng, platform: &Platform, nodes: &[Node]) {
-    let node = &nodes[random.random_range(0..nodes.len())];
+fn inflict(random: &mut StdRng, platform: &Platform, nodes: &mut [Node]) {
+    let count = nodes.len();
+    let node = &mut nodes[random.random_range(0..count)];
     let length = random.random_range(LEASE / 3..2 * LEASE);
     let faults = match random.random_range(0..6) {
         0 => down(),
@@ -126,7 +127,8 @@
 async fn open_some(nodes: &[Node], names: &[String]) -> Vec<String> {
     let mut acknowledged = Vec::new();
     for name in names {
-        let durable = nodes.iter().find_map(|node| node.open(name).ok());
+        let mut running = nodes.iter().filter(|node| !node.is_paused());
+        let durable = running.find_map(|node| node.open(name).ok());
         let Some(durable) = durable else { continue };
         if durable.wait().await.is_ok() {
             acknowledged.push(name.clone());
@@ -151,7 +153,7 @@
     let watching = watch(members, Arc::clone(&stop));
     let mut acknowledged = Vec::new();
     for step in 0..STEPS {
-        inflict(&mut random, &platform, &nodes);
+        inflict(&mut random, &platform, &mut nodes);
         for round in 0..10 {
             let names: Vec<String> = (0..10)
                 .map(|number| format!("p-{step}-{round}-{number}"))
