Take a request that never left its queue as not sent

Cause: a connection that closed before a request was taken from its queue counted as a lost request. The log names all causes of a failed dispatch, and an answer that breaks off at its owner.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -116,6 +116,10 @@
         match result {
             Ok(()) => self.instruments.answered(begun.elapsed()),
             Err(Stop::Refused(refusal)) => {
+                if out.begun() {
+                    let (step, peer) = (refusal.step.as_str(), refusal.peer.as_str());
+                    log::warn!(step, peer; "answer broken off: {}", refusal.message);
+                }
                 self.instruments.refused(&refusal);
                 out.refuse(refusal).await;
             }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -106,18 +106,33 @@
     }
 }
 
-/// Whether a stream wasn't opened because nobody listens, so that nothing was sent.
-pub fn is_refused(status: &tonic::Status) -> bool {
+/// Whether a stream surely wasn't opened: nobody listens, or the connection closed before the
+/// request was taken from its queue.
+pub fn is_unsent(status: &tonic::Status) -> bool {
     let mut source = std::error::Error::source(status);
     while let Some(error) = source {
-        match error.downcast_ref::<std::io::Error>() {
-            Some(error) if error.kind() == ErrorKind::ConnectionRefused => return true,
-            _ => source = error.source(),
+        let refused = error.downcast_ref::<std::io::Error>();
+        let refused = refused.is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused);
+        let cancelled = error.downcast_ref::<hyper::Error>();
+        if refused || cancelled.is_some_and(hyper::Error::is_canceled) {
+            return true;
         }
+        source = error.source();
     }
     false
 }
 
+/// A failure with all its causes.
+pub fn causes(status: &tonic::Status) -> String {
+    let mut text = status.message().to_string();
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        text.push_str(&format!(": {error}"));
+        source = error.source();
+    }
+    text
+}
+
 fn event(frame: Frame) -> Event {
     match frame {
         Frame::Started(started) => Event::Started(started),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -128,8 +128,8 @@
                 None => self.lost(client).await,
             },
             Ok(Err(status)) => {
-                self.unsent = dispatch::is_refused(&status);
-                self.unreachable(status.message());
+                self.unsent = dispatch::is_unsent(&status);
+                self.unreachable(&dispatch::causes(&status));
                 self.lost(client).await
             }
             Err(_) => {
