--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,9 +5,11 @@
 //! target and `rate` the ways to share a rate; `score` turns a run into the measures that `replay`
 //! prints and `plot` draws. `slopes` measures what the system costs, with a line by `fit`.
 
+pub mod decide;
 pub mod demo;
 pub mod drive;
 pub mod engine;
+pub(crate) mod event;
 pub mod fit;
 pub mod fleet;
 pub mod generate;
@@ -17,5 +19,6 @@
 pub mod rate;
 pub mod replay;
 pub mod score;
+pub mod setup;
 pub mod slopes;
 pub mod trace;
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -41,6 +41,7 @@
 use wire::SyncChunk;
 
 use crate::clock::Clock;
+use crate::compaction;
 use crate::handover;
 use crate::heartbeat;
 use crate::journal;
@@ -85,6 +86,7 @@
     pub(crate) heard: heartbeat::Heard,
     pub(crate) given: promise::Given,
     pub(crate) quarantine: quarantine::Shared,
+    settling: Mutex<()>,
     /// Held while the shard map is being changed.
     pub(crate) changing: tokio::sync::Mutex<()>,
     /// Wakes the heartbeat when there is news to spread.
@@ -126,6 +128,7 @@
             heard: heartbeat::Heard::default(),
             given,
             quarantine: quarantine::Shared::default(),
+            settling: Mutex::default(),
             changing: tokio::sync::Mutex::default(),
             news: Notify::new(),
             peers,
@@ -144,7 +147,8 @@
         let (journal, lease) = (Arc::clone(&self.journal), Arc::clone(&self.lease));
         let loops = vec![
             tokio::spawn(async move { journal.run(|| lease.node()).await }),
-            tokio::spawn(take_written(Arc::clone(&self.shards), written)),
+            tokio::spawn(compaction::keep(Arc::clone(self), written)),
+            tokio::spawn(compaction::sweep(Arc::clone(self))),
             tokio::spawn(renewal::run(Arc::clone(self))),
             tokio::spawn(heartbeat::run(Arc::clone(self))),
             tokio::spawn(upkeep::run(Arc::clone(self))),
@@ -334,6 +338,8 @@
 
     /// Takes in a shard map; an older one than known changes nothing.
     pub(crate) fn take_map(&self, map: Map) -> bool {
+        // Maps are settled one after the other: an older one must not undo a newer one.
+        let _settling = self.settling.lock();
         let map = Arc::new(map);
         let newer = self.map.send_if_modified(|known| {
             let newer = map.version > known.version;
@@ -388,14 +394,3 @@
         ..Limits::default()
     }
 }
-
-async fn take_written(shards: Arc<Shards>, mut news: mpsc::UnboundedReceiver<journal::News>) {
-    while let Some(news) = news.recv().await {
-        match news {
-            journal::News::Written { marks, .. } => {
-                marks.iter().for_each(|mark| shards.written(mark))
-            }
-            journal::News::Dropped(dropped) => dropped.iter().for_each(|s| shards.checkpoint(*s)),
-        }
-    }
-}
