--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -44,6 +44,9 @@
 /// Streams of one connection beyond those that run or wait.
 const SPARE_STREAMS: usize = 1_024;
 
+/// Time for entries to learn of the stop from their probes; new work is turned away until then.
+const NOTICE: Duration = Duration::from_millis(1_000);
+
 /// A running sidecar.
 pub struct Daemon {
     state: Arc<State>,
@@ -195,6 +198,7 @@
     stop: &watch::Sender<bool>,
     server: JoinHandle<Result<(), tonic::transport::Error>>,
 ) {
+    tokio::time::sleep(NOTICE).await;
     while !state.queue.is_idle() {
         tokio::time::sleep(DRAIN_INTERVAL).await;
     }
