--- a/crates/bench/src/score.rs
+++ b/crates/bench/src/score.rs
@@ -48,6 +48,8 @@
     pub refused: u64,
     /// Calls refused within the rate.
     pub refused_within: u64,
+    /// The largest share of a customer's calls that were refused within its rate.
+    pub refused_share: f64,
     /// Calls granted beyond the rate.
     pub overshoot: u64,
     /// Tokens prefilled while programs arrived.
@@ -116,6 +118,8 @@
     pub worst_slowdown: f64,
     /// The highest mean slowdown among programs that came during the flood.
     pub worst_slowdown_in_flood: f64,
+    /// The highest mean slowdown among customers of weight 1.
+    pub worst_small_slowdown: f64,
     /// Jain's index over the customers' mean slowdowns.
     pub jain: f64,
     /// Calls admitted.
@@ -124,6 +128,8 @@
     pub refused: u64,
     /// Calls refused within the rate.
     pub refused_within: u64,
+    /// The largest share of a customer's calls that were refused within its rate.
+    pub refused_share: f64,
     /// Calls granted beyond it.
     pub overshoot: u64,
     /// Time of the decisions for each call, in microseconds; varies with the machine.
@@ -153,6 +159,13 @@
         .iter()
         .map(|customer| of(*customer, true))
         .fold(0.0, f64::max);
+    let is_small = |customer: &usize| head.customers[*customer].weight == 1;
+    let small = within
+        .iter()
+        .zip(&means)
+        .filter(|(customer, _)| is_small(customer))
+        .map(|(_, mean)| *mean)
+        .fold(0.0, f64::max);
     let worst = (0..means.len())
         .max_by(|a, b| means[*a].total_cmp(&means[*b]))
         .unwrap_or(0);
@@ -178,10 +191,12 @@
         worst_customer: head.customers[within[worst]].name.to_string(),
         worst_slowdown: round(means[worst]),
         worst_slowdown_in_flood: round(in_flood),
+        worst_small_slowdown: round(small),
         jain: round(jain(&means)),
         calls: tally.calls,
         refused: tally.refused,
         refused_within: tally.refused_within,
+        refused_share: tally.refused_share,
         overshoot: tally.overshoot,
         decision_micros: round(tally.decision_nanos as f64 / tally.decisions.max(1) as f64 / 1e3),
     }
