--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use coord::id::Node;
 use coord::id::Program;
 use coord::id::Shard;
 use coord::shard::Map;
@@ -313,15 +314,26 @@
     /// Errors: there is none.
     pub async fn primary(&self, shard: Shard) -> eyre::Result<usize> {
         let map = self.map().await?;
-        let owner = map.owner(shard).and_then(|owner| owner.primary.clone());
-        let owner = owner.ok_or_else(|| eyre::eyre!("shard {shard} has no primary"))?;
+        self.place(map.owner(shard).and_then(|owner| owner.primary.as_ref()))
+    }
+
+    /// Place of the entry that is standby of a shard, as the map says.
+    ///
+    /// Errors: there is none.
+    pub async fn standby(&self, shard: Shard) -> eyre::Result<usize> {
+        let map = self.map().await?;
+        self.place(map.owner(shard).and_then(|owner| owner.standby.as_ref()))
+    }
+
+    fn place(&self, node: Option<&Node>) -> eyre::Result<usize> {
+        let node = node.ok_or_else(|| eyre::eyre!("the shard lacks an owner"))?;
         // A node's name in the map is the entry's and that of its process's life.
         let is_owner = |entry: &Entry| {
-            let life = owner.as_str().strip_prefix(entry.name.as_str());
+            let life = node.as_str().strip_prefix(entry.name.as_str());
             life.is_some_and(|life| life.is_empty() || life.starts_with(':'))
         };
         let place = self.entries.iter().position(is_owner);
-        place.ok_or_else(|| eyre::eyre!("{owner} isn't an entry of this fleet"))
+        place.ok_or_else(|| eyre::eyre!("{node} isn't an entry of this fleet"))
     }
 
     /// Place of the entry that is primary of a program's shard.
--- a/tests/tests/order.rs
+++ b/tests/tests/order.rs
@@ -220,6 +220,33 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_turn_without_a_second_copy_is_not_acknowledged() -> eyre::Result<()> {
+    let mut fleet = Fleet::start(&plan()).await?;
+    let callers = callers(&fleet, "large");
+    let program = callers[0].open(budget()).await?;
+    let shard = Shard::of_program(&program.parse::<Program>()?);
+    let mut told = Conversation::default();
+    let text = told.turn("first");
+    let answer = persist(&callers, &program, 1, "first").await;
+    assert_eq!(answer.text, text, "{answer:?}");
+    let owner = fleet.primary(shard).await?;
+    let standby = fleet.standby(shard).await?;
+    fleet.faults(fleet.store, json!({ "down": true })).await?;
+    fleet.entries[standby].process.freeze();
+    let caller = callers[owner].with("teasellever-timeout-ms", "3000");
+    let alone = caller.turn(&program, 2, "second", MAX_TOKENS).await;
+    assert!(!alone.ok(), "acknowledged with one copy: {alone:?}");
+    fleet.entries[owner].process.kill();
+    fleet.entries[standby].process.thaw();
+    fleet.faults(fleet.store, json!({})).await?;
+    let text = told.turn("second");
+    let answer = persist(&callers, &program, 2, "second").await;
+    assert_eq!(answer.text, text, "{answer:?}");
+    assert_eq!(history(&callers, &program).await, told.json());
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn sub_agents_racing_for_the_last_tokens_stay_within_the_budget() -> eyre::Result<()> {
     const TOKENS: u64 = 900;
