--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 use std::alloc::System;
 use std::process::ExitCode;
 
+use bench::decide;
 use bench::demo;
 use bench::generate;
 use bench::plot;
@@ -31,6 +32,8 @@
     Trace(generate::Args),
     #[options(help = "replay a trace through the decisions in virtual time")]
     Replay(replay::Args),
+    #[options(help = "time a call's decisions with many calls queued")]
+    Decide(decide::Args),
     #[options(help = "draw a comparison as SVG")]
     Plot(plot::Args),
 }
@@ -55,6 +58,7 @@
         Some(Command::Slopes(_)) => runtime.block_on(bench::slopes::run()),
         Some(Command::Trace(args)) => generate::run(&args),
         Some(Command::Replay(args)) => replay::run(&args),
+        Some(Command::Decide(args)) => decide::run(&args),
         Some(Command::Plot(args)) => plot::run(&args),
         None => Err(eyre::eyre!("no command; see --help")),
     };
--- a/crates/entry/src/heartbeat.rs
+++ b/crates/entry/src/heartbeat.rs
@@ -162,7 +162,7 @@
         node: member.node().to_string(),
         lease_version: member.lease.version().unwrap_or_default().0,
         map_version: member.map().version.0,
-        seen: (*member.store.digests()).clone(),
+        seen: member.store.seen(),
         leaving: leaving.iter().map(Target::to_string).collect(),
         quarantine: member.quarantine.news(member.now()).into(),
         ..Digest::default()
--- a/crates/sidecar/tests/faults.rs
+++ b/crates/sidecar/tests/faults.rs
@@ -8,7 +8,11 @@
 use fakes::engine::Engine;
 use fakes::fault::Faults;
 use rstest::rstest;
+use sidecar::settings::Kind;
 use support::*;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use wire::Ran;
 use wire::Start;
 use wire::cancel_reply::State;
@@ -24,6 +28,7 @@
 
 #[rstest]
 #[case::broken(Faults { break_streams: 2, ..Faults::default() })]
+#[case::cut_short(Faults { cut_streams: 2, ..Faults::default() })]
 #[case::crossed(Faults { cross_streams: 2, ..Faults::default() })]
 #[tokio::test]
 async fn stream_that_goes_wrong_is_resumed_and_whole(#[case] faults: Faults) {
@@ -38,14 +43,13 @@
     assert!(counts.resumed > 0);
 }
 
+#[rstest]
+#[case::broken(Faults { break_streams: 1, no_resume: true, ..Faults::default() })]
+#[case::cut_short(Faults { cut_streams: 1, no_resume: true, ..Faults::default() })]
 #[tokio::test]
-async fn stream_that_cannot_be_resumed_never_looks_complete() {
+async fn stream_that_cannot_be_resumed_never_looks_complete(#[case] faults: Faults) {
     let engine = slow_engine().await;
-    engine.set_faults(Faults {
-        break_streams: 1,
-        no_resume: true,
-        ..Faults::default()
-    });
+    engine.set_faults(faults);
     let (_daemon, client) = before_engine(&engine).await;
     let answer = client.run(generate("a1", "report")).await;
     assert!(text("report").starts_with(&answer.text));
@@ -112,6 +116,70 @@
     assert_eq!(client.cancelled("a1").await, State::Done);
 }
 
+#[tokio::test]
+async fn plain_request_that_crashes_its_service_is_reported_and_not_repeated() {
+    let tool = tool(Default::default()).await;
+    tool.set_faults(Faults {
+        crash_on: Some("poison".to_owned()),
+        ..Faults::default()
+    });
+    let (_daemon, client) = before_tool(&tool).await;
+    assert!(client.run(plain("a1", "POST", "/fee", "1")).await.is_done());
+    let poison = plain("a2", "POST", "/fee", "poison");
+    let expected = poison.fingerprint;
+    let answer = client.run(poison).await;
+    assert_eq!(answer.crashed().fingerprints, [expected]);
+    assert!(answer.crashed().alone);
+    assert_eq!(tool.stats.counts().executions.get("a2"), Some(&1));
+}
+
+/// Answers one request on each connection, keeps it open, and closes it on the next one.
+async fn serve_one_request_a_connection(listener: TcpListener) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        tokio::spawn(async move {
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request).await;
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            let _ = stream.write_all(answer).await;
+            let _ = stream.read(&mut request).await;
+        });
+    }
+}
+
+#[tokio::test]
+async fn connection_closed_while_idle_makes_no_request_unknown_and_no_target_dead() {
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve_one_request_a_connection(listener));
+    let (daemon, client) = sidecar(settings(address, Kind::Plain)).await;
+    for n in 0..20 {
+        let answer = client
+            .run(plain(&format!("a{n}"), "POST", "/fee", ""))
+            .await;
+        assert!(answer.is_done(), "{answer:?}");
+        daemon.state().health.probe().await;
+    }
+    assert_eq!(daemon.state().health.life(), 0);
+}
+
+#[tokio::test]
+async fn engine_that_is_down_is_reported_without_models() {
+    let mut engine = engine(Default::default()).await;
+    let (daemon, _client) = before_engine(&engine).await;
+    assert_eq!(daemon.state().load().models, ["m1"]);
+    engine.crash();
+    eventually("no models", || async {
+        daemon.state().load().models.is_empty()
+    })
+    .await;
+    engine.restart().await.unwrap();
+    eventually("models", || async {
+        daemon.state().load().models == ["m1"]
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn suspect_runs_with_no_companion() {
     let tool = support::tool(fakes::tool::Settings {
