Count an outcome that a handover overtook as recorded

Cause: under load a rolling restart broke off two of 712 answers. The outcome was applied and taken in by the standby, but the shard was handed over before the waiting call was told, so its wait failed and the whole answer was called broken. Now a failed wait looks for the shard's owner again, and an outcome that stands there already counts. Ruled out: the sidecar (both ran, both bodies were whole).

--- a/crates/coord/src/ledger.rs
+++ b/crates/coord/src/ledger.rs
@@ -82,6 +82,11 @@
         matches!(self.state, State::InFlight) && self.attempt == *attempt
     }
 
+    /// Whether this attempt gave the answer.
+    pub fn is_answered_by(&self, attempt: &Attempt) -> bool {
+        matches!(self.state, State::Answered(_)) && self.attempt == *attempt
+    }
+
     /// The entry as a dispatched call without an outcome, if it is one.
     pub fn flight(&self, call: impl FnOnce() -> Call) -> Option<Flight> {
         match self.state {
--- a/crates/coord/src/program.rs
+++ b/crates/coord/src/program.rs
@@ -161,6 +161,13 @@
             .flight(|| Call::Step(name.clone(), self.next_step()))
     }
 
+    /// Whether a step has this answer.
+    pub fn holds(&self, step: Step, answer: &Answer) -> bool {
+        let place = (step.0 as usize).checked_sub(1);
+        let segment = place.and_then(|place| self.segments.get(place));
+        segment.is_some_and(|segment| segment.answer.as_deref() == Some(answer))
+    }
+
     /// Whether the outcome of this step's attempt is awaited.
     pub fn awaits(&self, step: Step, attempt: &Attempt) -> bool {
         let open = self.open.as_ref().filter(|_| step == self.next_step());
--- a/crates/coord/src/replica.rs
+++ b/crates/coord/src/replica.rs
@@ -268,6 +268,21 @@
         }
     }
 
+    /// Whether this outcome of an attempt is recorded.
+    pub fn holds(&self, call: &Call, attempt: &Attempt, outcome: &Outcome) -> bool {
+        match (call, outcome) {
+            (Call::Single(customer, request), Outcome::Answered(_)) => {
+                let entry = self.ledger.entry(&(customer.clone(), request.clone()));
+                entry.is_some_and(|entry| entry.is_answered_by(attempt))
+            }
+            (Call::Step(name, step), Outcome::Answered(answer)) => {
+                let program = self.programs.get(name);
+                program.is_some_and(|program| program.holds(*step, answer))
+            }
+            (_, Outcome::NotRun | Outcome::Unknown) => false,
+        }
+    }
+
     /// Whether this attempt's outcome is awaited.
     pub fn awaits(&self, call: &Call, attempt: &Attempt) -> bool {
         match call {
--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -25,6 +25,7 @@
 use crate::member::Member;
 use crate::refusal;
 use crate::shards::Durable;
+use crate::shards::Lost;
 use crate::shards::Moved;
 use crate::shards::Shards;
 use crate::trial;
@@ -141,7 +142,8 @@
     }
 }
 
-/// Records the outcome of an attempt of any call.
+/// Records the outcome of an attempt of any call. What is recorded already counts, as a handover
+/// may come between the record and the word that it stands in two places.
 pub async fn record_outcome(
     shards: &Arc<Shards>,
     call: &Call,
@@ -150,13 +152,15 @@
     outcome: Outcome,
 ) -> Result<(), Stop> {
     let (awaited, durable) = shards.decide(shard, |replica| {
+        let held = replica.holds(call, attempt, &outcome);
         let records = replica.settle(call, attempt, outcome, unix_ms());
-        let awaited = !records.is_empty();
+        let awaited = held || !records.is_empty();
         (records, awaited)
     })?;
     match durable.wait().await {
         Ok(()) if awaited => Ok(()),
-        Ok(()) | Err(_) => Err(not_awaited().into()),
+        Ok(()) => Err(not_awaited().into()),
+        Err(Lost { shard, epoch }) => Err(Moved { shard, epoch }.into()),
     }
 }
 
