--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -141,7 +141,10 @@
                 let (status, reply) = self.put_ticket(entry.admin, &change).await;
                 match status {
                     200 => return Ok(number),
-                    _ if Instant::now() > end => eyre::bail!("ticket {number}: {status} {reply}"),
+                    _ if Instant::now() > end => {
+                        self.failed.store(true, Ordering::Relaxed);
+                        eyre::bail!("ticket {number}: {status} {reply}");
+                    }
                     _ => tokio::time::sleep(POLL).await,
                 }
             }
