--- a/crates/bench/src/slopes/process.rs
+++ b/crates/bench/src/slopes/process.rs
@@ -97,6 +97,9 @@
     entry_memory: f64,
 }
 
+/// Name and unit of a measure, and where its value stands.
+type Series<T> = (&'static str, &'static str, fn(&T) -> f64);
+
 /// Measures over processes.
 ///
 /// Errors: a process doesn't start or serve.
@@ -123,7 +126,7 @@
         rests.push(rest(&mut fleet, size).await?);
     }
     let per = "entries, at rest, leases of 6 s, 3 targets";
-    let series: [(&str, &str, fn(&Rest) -> f64); 10] = [
+    let series: [Series<Rest>; 10] = [
         ("node.reads", "platform reads a second", |r| r.flow.reads),
         ("node.writes", "platform writes a second", |r| r.flow.writes),
         ("node.watches", "platform watches begun a second", |r| {
@@ -170,7 +173,7 @@
         rests.push(rest);
     }
     let per = "targets, at rest, 3 entries";
-    let series: [(&str, &str, fn(&Rest) -> f64); 5] = [
+    let series: [Series<Rest>; 5] = [
         ("target.cpu", "ms a second of one entry", |r| {
             r.flow.entry_ms
         }),
@@ -237,7 +240,7 @@
         });
     }
     let per = "program turns a second through 3 entries";
-    let series: [(&str, &str, fn(&Load) -> f64); 5] = [
+    let series: [Series<Load>; 5] = [
         ("request.writes", "platform writes a second", |l| {
             l.flow.writes
         }),
