--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -14,12 +14,13 @@
 use coord::record::Outcome;
 use parking_lot::Mutex;
 use rand::RngExt;
-use sched::quarantine::Quarantine;
 use sched::quarantine::Verdict;
 use sched::retry::Budget;
 use wire::CallRequest;
 use wire::Crashed;
 use wire::Done;
+use wire::Ran;
+use wire::Refusal;
 use wire::call_frame::Frame;
 use wire::call_request::What;
 
@@ -62,7 +63,6 @@
     pub table: Table,
     pub(crate) caches: Caches,
     pub(crate) flight: Flight,
-    pub(crate) quarantine: Mutex<Quarantine>,
     retries: Mutex<Budget>,
 }
 
@@ -82,7 +82,6 @@
             table: Table::default(),
             caches: Caches::default(),
             flight: Flight::default(),
-            quarantine: Mutex::new(Quarantine::new()),
             retries: Mutex::new(Budget::new()),
         })
     }
@@ -107,7 +106,10 @@
                 program::serve(self, &request, out).await
             }
             _ => match Job::new(request, &self.member.config()) {
-                Ok(job) => self.job(&job, out).await,
+                Ok(job) => {
+                    let result = self.job(&job, out).await;
+                    result.map_err(|stop| self.vouched(&job, stop))
+                }
                 Err(refusal) => Err(Stop::Refused(refusal)),
             },
         };
@@ -129,10 +131,25 @@
         }
     }
 
+    /// A refusal that says "not run" only if the ledger knows of no earlier send that may have.
+    fn vouched(&self, job: &Job, stop: Stop) -> Stop {
+        let refusal = match stop {
+            Stop::Refused(refusal) if refusal.ran() == Ran::No => refusal,
+            stop => return stop,
+        };
+        match ledger::ran(&self.member, job) {
+            Ok(ran) => Stop::Refused(Refusal {
+                ran: ran.into(),
+                ..refusal
+            }),
+            Err(moved) => Stop::Moved(moved),
+        }
+    }
+
     /// The whole way of a call.
     async fn job(&self, job: &Job, out: &Out) -> Result<(), Stop> {
         let _counted = self.flight.enter(job.shard);
-        self.check(job)?;
+        self.admitted(job)?;
         let prompt = match self.turn(job, out).await? {
             Turn::Replay(answer) => return replay(out, &answer).await,
             Turn::Go(prompt) => prompt,
@@ -190,7 +207,7 @@
                 () = tokio::time::sleep_until(job.deadline) => return Err(refusal.into()),
                 () = out.closed() => return Err(Stop::Gone),
             }
-            self.check(job)?;
+            self.admitted(job)?;
         }
     }
 
@@ -305,7 +322,7 @@
     }
 
     fn completed(&self, job: &Job, attempt: &Attempt, done: &Done) {
-        self.quarantine.lock().completed(job.fingerprint());
+        self.member.quarantine.completed(job.fingerprint());
         if let (Some(program), Service::Model(_)) = (&job.program, &job.service) {
             let tokens = id::Tokens(done.prompt_tokens + done.completion_tokens);
             let epoch = attempt.authority.epoch;
@@ -323,7 +340,8 @@
         out: &Out,
     ) -> Result<Option<Again>, Stop> {
         let now = self.member.now();
-        self.quarantine.lock().crashed(&crashed.fingerprints, now);
+        self.member.quarantine.crashed(crashed, now);
+        self.member.news.notify_one();
         self.instruments.crashed();
         let target = &attempt.target.id;
         self.table.failed(target, Instant::now());
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -11,7 +11,6 @@
 use tokio::time::sleep;
 
 use crate::member::Member;
-use crate::renewal;
 use crate::upkeep::change;
 use crate::upkeep::fold;
 use crate::upkeep::refresh;
@@ -22,11 +21,19 @@
 /// Longest time for the standbys to take in the last records.
 const SYNC_LIMIT: Duration = Duration::from_millis(500);
 
+/// Leases for which a leaving node goes on as a standby until others have taken its place.
+const STANDBY_LEASES: u32 = 2;
+
 /// Time between two looks at how far a planned stop has come.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Hands over what the plan says.
+///
+/// What is frozen stays so while a write of the map is in doubt; the map's next version tells.
 pub async fn hand_over(member: &Arc<Member>) -> Result<(), Error> {
+    if !member.given.is_writing() {
+        member.shards().thaw();
+    }
     let me = member.node();
     let mut plan = shard::transfers(&member.map(), &me);
     plan.truncate(BATCH);
@@ -35,18 +42,13 @@
     }
     let ready = member.shards().freeze(&plan, SYNC_LIMIT).await;
     let changed = change(member, |map| transfer(member, map, &ready)).await;
-    match changed {
-        // In doubt until the map has been read at a newer version.
-        Err(Error::Unknown) => refresh(member).await,
-        Err(error) => {
-            member.shards().thaw(&ready);
-            Err(error)
-        }
-        Ok(_) => {
-            member.shards().thaw(&ready);
-            Ok(())
-        }
+    if member.given.is_writing() {
+        refresh(member).await?;
+    }
+    if !member.given.is_writing() {
+        member.shards().thaw();
     }
+    changed.map(|_| ())
 }
 
 fn transfer(member: &Member, map: &shard::Map, ready: &[Shard]) -> Option<shard::Map> {
@@ -61,13 +63,19 @@
 pub async fn shed(member: &Arc<Member>, limit: Duration) {
     let end = Instant::now() + limit;
     member.stop();
+    while Instant::now() < end && leads(member) {
+        step(member).await;
+        sleep(PAUSE).await;
+    }
+    // Where nobody else may stand by, the log in the platform is the second place.
+    let end = end.min(Instant::now() + member.lease_duration() * STANDBY_LEASES);
     while Instant::now() < end && !has_left(member) {
         step(member).await;
         sleep(PAUSE).await;
     }
 }
 
-/// Leaves the fleet: writes out the log, gives up the lease.
+/// Leaves the shard map, the log written out.
 /// Returns when that is done or the limit is over.
 pub async fn depart(member: &Arc<Member>, limit: Duration) {
     let end = Instant::now() + limit;
@@ -78,7 +86,6 @@
     if let Err(cause) = change(member, |map| map.member(&me).map(|_| map.died(&me))).await {
         error::warn(&error::Error::new("leave shard map", "platform", cause));
     }
-    renewal::release(member).await;
 }
 
 async fn step(member: &Arc<Member>) {
@@ -93,6 +100,14 @@
     member.shards().upkeep.notify_one();
 }
 
+/// Whether this node leads a shard that it can hand over.
+fn leads(member: &Member) -> bool {
+    let map = member.map();
+    let me = member.node();
+    let alone = map.staying().all(|other| other.node == me);
+    map.member(&me).is_some() && !alone && map.holding(&me).primary > 0
+}
+
 /// Whether no shard rests on this node; the last node in the map can't hand anything over.
 fn has_left(member: &Member) -> bool {
     let map = member.map();
--- a/crates/entry/src/heartbeat.rs
+++ b/crates/entry/src/heartbeat.rs
@@ -82,12 +82,10 @@
         signs.get(node)?.lease.expired(member.now())
     }
 
-    /// Whether a version of the member's lease was ever seen.
-    pub fn has_seen(&self, member: &Member, node: &Node) -> bool {
+    /// How long a member's lease has stood unrenewed.
+    pub fn standing(&self, member: &Member, node: &Node) -> Option<Millis> {
         let signs = self.signs.lock();
-        signs
-            .get(node)
-            .is_some_and(|sign| sign.lease.standing(member.now()).is_some())
+        signs.get(node)?.lease.standing(member.now())
     }
 
     /// Forgets who is no longer a member.
@@ -172,8 +170,9 @@
         node: member.node().to_string(),
         lease_version: member.lease.version().unwrap_or_default().0,
         map_version: member.map().version.0,
-        seen: (*member.store.digests()).clone(),
+        seen: member.store.seen(),
         leaving: leaving.iter().map(Target::to_string).collect(),
+        quarantine: member.quarantine.news(member.now()).into(),
         ..Digest::default()
     }
 }
@@ -194,10 +193,12 @@
         member
             .heard
             .heard(member, &node, Version(theirs.lease_version));
+        member.given.heard(&node, Version(theirs.map_version));
     }
     if member.store.take_news(&theirs.tickets) {
         member.news.notify_one();
     }
+    member.quarantine.take(&theirs.quarantine, member.now());
     if !sync::is_watcher(member) {
         let leaving = theirs
             .leaving
--- a/crates/entry/tests/call/fleet.rs
+++ b/crates/entry/tests/call/fleet.rs
@@ -6,10 +6,15 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use coord::config::Change;
+use coord::id::SHARDS;
+use coord::id::Shard;
+use coord::shard;
 use entry::member::Member;
 use entry::service::Service;
 use entry::settings::Settings;
@@ -31,10 +36,15 @@
 use tokio::task::JoinHandle;
 
 const PATIENCE: Duration = Duration::from_secs(20);
+const ENTRIES: usize = 2;
 /// Places at each target.
 const SLOTS: u64 = 4;
+/// First port and number of ports.
+const PORTS: (u16, u16) = (8_000, 4_000);
 const SALT: &str = "00ff";
 
+static NEXT: AtomicU16 = AtomicU16::new(0);
+
 /// Everything of one test; it ends with it.
 pub struct Fleet {
     _platform: Platform,
@@ -77,7 +87,7 @@
         let tool = Tool::start(fakes::tool::Settings::default());
         let tool = tool.await.expect("a tool");
         let mut services = Vec::new();
-        for number in 1..=2 {
+        for number in 1..=ENTRIES {
             services.push(start_entry(number, platform.address()).await);
         }
         let (first, engine_at) = start_sidecar("engine-1", "engine", engine.address).await;
@@ -91,7 +101,7 @@
             ticket: 0,
         };
         fleet.change(objects(engine_at, tool_at), json!([])).await;
-        fleet.wait_owned().await;
+        fleet.wait_settled().await;
         fleet
     }
 
@@ -114,17 +124,12 @@
         .await;
     }
 
-    async fn wait_owned(&self) {
-        within("all shards are owned", async || {
-            (0..coord::id::SHARDS).all(|number| {
-                let shard = coord::id::Shard(number);
-                let owns = |service: &Service| service.member.authority(shard).is_some();
-                self.services.iter().any(owns)
-                    && self
-                        .services
-                        .iter()
-                        .all(|service| service.member.owner(shard).is_some())
-            })
+    /// Waits until each shard has its owner and standby, and none is about to move.
+    async fn wait_settled(&self) {
+        within("the shards have settled", async || {
+            self.services
+                .iter()
+                .all(|service| is_settled(&service.member))
         })
         .await;
     }
@@ -219,7 +224,7 @@
         let customer = customer.parse().expect("a customer's name");
         let owned = |name: &String| {
             let request = name.parse().expect("a request's name");
-            let shard = coord::id::Shard::of_request(&customer, &request);
+            let shard = Shard::of_request(&customer, &request);
             self.services[entry].member.authority(shard).is_some()
         };
         let names = (0..10_000).map(|number| format!("request-{number}"));
@@ -241,6 +246,19 @@
     })
 }
 
+fn is_settled(member: &Member) -> bool {
+    let map = member.map();
+    let paired = |number| {
+        let owner = map.owner(Shard(number));
+        owner.is_some_and(|owner| owner.primary.is_some() && owner.standby.is_some())
+    };
+    let resting = map
+        .members
+        .iter()
+        .all(|one| shard::transfers(&map, &one.node).is_empty());
+    map.members.len() == ENTRIES && resting && (0..SHARDS).all(paired)
+}
+
 fn request(
     address: SocketAddr,
     customer: &str,
@@ -295,7 +313,7 @@
         "listen": { "callers": free(), "peers": free(), "admin": free() },
         "platform": format!("http://{platform}"),
         "lease": { "duration_ms": 1500, "margin_ms": 150 },
-        "limits": { "body_bytes": 100_000 },
+        "limits": { "body_bytes": 100_000, "grace_ms": 100 },
     }))
     .expect("sound settings");
     let metrics = Metrics::new().expect("metrics");
@@ -355,7 +373,12 @@
     digest.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
+/// A port below the range that the kernel hands out for connections.
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
+    let start = std::process::id() as u16 % PORTS.1;
+    (0..PORTS.1)
+        .map(|_| PORTS.0 + (start + NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS.1)
+        .map(|port| SocketAddr::from(([127, 0, 0, 1], port)))
+        .find(|address| TcpListener::bind(address).is_ok())
+        .expect("a port is free")
 }
--- a/crates/entry/tests/member_common/mod.rs
+++ b/crates/entry/tests/member_common/mod.rs
@@ -2,7 +2,6 @@
 
 #![allow(dead_code)]
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +39,12 @@
 /// Length of a lease, in milliseconds.
 pub const LEASE: u64 = 1_500;
 
+/// How long a member goes on without the platform, in milliseconds.
+pub const OUTAGE: u64 = 300_000;
+
+/// Threads of a member.
+const WORKERS: usize = 2;
+
 const POLL: Duration = Duration::from_millis(10);
 
 /// The members' part of the service between entries.
@@ -113,34 +118,42 @@
 }
 
 impl Node {
-    /// Starts a member in a data centre; `seeds` are asked when the platform is away.
+    /// Starts a member in a data centre.
     pub async fn start(platform: &Platform, name: &str, data_centre: &str) -> Node {
-        Node::start_with(platform, name, data_centre, json!([])).await
+        Node::start_with(platform, name, data_centre, OUTAGE, &[]).await
     }
 
+    /// Starts a member that goes on for so long without the platform, and knows some peers.
     pub async fn start_with(
         platform: &Platform,
         name: &str,
         data_centre: &str,
-        seeds: serde_json::Value,
+        outage_ms: u64,
+        seeds: &[String],
     ) -> Node {
-        let peers = free_address().await;
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let peers = listener.local_addr().unwrap();
         let settings = json!({
             "node": name,
             "data_centre": data_centre,
             "listen": { "callers": "127.0.0.1:1", "peers": peers, "admin": "127.0.0.1:2" },
             "platform": format!("http://{}", platform.address()),
-            "lease": { "duration_ms": LEASE, "margin_ms": LEASE / 10 },
+            "lease": {
+                "duration_ms": LEASE,
+                "margin_ms": LEASE / 10,
+                "outage_ms": outage_ms,
+            },
             "seeds": seeds,
         });
         let settings: Settings =
             node::settings::parse(Path::new("test"), &settings.to_string()).unwrap();
         let runtime = Builder::new_multi_thread()
-            .worker_threads(2)
+            .worker_threads(WORKERS)
             .enable_all()
             .build()
             .unwrap();
-        let member = runtime.spawn(serve(settings)).await.unwrap();
+        let member = runtime.spawn(serve(settings, listener)).await.unwrap();
         Node {
             member,
             runtime: Some(runtime),
@@ -154,6 +167,14 @@
         }
     }
 
+    /// Stops all its threads for a while, as a stopped process does.
+    pub fn pause(&self, length: Duration) {
+        let runtime = self.runtime.as_ref().unwrap();
+        for _ in 0..WORKERS {
+            runtime.spawn(async move { std::thread::sleep(length) });
+        }
+    }
+
     pub fn address(&self) -> String {
         self.member.settings().listen.peers.to_string()
     }
@@ -185,8 +206,8 @@
     }
 }
 
-async fn serve(settings: Settings) -> Arc<Member> {
-    let listener = TcpListener::bind(settings.listen.peers).await.unwrap();
+async fn serve(settings: Settings, listener: std::net::TcpListener) -> Arc<Member> {
+    let listener = TcpListener::from_std(listener).unwrap();
     let member = Member::start(settings);
     let service = OwnerServer::new(Service(Arc::clone(&member)))
         .max_decoding_message_size(wire::MESSAGE_LIMIT);
@@ -197,11 +218,6 @@
     member
 }
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
-}
-
 fn opened(program: &coord::id::Program) -> Record {
     let budget = Budget {
         tokens: coord::id::Tokens(1_000),
@@ -258,6 +274,15 @@
     names.filter(here).take(count).collect()
 }
 
+/// Programs of this node's whose standby is another.
+pub fn shared_programs(node: &Node, standby: &Node, prefix: &str, count: usize) -> Vec<String> {
+    let map = node.member.map();
+    let shards = map.standby_of(&standby.member.node());
+    let shared = |name: &String| shards.contains(&Shard::of_program(&name.parse().unwrap()));
+    let names = programs_of(node, prefix, 100 * count).into_iter();
+    names.filter(shared).take(count).collect()
+}
+
 /// Opens programs and waits until each stands in two places.
 pub async fn open_all(node: &Node, programs: &[String]) {
     for program in programs {
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -43,7 +43,7 @@
 const POLL: Duration = Duration::from_millis(25);
 
 /// Fleets that run at a time in one test program.
-const FLEETS: usize = 4;
+const FLEETS: usize = 3;
 
 static FOLDERS: AtomicU32 = AtomicU32::new(0);
 static TURNS: Semaphore = Semaphore::const_new(FLEETS);
@@ -315,10 +315,12 @@
         let map = self.map().await?;
         let owner = map.owner(shard).and_then(|owner| owner.primary.clone());
         let owner = owner.ok_or_else(|| eyre::eyre!("shard {shard} has no primary"))?;
-        let place = self
-            .entries
-            .iter()
-            .position(|entry| entry.name == owner.as_str());
+        // A node's name in the map is the entry's and that of its process's life.
+        let is_owner = |entry: &Entry| {
+            let life = owner.as_str().strip_prefix(entry.name.as_str());
+            life.is_some_and(|life| life.is_empty() || life.starts_with(':'))
+        };
+        let place = self.entries.iter().position(is_owner);
         place.ok_or_else(|| eyre::eyre!("{owner} isn't an entry of this fleet"))
     }
 
