Let a shard's new owner keep and release its programs' caches

Ruled out: a shorter hold alone, which would also drop caches of paused programs. The program's state now names its engine, a new owner renews from it and releases those of ended programs; the sidecar's own hold is 15 s.

--- a/crates/coord/src/apply.rs
+++ b/crates/coord/src/apply.rs
@@ -87,6 +87,7 @@
             by,
             content,
             input,
+            model,
             reserved,
             idempotent,
             at_ms,
@@ -114,6 +115,7 @@
                     entry,
                     input: input.clone(),
                     reserved: *reserved,
+                    engine: model.is_some(),
                 };
                 if let Some(program) = self.programs.get_mut(name) {
                     program.dispatched(*step, turn);
--- a/crates/coord/src/program.rs
+++ b/crates/coord/src/program.rs
@@ -17,6 +17,7 @@
 use crate::id::Attempt;
 use crate::id::Customer;
 use crate::id::Step;
+use crate::id::Target;
 use crate::id::Tokens;
 use crate::ledger;
 use crate::ledger::Entry;
@@ -49,6 +50,8 @@
     pub opened_ms: u64,
     pub touched_ms: u64,
     pub ended: Option<(Ending, u64)>,
+    /// The model engine that was sent the newest step, which may hold the history in its cache.
+    pub engine: Option<Target>,
     /// Opened before a loss of state and not dispatched to since.
     pub(crate) doubtful: bool,
     segments: Vec<Arc<Segment>>,
@@ -63,6 +66,8 @@
     #[serde(with = "crate::bytes")]
     pub(crate) input: Vec<u8>,
     pub(crate) reserved: Tokens,
+    /// Whether its target is a model engine.
+    pub(crate) engine: bool,
 }
 
 impl fmt::Debug for Turn {
@@ -99,6 +104,7 @@
             opened_ms: at_ms,
             touched_ms: at_ms,
             ended: None,
+            engine: None,
             doubtful: false,
             segments: Vec::new(),
             open: None,
@@ -246,6 +252,9 @@
         self.calls += 1;
         self.touched_ms = turn.entry.at_ms;
         self.doubtful = false;
+        if turn.engine {
+            self.engine = Some(turn.entry.target.clone());
+        }
         self.open = Some(turn);
     }
 
--- a/crates/entry/src/cache.rs
+++ b/crates/entry/src/cache.rs
@@ -13,15 +13,18 @@
 use coord::config;
 use coord::id::Epoch;
 use coord::id::Program;
+use coord::id::SHARDS;
 use coord::id::Shard;
 use coord::id::Target;
 use coord::id::Tokens;
 use parking_lot::Mutex;
+use tokio::sync::broadcast::error::RecvError;
 use wire::CacheLease;
 use wire::CacheRequest;
 
 use crate::call::Call;
 use crate::clock;
+use crate::shards::Gained;
 
 const STEP: &str = "cache";
 /// A program without a call for this long gives its cache up.
@@ -104,6 +107,11 @@
         }
     }
 
+    /// Notes what a former owner held, unless more is known here.
+    fn adopt(&self, program: Program, held: Held) {
+        self.held.lock().entry(program).or_insert(held);
+    }
+
     fn give_up(&self, program: &Program, held: Held) {
         let mut released = self.released.lock();
         if released.len() < RELEASES_LIMIT {
@@ -136,13 +144,51 @@
 pub async fn keep(call: Arc<Call>) {
     let hold = clock::duration(call.settings.limits.cache_hold_ms);
     let mut tick = tokio::time::interval(hold / RENEWALS);
+    let mut gained = call.member.gained();
     loop {
-        tick.tick().await;
-        renew(&call, hold).await;
+        tokio::select! {
+            _ = tick.tick() => renew(&call, hold).await,
+            gain = gained.recv() => match gain {
+                Ok(Gained { shard, .. }) => adopt(&call, shard),
+                Err(RecvError::Lagged(_)) => (0..SHARDS).map(Shard).for_each(|shard| adopt(&call, shard)),
+                Err(RecvError::Closed) => return,
+            },
+        }
         flush(&call).await;
     }
 }
 
+/// Takes over the leases of a shard's programs from its former owner, and releases those of ended
+/// programs, whose release that owner may not have sent.
+fn adopt(call: &Call, shard: Shard) {
+    let Some(authority) = call.member.authority(shard) else {
+        return;
+    };
+    let config = call.member.config();
+    let held = call.member.shards().inspect(shard, |state| {
+        let programs = state.replica.programs();
+        let held = programs.filter_map(|(name, program)| {
+            let target = config.target(program.engine.as_ref()?)?;
+            let held = Held {
+                target: target.id.clone(),
+                sidecar: target.sidecar,
+                tokens: program.history_tokens(),
+                shard,
+                epoch: authority.epoch,
+                used: Instant::now(),
+            };
+            Some((name.clone(), held, program.ended.is_some()))
+        });
+        held.collect::<Vec<_>>()
+    });
+    for (name, held, ended) in held.unwrap_or_default() {
+        match ended {
+            true => call.caches.give_up(&name, held),
+            false => call.caches.adopt(name, held),
+        }
+    }
+}
+
 /// Sends the releases that are due.
 pub async fn flush(call: &Call) {
     let hold = clock::duration(call.settings.limits.cache_hold_ms);
--- a/crates/sidecar/src/cache.rs
+++ b/crates/sidecar/src/cache.rs
@@ -11,7 +11,7 @@
 use coord::time::Time;
 
 /// How long a program's cache is held after a turn, unless its owner says otherwise.
-pub const HOLD: Millis = Millis(60_000);
+pub const HOLD: Millis = Millis(15_000);
 
 /// Longest hold that an owner may ask for.
 pub const LONGEST_HOLD: Millis = Millis(600_000);
