Bind each sender of records to its own link

Cause: a sender whose link was replaced went on with the new link, before that one's first copy had arrived: it would have sent records under wrong numbers, and when it gave up the new link had none.

--- a/crates/entry/src/replicate.rs
+++ b/crates/entry/src/replicate.rs
@@ -41,22 +41,10 @@
 /// How long a standby may fail before the primary goes on without it.
 const PATIENCE: Duration = Duration::from_millis(500);
 
-/// A request on its way over one link.
-struct Sending {
-    link: u64,
-    address: SocketAddr,
-    request: ReplicateRequest,
-}
-
-/// Sends a shard's pending records until there are none or the link is given up.
-pub async fn pump(shards: &Arc<Shards>, slot: &Arc<Slot>) {
+/// Sends a link's pending records until there are none or the link is given up or replaced.
+pub async fn pump(shards: &Arc<Shards>, slot: &Arc<Slot>, id: u64) {
     let mut failing: Option<Instant> = None;
-    while let Some(Sending {
-        link,
-        address,
-        request,
-    }) = next_request(shards, slot)
-    {
+    while let Some((address, request)) = next_request(shards, slot, id) {
         let first = request.first;
         let mut client = shards.peers().owner(address);
         let reply = timeout(PATIENCE, client.replicate(request)).await;
@@ -67,12 +55,12 @@
         match reply {
             Some(reply) if reply.accepted => {
                 failing = None;
-                acknowledge(slot, link, first, reply.next);
+                acknowledge(slot, id, first, reply.next);
             }
             _ => {
                 let since = *failing.get_or_insert_with(Instant::now);
                 if since.elapsed() >= PATIENCE {
-                    return give_up(shards, slot, link);
+                    return give_up(shards, slot, id);
                 }
                 sleep(RETRY_DELAY).await;
             }
@@ -80,11 +68,11 @@
     }
 }
 
-fn next_request(shards: &Shards, slot: &Slot) -> Option<Sending> {
+fn next_request(shards: &Shards, slot: &Slot, id: u64) -> Option<(SocketAddr, ReplicateRequest)> {
     let mut state = slot.state.lock();
     let epoch = state.epoch;
     let primary = state.role == Role::Primary;
-    let link = state.link.as_mut()?;
+    let link = state.link.as_mut().filter(|link| link.id == id)?;
     if !primary || link.broken || link.pending.is_empty() {
         link.pumping = false;
         return None;
@@ -102,11 +90,7 @@
         records: fits.cloned().collect(),
         standby: link.node.to_string(),
     };
-    Some(Sending {
-        link: link.id,
-        address: link.address,
-        request,
-    })
+    Some((link.address, request))
 }
 
 fn acknowledge(slot: &Slot, id: u64, first: u64, next: u64) {
@@ -175,7 +159,7 @@
     slot.publish(&mut state);
     drop(state);
     if pump {
-        shards.start_pump(slot);
+        shards.start_pump(slot, id);
     }
     true
 }
--- a/crates/entry/src/shards.rs
+++ b/crates/entry/src/shards.rs
@@ -183,18 +183,18 @@
         state.next += records.len() as u64;
         self.journal
             .append(slot.shard, state.epoch, first, encoded.clone());
-        if state.send(encoded) {
-            self.start_pump(slot);
+        if let Some(link) = state.send(encoded) {
+            self.start_pump(slot, link);
         }
         if state.logged >= state.checkpoint_due {
             self.queue_checkpoint(slot.shard, state);
         }
     }
 
-    /// Starts sending to the standby; there is one sender for each shard at most.
-    pub(crate) fn start_pump(self: &Arc<Self>, slot: &Arc<Slot>) {
+    /// Starts sending to the standby; there is one sender for each link at most.
+    pub(crate) fn start_pump(self: &Arc<Self>, slot: &Arc<Slot>, link: u64) {
         let (shards, slot) = (Arc::clone(self), Arc::clone(slot));
-        tokio::spawn(async move { crate::replicate::pump(&shards, &slot).await });
+        tokio::spawn(async move { crate::replicate::pump(&shards, &slot, link).await });
     }
 
     /// Takes in how far a shard's log stands in the platform.
--- a/crates/entry/src/shards/slot.rs
+++ b/crates/entry/src/shards/slot.rs
@@ -54,6 +54,7 @@
     pub acked: u64,
     /// Records from `acked` on.
     pub pending: VecDeque<Bytes>,
+    /// A sender runs for this link, or its first copy is under way.
     pub pumping: bool,
     /// The standby doesn't answer or holds something else.
     pub broken: bool,
@@ -110,14 +111,15 @@
         }
     }
 
-    /// Queues records for the standby; true: a sender is to be started.
-    pub fn send(&mut self, records: Vec<Bytes>) -> bool {
+    /// Queues records for the standby; a sender is to be started for the link returned.
+    pub fn send(&mut self, records: Vec<Bytes>) -> Option<u64> {
         match &mut self.link {
             Some(link) if !link.broken => {
                 link.pending.extend(records);
-                !std::mem::replace(&mut link.pumping, true)
+                let idle = !std::mem::replace(&mut link.pumping, true);
+                idle.then_some(link.id)
             }
-            _ => false,
+            _ => None,
         }
     }
 
