--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,10 +1,13 @@
 //! Demo, trace replay and slopes; not shipped.
 
-mod demo;
-
 use std::alloc::System;
 use std::process::ExitCode;
 
+use bench::decide;
+use bench::demo;
+use bench::generate;
+use bench::plot;
+use bench::replay;
 use gumdrop::Options;
 use stats_alloc::StatsAlloc;
 
@@ -25,6 +28,14 @@
     Demo(Demo),
     #[options(help = "measure what the system costs, as JSON lines")]
     Slopes(Slopes),
+    #[options(help = "generate a trace")]
+    Trace(generate::Args),
+    #[options(help = "replay a trace through the decisions in virtual time")]
+    Replay(replay::Args),
+    #[options(help = "time a call's decisions with many calls queued")]
+    Decide(decide::Args),
+    #[options(help = "draw a comparison as SVG")]
+    Plot(plot::Args),
 }
 
 #[derive(Debug, Options)]
@@ -45,6 +56,10 @@
     let done = match args.command {
         Some(Command::Demo(_)) => runtime.block_on(demo::run()),
         Some(Command::Slopes(_)) => runtime.block_on(bench::slopes::run()),
+        Some(Command::Trace(args)) => generate::run(&args),
+        Some(Command::Replay(args)) => replay::run(&args),
+        Some(Command::Decide(args)) => decide::run(&args),
+        Some(Command::Plot(args)) => plot::run(&args),
         None => Err(eyre::eyre!("no command; see --help")),
     };
     match done {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -19,6 +19,8 @@
 use wire::CallRequest;
 use wire::Crashed;
 use wire::Done;
+use wire::Ran;
+use wire::Refusal;
 use wire::call_frame::Frame;
 use wire::call_request::What;
 
@@ -104,13 +106,20 @@
                 program::serve(self, &request, out).await
             }
             _ => match Job::new(request, &self.member.config()) {
-                Ok(job) => self.job(&job, out).await,
+                Ok(job) => {
+                    let result = self.job(&job, out).await;
+                    result.map_err(|stop| self.vouched(&job, stop))
+                }
                 Err(refusal) => Err(Stop::Refused(refusal)),
             },
         };
         match result {
             Ok(()) => self.instruments.answered(begun.elapsed()),
             Err(Stop::Refused(refusal)) => {
+                if out.begun() {
+                    let (step, peer) = (refusal.step.as_str(), refusal.peer.as_str());
+                    log::warn!(step, peer; "answer broken off: {}", refusal.message);
+                }
                 self.instruments.refused(&refusal);
                 out.refuse(refusal).await;
             }
@@ -126,10 +135,25 @@
         }
     }
 
+    /// A refusal that says "not run" only if the ledger knows of no earlier send that may have.
+    fn vouched(&self, job: &Job, stop: Stop) -> Stop {
+        let refusal = match stop {
+            Stop::Refused(refusal) if refusal.ran() == Ran::No => refusal,
+            stop => return stop,
+        };
+        match ledger::ran(&self.member, job) {
+            Ok(ran) => Stop::Refused(Refusal {
+                ran: ran.into(),
+                ..refusal
+            }),
+            Err(moved) => Stop::Moved(moved),
+        }
+    }
+
     /// The whole way of a call.
     async fn job(&self, job: &Job, out: &Out) -> Result<(), Stop> {
         let _counted = self.flight.enter(job.shard);
-        self.check(job)?;
+        self.admitted(job)?;
         let prompt = match self.turn(job, out).await? {
             Turn::Replay(answer) => return replay(out, &answer).await,
             Turn::Go(prompt) => prompt,
@@ -187,7 +211,7 @@
                 () = tokio::time::sleep_until(job.deadline) => return Err(refusal.into()),
                 () = out.closed() => return Err(Stop::Gone),
             }
-            self.check(job)?;
+            self.admitted(job)?;
         }
     }
 
--- a/crates/entry/src/fence.rs
+++ b/crates/entry/src/fence.rs
@@ -1,12 +1,16 @@
 //! Taking members out of the shard map whose lease has run out unrenewed.
 //!
 //! The lease is fenced first, by a conditional write at just the version that was seen to expire.
-//! Only if that succeeds has the member no authority left, and the map may be changed.
+//! Only if that succeeds has the member no authority left, and the map may be changed. A member's
+//! first observers see to it; others only when these don't, see [`observer`].
 
 use std::sync::Arc;
 
 use coord::id::Node;
 use coord::id::Version;
+use coord::observer;
+use coord::shard::Map;
+use coord::time::Millis;
 use node::platform::Condition;
 use node::platform::Error;
 
@@ -25,13 +29,17 @@
             bury(member, &name).await?;
         }
     }
-    for other in &member.map().members {
-        let heard = &member.heard;
-        let suspect =
-            heard.is_silent(member, &other.node) || heard.expired(member, &other.node).is_some();
-        if suspect && other.node != me && fence(member, &other.node).await? {
-            log::warn!(step = "fence", peer = other.node.as_str(); "lease ran out unrenewed");
-            bury(member, &other.node).await?;
+    let map = member.map();
+    let unit = Millis(member.duration().0 / 2);
+    for other in map.members.iter().filter(|other| other.node != me) {
+        let node = &other.node;
+        let suspect = member.heard.is_overdue(member, node, Millis(0)) && {
+            let delay = observer::delay(&map.members, &me, node, unit);
+            member.heard.is_overdue(member, node, delay)
+        };
+        if suspect && fence(member, node).await? {
+            log::warn!(step = "fence", peer = node.as_str(); "lease ran out unrenewed");
+            bury(member, node).await?;
         }
     }
     Ok(())
@@ -97,7 +105,13 @@
 
 /// Takes a fenced member out of the map; its lease object is of no more use then.
 async fn bury(member: &Member, node: &Node) -> Result<(), Error> {
-    change(member, |map| map.member(node).map(|_| map.died(node))).await?;
+    let plan = |map: &Map| {
+        let listed = map.member(node).filter(|_| may_fence(member, node));
+        listed.map(|_| map.died(node))
+    };
+    if !change(member, plan).await? {
+        return Ok(());
+    }
     let name = lease::object_name(node);
     let _ = member.platform.delete(&name, Condition::Any).await;
     Ok(())
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::dump::Dump;
+use crate::health::Reach;
 use crate::order::Reconciler;
 use crate::release;
 use crate::rpc;
@@ -43,6 +44,9 @@
 /// Streams of one connection beyond those that run or wait.
 const SPARE_STREAMS: usize = 1_024;
 
+/// Time for entries to learn of the stop from their probes; new work is turned away until then.
+const NOTICE: Duration = Duration::from_millis(1_000);
+
 /// A running sidecar.
 pub struct Daemon {
     state: Arc<State>,
@@ -154,7 +158,12 @@
     if !state.is_engine() {
         return;
     }
-    match state.upstream.models().await {
+    let models = match state.health.reach() {
+        Reach::Up => state.upstream.models().await,
+        // Entries send nothing to an engine that serves no model.
+        Reach::Unknown | Reach::Silent | Reach::Down => Ok(Vec::new()),
+    };
+    match models {
         Ok(models) => *state.models.lock() = models,
         Err(error) => state.failed("models", &error),
     }
@@ -166,6 +175,9 @@
             () = state.release.notified() => {}
             () = tokio::time::sleep(RELEASE_INTERVAL) => {}
         }
+        if state.health.reach() != Reach::Up {
+            continue;
+        }
         if let Err(error) = release::pass(&state).await {
             state.failed("release", &error);
         }
@@ -186,6 +198,7 @@
     stop: &watch::Sender<bool>,
     server: JoinHandle<Result<(), tonic::transport::Error>>,
 ) {
+    tokio::time::sleep(NOTICE).await;
     while !state.queue.is_idle() {
         tokio::time::sleep(DRAIN_INTERVAL).await;
     }
