Count requests and refusals where callers are served; release caches off the reply

Cause: refusals at the entry that took a request weren't counted, and ending a program waited for the sidecars' replies, up to a second for a dead one. Now the entry counts what its callers get, the owner only answers that broke off, programs' lengths are measured, and releases are sent beside the reply.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -21,9 +21,7 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
-use crate::callers::Answer;
 use crate::callers::Callers;
-use crate::refusal;
 
 /// Room above the body limit, so that a body over it is answered by this system.
 const BODY_MARGIN: usize = 64 * 1024;
@@ -73,13 +71,17 @@
 #[endpoint { method = POST, path = "/v1/chat/completions" }]
 async fn chat(context: Context, body: StreamingBody) -> Reply {
     let callers = context.context();
-    reply(callers.chat(context.request.headers(), body).await)
+    Ok(callers
+        .reply(callers.chat(context.request.headers(), body))
+        .await)
 }
 
 #[endpoint { method = POST, path = "/v1/programs" }]
 async fn open(context: Context, body: StreamingBody) -> Reply {
     let callers = context.context();
-    reply(callers.open(context.request.headers(), None, body).await)
+    Ok(callers
+        .reply(callers.open(context.request.headers(), None, body))
+        .await)
 }
 
 #[endpoint { method = POST, path = "/v1/programs/{program}/children" }]
@@ -87,7 +89,9 @@
     let callers = context.context();
     let parent = path.into_inner().program;
     let headers = context.request.headers();
-    reply(callers.open(headers, Some(&parent), body).await)
+    Ok(callers
+        .reply(callers.open(headers, Some(&parent), body))
+        .await)
 }
 
 #[endpoint { method = GET, path = "/v1/programs/{program}" }]
@@ -95,7 +99,7 @@
     let callers = context.context();
     let program = path.into_inner().program;
     let headers = context.request.headers();
-    reply(callers.show(headers, &program, false).await)
+    Ok(callers.reply(callers.show(headers, &program, false)).await)
 }
 
 #[endpoint { method = GET, path = "/v1/programs/{program}/history" }]
@@ -103,24 +107,23 @@
     let callers = context.context();
     let program = path.into_inner().program;
     let headers = context.request.headers();
-    reply(callers.show(headers, &program, true).await)
+    Ok(callers.reply(callers.show(headers, &program, true)).await)
 }
 
 #[endpoint { method = POST, path = "/v1/programs/{program}/end" }]
 async fn end(context: Context, path: Path<ProgramPath>) -> Reply {
     let callers = context.context();
     let program = path.into_inner().program;
-    reply(callers.end(context.request.headers(), &program).await)
+    Ok(callers
+        .reply(callers.end(context.request.headers(), &program))
+        .await)
 }
 
 #[endpoint { method = GET, path = "/v1/models" }]
 async fn models(context: Context) -> Reply {
     let callers = context.context();
-    reply(callers.models(context.request.headers()))
-}
-
-fn reply(answer: Answer) -> Reply {
-    Ok(answer.unwrap_or_else(|refusal| refusal::response(&refusal)))
+    let answer = async { callers.models(context.request.headers()) };
+    Ok(callers.reply(answer).await)
 }
 
 /// One endpoint for each method of a plain route.
@@ -140,7 +143,7 @@
                 let callers = context.context().clone();
                 let route = path.into_inner().route;
                 let body = None $(.or(Some($body)))?;
-                reply(callers.plain(&context.request, &route, body).await)
+                Ok(callers.reply(callers.plain(&context.request, &route, body)).await)
             }
         };
     }
--- a/crates/entry/src/cache.rs
+++ b/crates/entry/src/cache.rs
@@ -17,6 +17,7 @@
 use coord::id::Target;
 use coord::id::Tokens;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use wire::CacheLease;
 use wire::CacheRequest;
 
@@ -52,6 +53,8 @@
     held: Mutex<Map<Program, Held>>,
     /// To be released, until the sidecar has confirmed it or the lease has run out.
     released: Mutex<Vec<(Program, Held, Instant)>>,
+    /// Wakes the sending of releases.
+    wake: Notify,
 }
 
 impl Caches {
@@ -109,6 +112,7 @@
         if released.len() < RELEASES_LIMIT {
             released.push((program.clone(), held, Instant::now()));
         }
+        self.wake.notify_one();
     }
 
     fn programs(&self) -> Vec<(Program, Held)> {
@@ -137,14 +141,16 @@
     let hold = clock::duration(call.settings.limits.cache_hold_ms);
     let mut tick = tokio::time::interval(hold / RENEWALS);
     loop {
-        tick.tick().await;
-        renew(&call, hold).await;
+        tokio::select! {
+            _ = tick.tick() => renew(&call, hold).await,
+            () = call.caches.wake.notified() => {}
+        }
         flush(&call).await;
     }
 }
 
 /// Sends the releases that are due.
-pub async fn flush(call: &Call) {
+async fn flush(call: &Call) {
     let hold = clock::duration(call.settings.limits.cache_hold_ms);
     let now = Instant::now();
     let due = call.caches.take_released();
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -119,8 +119,8 @@
                 if out.begun() {
                     let (step, peer) = (refusal.step.as_str(), refusal.peer.as_str());
                     log::warn!(step, peer; "answer broken off: {}", refusal.message);
+                    self.instruments.refused(&refusal);
                 }
-                self.instruments.refused(&refusal);
                 out.refuse(refusal).await;
             }
             Err(Stop::Moved(_)) if out.begun() => out.refuse(stream::broken()).await,
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -1,6 +1,7 @@
 //! Callers' requests: chat completions, programs, models and plain routes.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use coord::config::Config;
@@ -20,6 +21,7 @@
 use crate::auth;
 use crate::auth::Caller;
 use crate::ingress::Ingress;
+use crate::instruments::Instruments;
 use crate::member::Member;
 use crate::plain;
 use crate::refusal;
@@ -39,15 +41,37 @@
     member: Arc<Member>,
     ingress: Arc<Ingress>,
     limits: Limits,
+    instruments: Arc<Instruments>,
 }
 
 impl Callers {
     /// Handlers over a member and its way to the owners.
-    pub fn new(member: Arc<Member>, ingress: Arc<Ingress>, limits: Limits) -> Callers {
+    pub fn new(
+        member: Arc<Member>,
+        ingress: Arc<Ingress>,
+        limits: Limits,
+        instruments: Arc<Instruments>,
+    ) -> Callers {
         Callers {
             member,
             ingress,
             limits,
+            instruments,
+        }
+    }
+
+    /// The answer as HTTP; counted.
+    pub async fn reply(&self, answer: impl Future<Output = Answer>) -> Response<Body> {
+        let begun = Instant::now();
+        match answer.await {
+            Ok(response) => {
+                self.instruments.requested(begun.elapsed());
+                response
+            }
+            Err(refusal) => {
+                self.instruments.refused(&refusal);
+                refusal::response(&refusal)
+            }
         }
     }
 
--- a/crates/entry/src/instruments.rs
+++ b/crates/entry/src/instruments.rs
@@ -13,7 +13,9 @@
 /// Instruments of the calls' path.
 #[derive(Debug)]
 pub struct Instruments {
-    latency: Histogram<f64>,
+    requests: Histogram<f64>,
+    calls: Histogram<f64>,
+    programs: Histogram<f64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
     crashes: Counter<u64>,
@@ -23,7 +25,15 @@
     /// Makes the instruments.
     pub fn new(meter: &Meter) -> Instruments {
         Instruments {
-            latency: meter
+            requests: meter
+                .f64_histogram("teasellever_request_seconds")
+                .with_description("Time from a caller's request to its status line")
+                .build(),
+            programs: meter
+                .f64_histogram("teasellever_program_seconds")
+                .with_description("Time from a program's opening to its end by its caller")
+                .build(),
+            calls: meter
                 .f64_histogram("teasellever_call_seconds")
                 .with_description("Time from a call's arrival at its owner to its last frame")
                 .build(),
@@ -42,12 +52,22 @@
         }
     }
 
-    /// Notes a call that was answered.
+    /// Notes a caller's request that got its status line.
+    pub fn requested(&self, length: Duration) {
+        self.requests.record(length.as_secs_f64(), &[]);
+    }
+
+    /// Notes a call that was answered at its owner.
     pub fn answered(&self, length: Duration) {
-        self.latency.record(length.as_secs_f64(), &[]);
+        self.calls.record(length.as_secs_f64(), &[]);
+    }
+
+    /// Notes a program that its caller ended.
+    pub fn ended(&self, length: Duration) {
+        self.programs.record(length.as_secs_f64(), &[]);
     }
 
-    /// Notes a refused call.
+    /// Notes a refused request, or an answer that broke off.
     pub fn refused(&self, refusal: &Refusal) {
         let code = KeyValue::new("code", refusal.code.clone());
         let ran = KeyValue::new("ran", refusal::ran(refusal));
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -1,5 +1,7 @@
 //! Programs' own requests at their owner: open, child, end, state and history.
 
+use std::time::Duration;
+
 use coord::decision::Opening;
 use coord::id;
 use coord::id::Shard;
@@ -16,7 +18,6 @@
 use wire::call_request::What;
 
 use crate::auth;
-use crate::cache;
 use crate::call::Call;
 use crate::clock::unix_ms;
 use crate::job::parse;
@@ -25,6 +26,7 @@
 use crate::refusal;
 use crate::request;
 use crate::shards::Durable;
+use crate::sweep;
 
 const STEP: &str = "program";
 /// When to come back after records didn't reach a second place, in milliseconds.
@@ -88,26 +90,29 @@
 }
 
 async fn ended(call: &Call, customer: &id::Customer, name: &id::Program) -> Result<String, Stop> {
+    let now = unix_ms();
     let (result, durable) = call.member.shards().decide(shard(name), |replica| {
-        match replica.end(name, customer, Ending::Finished, unix_ms()) {
+        match replica.end(name, customer, Ending::Finished, now) {
             Ok(records) => {
-                let names = std::iter::once(name.clone());
-                let ended = records.iter().filter_map(|record| match record {
-                    coord::record::Record::Ended { program, .. } => Some(program.clone()),
-                    _ => None,
-                });
-                let ended: Vec<id::Program> = names.chain(ended).collect();
-                (records, Ok(ended))
+                let program = replica.program(name);
+                let opened_ms = program.map_or(now, |program| program.opened_ms);
+                let ended: Vec<id::Program> = records.iter().filter_map(sweep::ended).collect();
+                (records, Ok((ended, opened_ms)))
             }
             Err(refusal) => (Vec::new(), Err(refusal)),
         }
     })?;
     stand(durable).await?;
-    let ended = result.map_err(|refusal| refusal::from_decision(refusal, STEP))?;
+    let (ended, opened_ms) = result.map_err(|refusal| refusal::from_decision(refusal, STEP))?;
+    if ended.contains(name) {
+        let length = Duration::from_millis(now.saturating_sub(opened_ms));
+        call.instruments.ended(length);
+    }
+    // A repeat may come after a release that was lost with its owner.
+    call.caches.release(name);
     ended
         .iter()
         .for_each(|program| call.caches.release(program));
-    cache::flush(call).await;
     call.flight.settled(shard(name));
     Ok(json!({ "program": name, "state": "ended" }).to_string())
 }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -64,11 +64,16 @@
             Arc::clone(&member),
             Arc::new(settings.clone()),
             Arc::clone(&admission),
-            instruments,
+            Arc::clone(&instruments),
         );
         let ingress = Ingress::new(Arc::clone(&member), Arc::clone(&call), limits.requests);
         let ingress = Arc::new(ingress);
-        let callers = Callers::new(Arc::clone(&member), Arc::clone(&ingress), limits);
+        let callers = Callers::new(
+            Arc::clone(&member),
+            Arc::clone(&ingress),
+            limits,
+            instruments,
+        );
         let callers = api::serve(callers, settings.listen.callers)?;
         let stop = watch::Sender::new(false);
         let server = rpc::Server::new(
--- a/crates/entry/src/sweep.rs
+++ b/crates/entry/src/sweep.rs
@@ -47,7 +47,8 @@
     call.flight.settled(shard);
 }
 
-fn ended(record: &Record) -> Option<coord::id::Program> {
+/// The program that a record ends.
+pub fn ended(record: &Record) -> Option<coord::id::Program> {
     match record {
         Record::Ended { program, .. } => Some(program.clone()),
         _ => None,
