--- a/crates/entry/src/cache.rs
+++ b/crates/entry/src/cache.rs
@@ -18,6 +18,7 @@
 use coord::id::Target;
 use coord::id::Tokens;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::sync::broadcast::error::RecvError;
 use wire::CacheLease;
 use wire::CacheRequest;
@@ -55,6 +56,8 @@
     held: Mutex<Map<Program, Held>>,
     /// To be released, until the sidecar has confirmed it or the lease has run out.
     released: Mutex<Vec<(Program, Held, Instant)>>,
+    /// Wakes the sending of releases.
+    wake: Notify,
 }
 
 impl Caches {
@@ -117,6 +120,7 @@
         if released.len() < RELEASES_LIMIT {
             released.push((program.clone(), held, Instant::now()));
         }
+        self.wake.notify_one();
     }
 
     fn programs(&self) -> Vec<(Program, Held)> {
@@ -150,9 +154,12 @@
             _ = tick.tick() => renew(&call, hold).await,
             gain = gained.recv() => match gain {
                 Ok(Gained { shard, .. }) => adopt(&call, shard),
-                Err(RecvError::Lagged(_)) => (0..SHARDS).map(Shard).for_each(|shard| adopt(&call, shard)),
+                Err(RecvError::Lagged(_)) => {
+                    (0..SHARDS).map(Shard).for_each(|shard| adopt(&call, shard));
+                }
                 Err(RecvError::Closed) => return,
             },
+            () = call.caches.wake.notified() => {}
         }
         flush(&call).await;
     }
@@ -190,7 +197,7 @@
 }
 
 /// Sends the releases that are due.
-pub async fn flush(call: &Call) {
+async fn flush(call: &Call) {
     let hold = clock::duration(call.settings.limits.cache_hold_ms);
     let now = Instant::now();
     let due = call.caches.take_released();
