--- a/tests/src/cut.rs
+++ b/tests/src/cut.rs
@@ -16,6 +16,9 @@
 /// Bytes read at once.
 const BUFFER: usize = 16 * 1024;
 
+/// Ports tried at most.
+const BIND_TRIES: u32 = 8;
+
 /// A forwarding address that can be cut and healed.
 #[derive(Debug)]
 pub struct Cut {
@@ -29,8 +32,8 @@
     ///
     /// Errors: the address can't be bound.
     pub async fn new(to: SocketAddr) -> std::io::Result<Cut> {
-        let address = crate::port::free();
-        let listener = TcpListener::bind(address).await?;
+        let listener = listen().await?;
+        let address = listener.local_addr()?;
         let open = Arc::new(watch::Sender::new(false));
         let carried = Arc::new(AtomicU64::new(0));
         let watched = open.clone();
@@ -63,6 +66,16 @@
     }
 }
 
+/// Listens on a free port; another process may take one in between.
+async fn listen() -> std::io::Result<TcpListener> {
+    for _ in 0..BIND_TRIES {
+        if let Ok(listener) = TcpListener::bind(crate::port::free()).await {
+            return Ok(listener);
+        }
+    }
+    TcpListener::bind(crate::port::free()).await
+}
+
 async fn forward(
     from: TcpStream,
     to: SocketAddr,
