Bound an entry's probing, its table and its decisions

Every entry asked every configured target about every 400 ms and every decision walked, cloned and sorted all targets. At 330 entries and 6,500 targets that is about 5 million probes a second.

Now: - Targets are sorted by model and route once for each configuration (`roster`); a decision looks only at its service's list. - A service with more than 16 targets has a working set of 16, 12 of them from the own data centre if it has them; one is exchanged every 5 s, and one that left, failed, drains or lacks the model at once (`working`). The target with the program's cache is always a candidate. Affinity takes its 16 from the ring of targets, so that a program keeps its target. - Beyond 32 targets an entry probes at most 10 targets a second: 5 for the candidates of services placed within 10 s, stalest first, and 5 for the targets it is responsible for (`survey`, `pace`). - Two members are responsible for each target, by rendezvous hash (`duty`). They ask it every 10 s, and at the next tick after a change of its object, with both paces; an unconfirmed one again after 2 s. - What is known of a target is forgotten after 60 s out of use, and the channel to its sidecar is closed. With up to 32 targets all are asked every 400 ms, as before.

Weighed: one budget for both kinds of probe (either starves the other when targets are many for the entries); the rendezvous winner over all targets for affinity (a hash of each target for each call).

--- a/crates/entry/src/cache.rs
+++ b/crates/entry/src/cache.rs
@@ -62,6 +62,12 @@
             .map(|held| (held.target.clone(), held.tokens))
     }
 
+    /// Sidecars of the targets that hold them.
+    pub fn sidecars(&self) -> Vec<SocketAddr> {
+        let held = self.held.lock();
+        held.values().map(|held| held.sidecar).collect()
+    }
+
     /// Number of histories held.
     pub fn len(&self) -> usize {
         self.held.lock().len()
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -74,12 +74,13 @@
         admission: Arc<Admission>,
         instruments: Arc<Instruments>,
     ) -> Arc<Call> {
+        let table = Table::new(&settings.data_centre, rand::rng().random());
         Arc::new(Call {
             member,
             settings,
             admission,
             instruments,
-            table: Table::default(),
+            table,
             caches: Caches::default(),
             flight: Flight::default(),
             retries: Mutex::new(Budget::new()),
@@ -262,7 +263,6 @@
         let question = Question {
             config: &config,
             policy: &self.settings.policy,
-            near: &self.settings.data_centre,
             service: &job.service,
             input: prompt.tokens,
             output: job.max_tokens(),
--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -1,6 +1,7 @@
 //! Which target a call goes to: candidates from the configuration, load from the sidecars' reports,
 //! corrected for what this process has sent since.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,6 +13,8 @@
 use coord::id::DataCentre;
 use coord::id::Tokens;
 use parking_lot::Mutex;
+use parking_lot::RwLock;
+use sched::policy;
 use sched::policy::Policy;
 use sched::route;
 use sched::route::Candidate;
@@ -19,31 +22,51 @@
 use sched::route::Sent;
 use wire::Load;
 
+use crate::roster::Listed;
+use crate::roster::Roster;
+use crate::shortlist;
+use crate::survey::Survey;
+use crate::working;
+use crate::working::Working;
+
 /// A report older than this is asked for anew.
-const STALE: Duration = Duration::from_millis(400);
+pub const STALE: Duration = Duration::from_millis(400);
 /// A target whose probe failed is passed over for this long.
 const SHUNNED: Duration = Duration::from_millis(1500);
 /// Sends remembered for one target.
 const SENDS_LIMIT: usize = 4096;
+/// With so many targets in all, each entry knows the load of all of them.
+pub const SMALL_FLEET: usize = 32;
+/// What is known of a target is forgotten after this long without use.
+const KEEP: Duration = Duration::from_secs(60);
 
 /// What is known of one target.
 #[derive(Debug, Default)]
-struct Entry {
-    report: Option<(Load, Instant)>,
+pub(crate) struct Entry {
+    pub(crate) report: Option<(Load, Instant)>,
     sends: Vec<(Instant, Tokens)>,
     failed: Option<Instant>,
-    asked: Option<Instant>,
+    pub(crate) asked: Option<Instant>,
 }
 
-/// Loads of all targets, as far as this process knows them.
-#[derive(Debug, Default)]
+/// Loads of the targets in use, as far as this process knows them.
+#[derive(Debug)]
 pub struct Table {
-    entries: Mutex<Map<id::Target, Entry>>,
+    near: DataCentre,
+    roster: RwLock<Arc<Roster>>,
+    pub(crate) state: Mutex<State>,
     turns: Mutex<u64>,
 }
 
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) entries: Map<id::Target, Entry>,
+    pub(crate) working: Working,
+    pub(crate) survey: Survey,
+}
+
 /// What a call asks of a target.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Service {
     /// An engine with this model.
     Model(id::Model),
@@ -53,9 +76,8 @@
 
 /// What a placement rests on.
 pub struct Question<'a> {
-    pub config: &'a Config,
+    pub config: &'a Arc<Config>,
     pub policy: &'a Policy,
-    pub near: &'a DataCentre,
     pub service: &'a Service,
     pub input: Tokens,
     pub output: Tokens,
@@ -76,12 +98,27 @@
 }
 
 impl Table {
+    /// Of an entry in this data centre; working sets are drawn from the seed.
+    pub fn new(near: &DataCentre, seed: u64) -> Table {
+        let state = State {
+            entries: Map::default(),
+            working: Working::new(seed),
+            survey: Survey::default(),
+        };
+        Table {
+            near: near.clone(),
+            roster: RwLock::default(),
+            state: Mutex::new(state),
+            turns: Mutex::new(0),
+        }
+    }
+
     /// Takes in a report of a target.
     pub fn report(&self, target: &id::Target, load: Load, now: Instant) {
         let age = Duration::from_millis(load.age_ms);
         let made = now.checked_sub(age).unwrap_or(now);
-        let mut entries = self.entries.lock();
-        let entry = entries.entry(target.clone()).or_default();
+        let mut state = self.state.lock();
+        let entry = state.entries.entry(target.clone()).or_default();
         entry.sends.retain(|(at, _)| *at > made);
         entry.report = Some((load, now));
         entry.failed = None;
@@ -89,38 +126,36 @@
 
     /// Notes that a target can't be reached.
     pub fn failed(&self, target: &id::Target, now: Instant) {
-        let mut entries = self.entries.lock();
-        entries.entry(target.clone()).or_default().failed = Some(now);
+        let mut state = self.state.lock();
+        state.entries.entry(target.clone()).or_default().failed = Some(now);
     }
 
     /// Notes what this process sends to a target.
     pub fn sent(&self, target: &id::Target, cost: Tokens, now: Instant) {
-        let mut entries = self.entries.lock();
-        let entry = entries.entry(target.clone()).or_default();
+        let mut state = self.state.lock();
+        let entry = state.entries.entry(target.clone()).or_default();
         if entry.sends.len() < SENDS_LIMIT {
             entry.sends.push((now, cost));
         }
     }
 
-    /// Targets whose report is stale and that weren't asked lately; they count as asked.
-    pub fn due(&self, config: &Config, now: Instant) -> Vec<config::Target> {
-        let mut entries = self.entries.lock();
-        entries.retain(|target, _| config.target(target).is_some());
-        let mut due = Vec::new();
-        for target in config.targets() {
-            let entry = entries.entry(target.id.clone()).or_default();
-            if entry.is_due(now) {
-                entry.asked = Some(now);
-                due.push(target.clone());
-            }
+    /// The targets of a configuration by service.
+    pub(crate) fn roster(&self, config: &Arc<Config>) -> Arc<Roster> {
+        let known = Arc::clone(&self.roster.read());
+        if known.is_of(config) {
+            return known;
+        }
+        let mut roster = self.roster.write();
+        if !roster.is_of(config) {
+            *roster = Arc::new(Roster::new(config, &self.near));
         }
-        due
+        Arc::clone(&roster)
     }
 
     /// The newest reports, for the state dump.
     pub fn reports(&self) -> Vec<(id::Target, Load)> {
-        let entries = self.entries.lock();
-        let reports = entries.iter().filter_map(|(target, entry)| {
+        let state = self.state.lock();
+        let reports = state.entries.iter().filter_map(|(target, entry)| {
             let (load, _) = entry.report.as_ref()?;
             Some((target.clone(), load.clone()))
         });
@@ -129,8 +164,8 @@
 
     /// The incarnation that a target's sidecar last reported.
     pub fn incarnation(&self, target: &id::Target) -> Option<String> {
-        let entries = self.entries.lock();
-        let (load, _) = entries.get(target)?.report.as_ref()?;
+        let state = self.state.lock();
+        let (load, _) = state.entries.get(target)?.report.as_ref()?;
         Some(load.incarnation.clone())
     }
 
@@ -141,27 +176,55 @@
         leaving: impl Fn(&id::Target) -> bool,
         now: Instant,
     ) -> Option<Choice> {
-        let mut open: Vec<config::Target> = serving(question.config, question.service)
-            .filter(|target| !target.leaving && !leaving(&target.id))
-            .filter(|target| !question.barred.contains(&target.id))
-            .cloned()
-            .collect();
-        open.sort_by(|a, b| a.id.cmp(&b.id));
-        let entries = self.entries.lock();
-        let healthy = |target: &&config::Target| {
-            let entry = entries.get(&target.id);
+        let roster = self.roster(question.config);
+        let listing = roster.listing(question.service)?;
+        let mut state = self.state.lock();
+        let State {
+            entries, working, ..
+        } = &mut *state;
+        let is_kept = |listed: &Listed| !listed.target.leaving && !leaving(&listed.target.id);
+        let is_open =
+            |listed: &Listed| is_kept(listed) && !question.barred.contains(&listed.target.id);
+        let is_fit = |listed: &Listed| {
+            let entry = entries.get(&listed.target.id);
             entry.is_none_or(|entry| entry.is_healthy(question.service, now))
         };
-        let mut usable: Vec<&config::Target> = open.iter().filter(healthy).collect();
-        if usable.is_empty() {
-            usable = open.iter().collect();
+        let is_ready = |listed: &Listed| {
+            let entry = entries.get(&listed.target.id);
+            is_fit(listed) && !entry.is_some_and(Entry::is_draining)
+        };
+        let small = roster.len() <= SMALL_FLEET;
+        let whole = small || listing.all.len() <= working::SIZE;
+        let mut usable = match whole {
+            true => shortlist::all(listing, is_open, is_fit),
+            false => {
+                let holds = |listed: &Listed| is_kept(listed) && is_ready(listed);
+                let drawn = match question.policy.choice {
+                    policy::Choice::Affinity => {
+                        shortlist::following(listing, question.affinity, holds)
+                    }
+                    _ => working.members(question.service, listing, holds, now),
+                };
+                shortlist::few(question, listing, drawn, entries, is_open, is_ready)
+            }
+        };
+        if whole && !small {
+            working.note(question.service, listing, now);
         }
+        usable.sort_by(|a, b| a.target.id.cmp(&b.target.id));
         let candidates: Vec<Candidate> = usable
             .iter()
-            .map(|target| candidate(target, entries.get(&target.id), question))
+            .map(|listed| {
+                candidate(
+                    &listed.target,
+                    entries.get(&listed.target.id),
+                    &self.near,
+                    question,
+                )
+            })
             .collect();
         let chosen = route::choose(question.policy, &candidates, &self.need(question))?;
-        let target = (*usable.get(chosen)?).clone();
+        let target = usable.get(chosen)?.target.clone();
         let report = entries
             .get(&target.id)
             .and_then(|entry| entry.report.as_ref());
@@ -186,12 +249,27 @@
 }
 
 impl Entry {
-    fn is_due(&self, now: Instant) -> bool {
+    /// Whether it is to be asked for its load again.
+    pub(crate) fn is_due(&self, now: Instant) -> bool {
         let recent = |at: Instant| now.saturating_duration_since(at) < STALE;
         let reported = self.report.as_ref().is_some_and(|(_, at)| recent(*at));
         !reported && !self.asked.is_some_and(recent)
     }
 
+    fn is_draining(&self) -> bool {
+        let report = self.report.as_ref();
+        report.is_some_and(|(load, _)| load.draining)
+    }
+
+    /// Whether it was of any use lately.
+    pub(crate) fn is_used(&self, now: Instant) -> bool {
+        let reported = self.report.as_ref().map(|(_, at)| *at);
+        let sent = self.sends.last().map(|(at, _)| *at);
+        let uses = [reported, sent, self.failed, self.asked];
+        let recent = |at: Instant| now.saturating_duration_since(at) < KEEP;
+        uses.into_iter().flatten().any(recent)
+    }
+
     fn is_healthy(&self, service: &Service, now: Instant) -> bool {
         let shunned = |at: Instant| now.saturating_duration_since(at) < SHUNNED;
         let load = self.report.as_ref().map(|(load, _)| load);
@@ -207,22 +285,12 @@
     !load.models.iter().any(|loaded| loaded == model.as_str())
 }
 
-/// Targets that are configured for a service.
-fn serving<'a>(
-    config: &'a Config,
-    service: &'a Service,
-) -> impl Iterator<Item = &'a config::Target> {
-    let listed = match service {
-        Service::Model(_) => None,
-        Service::Route(route) => config.route(route).map(|route| &route.targets),
-    };
-    config.targets().filter(move |target| match service {
-        Service::Model(model) => target.models.contains(model),
-        Service::Route(_) => listed.is_some_and(|listed| listed.contains(&target.id)),
-    })
-}
-
-fn candidate(target: &config::Target, entry: Option<&Entry>, question: &Question<'_>) -> Candidate {
+fn candidate(
+    target: &config::Target,
+    entry: Option<&Entry>,
+    near: &DataCentre,
+    question: &Question<'_>,
+) -> Candidate {
     let load = entry.and_then(|entry| entry.report.as_ref());
     let load = load.map(|(load, _)| load.clone()).unwrap_or_default();
     let cached = match &question.cached {
@@ -241,7 +309,7 @@
         decode_rate: load.decode_rate,
         sent_since: entry.map(Entry::sent_since).unwrap_or_default(),
         cached,
-        near: target.data_centre == *question.near,
+        near: target.data_centre == *near,
     }
 }
 
