--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -25,8 +25,8 @@
 use crate::callers::Callers;
 use crate::refusal;
 
-/// Room above the body limit, so that a body over it is answered by this system.
-const BODY_MARGIN: usize = 64 * 1024;
+/// Bodies of this many times the limit are received, so that one over it gets this system's answer.
+const RECEIVED: usize = 4;
 
 type Reply = Result<Response<Body>, HttpError>;
 type Context = RequestContext<Arc<Callers>>;
@@ -47,7 +47,7 @@
 pub fn serve(callers: Callers, address: SocketAddr) -> eyre::Result<HttpServer<Arc<Callers>>> {
     let config = ConfigDropshot {
         bind_address: address,
-        default_request_body_max_bytes: callers.body_limit() + BODY_MARGIN,
+        default_request_body_max_bytes: callers.body_limit() * RECEIVED,
         default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
         ..ConfigDropshot::default()
     };
@@ -73,13 +73,17 @@
 #[endpoint { method = POST, path = "/v1/chat/completions" }]
 async fn chat(context: Context, body: StreamingBody) -> Reply {
     let callers = context.context();
-    reply(callers.chat(context.request.headers(), body).await)
+    reply(callers.chat(context.request.headers(), body.into()).await)
 }
 
 #[endpoint { method = POST, path = "/v1/programs" }]
 async fn open(context: Context, body: StreamingBody) -> Reply {
     let callers = context.context();
-    reply(callers.open(context.request.headers(), None, body).await)
+    reply(
+        callers
+            .open(context.request.headers(), None, body.into())
+            .await,
+    )
 }
 
 #[endpoint { method = POST, path = "/v1/programs/{program}/children" }]
@@ -87,7 +91,7 @@
     let callers = context.context();
     let parent = path.into_inner().program;
     let headers = context.request.headers();
-    reply(callers.open(headers, Some(&parent), body).await)
+    reply(callers.open(headers, Some(&parent), body.into()).await)
 }
 
 #[endpoint { method = GET, path = "/v1/programs/{program}" }]
@@ -139,7 +143,7 @@
             ) -> Reply {
                 let callers = context.context().clone();
                 let route = path.into_inner().route;
-                let body = None $(.or(Some($body)))?;
+                let body = None $(.or(Some($body.into())))?;
                 reply(callers.plain(&context.request, &route, body).await)
             }
         };
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -9,7 +9,6 @@
 use coord::refusal::Code;
 use dropshot::Body;
 use dropshot::RequestInfo;
-use dropshot::StreamingBody;
 use http::HeaderMap;
 use http::Response;
 use wire::CallRequest;
@@ -69,7 +68,7 @@
     }
 
     /// Runs a chat completion.
-    pub async fn chat(&self, headers: &HeaderMap, body: StreamingBody) -> Answer {
+    pub async fn chat(&self, headers: &HeaderMap, body: request::Body) -> Answer {
         let caller = self.authenticate(headers)?;
         let deadline = request::deadline(headers, &self.limits)?;
         let turn = request::turn(headers)?;
@@ -89,7 +88,7 @@
         &self,
         headers: &HeaderMap,
         parent: Option<&str>,
-        body: StreamingBody,
+        body: request::Body,
     ) -> Answer {
         let caller = self.authenticate(headers)?;
         let deadline = request::deadline(headers, &self.limits)?;
@@ -153,7 +152,7 @@
         &self,
         info: &RequestInfo,
         route: &str,
-        body: Option<StreamingBody>,
+        body: Option<request::Body>,
     ) -> Answer {
         let headers = info.headers();
         let route: id::Route = route.parse().map_err(|_| no_route())?;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -7,6 +7,7 @@
 use coord::id;
 use coord::refusal::Code;
 use dropshot::StreamingBody;
+use futures::Stream;
 use futures::StreamExt;
 use http::HeaderMap;
 use http::header;
@@ -33,6 +34,8 @@
 /// Start of the names that the system makes.
 const FRESH: &str = "auto-";
 const READ: &str = "read";
+/// Longest time for which the rest of a refused body is received.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 const DEFAULT_MAX_TOKENS: u32 = 1024;
 const MAX_TOKENS_LIMIT: u32 = 1 << 20;
 
@@ -90,9 +93,27 @@
     serde_json::from_slice(body).map_err(|error| bad(format!("body: {error}")))
 }
 
+/// A request's body. What is left of it when it is dropped is still received and thrown away for
+/// a short time: a connection closed on unread bytes is reset, which loses the answer on its way.
+pub struct Body(Option<StreamingBody>);
+
+impl From<StreamingBody> for Body {
+    fn from(body: StreamingBody) -> Body {
+        Body(Some(body))
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        if let Some(body) = self.0.take() {
+            drain(Box::pin(body.into_stream()));
+        }
+    }
+}
+
 /// Reads a whole body, at most the limit, before the deadline.
 pub async fn read(
-    body: StreamingBody,
+    body: Body,
     headers: &HeaderMap,
     limits: &Limits,
     deadline: Instant,
@@ -107,13 +128,16 @@
     }
 }
 
-async fn gather(body: StreamingBody, limits: &Limits) -> Result<Bytes, Refusal> {
-    let stream = body.into_stream();
-    futures::pin_mut!(stream);
+async fn gather(mut body: Body, limits: &Limits) -> Result<Bytes, Refusal> {
+    let Some(body) = body.0.take() else {
+        return Ok(Bytes::new());
+    };
+    let mut stream = Box::pin(body.into_stream());
     let mut whole = BytesMut::new();
     while let Some(part) = stream.next().await {
         let part = part.map_err(|_| bad("the body broke off"))?;
         if whole.len() + part.len() > limits.body_bytes {
+            drain(stream);
             return Err(too_large(limits));
         }
         whole.extend_from_slice(&part);
@@ -121,6 +145,17 @@
     Ok(whole.freeze())
 }
 
+/// Receives and throws away the rest of a body while the refusal is on its way.
+fn drain<T, E>(stream: impl Stream<Item = Result<T, E>> + Send + Unpin + 'static)
+where
+    T: Send + 'static,
+    E: Send + 'static,
+{
+    let rest = stream.take_while(|part| std::future::ready(part.is_ok()));
+    let rest = rest.for_each(|_| std::future::ready(()));
+    tokio::spawn(tokio::time::timeout(DRAIN_LIMIT, rest));
+}
+
 /// When the answer must be whole.
 pub fn deadline(headers: &HeaderMap, limits: &Limits) -> Result<Instant, Refusal> {
     let timeout = match text(headers, TIMEOUT)? {
