Measure the path's overhead and replay traces through the processes

`bench overhead` sends the same calls on schedule to a stand-in and through entry, owner and sidecar, in turns, and prints a JSON line for each kind of call: plain that may run again, plain that runs once, chat. It ends 0 only if every call was answered and the median added stays under 1 ms.

Bounded in programs and seconds; it ends 0 only if every program ended as stated, nothing ran twice and no cache is left.

Ruled out: the trace's answer lengths. The stand-ins answer with at most 31 tokens, so latency alone is reckoned from what they did answer.

--- a/crates/bench/src/drive.rs
+++ b/crates/bench/src/drive.rs
@@ -349,7 +349,7 @@
 }
 
 /// Programs and their arrivals; a seed other than 0 permutes the arrivals of each customer.
-fn arrivals(trace: &Trace, setup: &Setup, random: &mut StdRng) -> Vec<(usize, u64)> {
+pub(crate) fn arrivals(trace: &Trace, setup: &Setup, random: &mut StdRng) -> Vec<(usize, u64)> {
     let kept = |flood: bool| setup.flood || !flood;
     let mut found = Vec::new();
     for (customer, _) in trace.head.customers.iter().enumerate() {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,6 +6,8 @@
 use bench::decide;
 use bench::demo;
 use bench::generate;
+use bench::live;
+use bench::overhead;
 use bench::plot;
 use bench::replay;
 use gumdrop::Options;
@@ -34,6 +36,10 @@
     Replay(replay::Args),
     #[options(help = "time a call's decisions with many calls queued")]
     Decide(decide::Args),
+    #[options(help = "measure what the path adds to a call, as JSON lines")]
+    Overhead(overhead::Args),
+    #[options(help = "replay the beginning of a trace through the processes")]
+    Live(live::Args),
     #[options(help = "draw a comparison as SVG")]
     Plot(plot::Args),
 }
@@ -59,6 +65,8 @@
         Some(Command::Trace(args)) => generate::run(&args),
         Some(Command::Replay(args)) => replay::run(&args),
         Some(Command::Decide(args)) => decide::run(&args),
+        Some(Command::Overhead(args)) => runtime.block_on(overhead::run(&args)),
+        Some(Command::Live(args)) => runtime.block_on(live::run(&args)),
         Some(Command::Plot(args)) => plot::run(&args),
         None => Err(eyre::eyre!("no command; see --help")),
     };
