--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -23,8 +23,8 @@
 
 use crate::callers::Callers;
 
-/// Room above the body limit, so that a body over it is answered by this system.
-const BODY_MARGIN: usize = 64 * 1024;
+/// Bodies of this many times the limit are received, so that one over it gets this system's answer.
+const RECEIVED: usize = 4;
 
 type Reply = Result<Response<Body>, HttpError>;
 type Context = RequestContext<Arc<Callers>>;
@@ -45,7 +45,7 @@
 pub fn serve(callers: Callers, address: SocketAddr) -> eyre::Result<HttpServer<Arc<Callers>>> {
     let config = ConfigDropshot {
         bind_address: address,
-        default_request_body_max_bytes: callers.body_limit() + BODY_MARGIN,
+        default_request_body_max_bytes: callers.body_limit() * RECEIVED,
         default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
         ..ConfigDropshot::default()
     };
@@ -72,7 +72,7 @@
 async fn chat(context: Context, body: StreamingBody) -> Reply {
     let callers = context.context();
     Ok(callers
-        .reply(callers.chat(context.request.headers(), body))
+        .reply(callers.chat(context.request.headers(), body.into()))
         .await)
 }
 
@@ -80,7 +80,7 @@
 async fn open(context: Context, body: StreamingBody) -> Reply {
     let callers = context.context();
     Ok(callers
-        .reply(callers.open(context.request.headers(), None, body))
+        .reply(callers.open(context.request.headers(), None, body.into()))
         .await)
 }
 
@@ -90,7 +90,7 @@
     let parent = path.into_inner().program;
     let headers = context.request.headers();
     Ok(callers
-        .reply(callers.open(headers, Some(&parent), body))
+        .reply(callers.open(headers, Some(&parent), body.into()))
         .await)
 }
 
@@ -142,8 +142,8 @@
             ) -> Reply {
                 let callers = context.context().clone();
                 let route = path.into_inner().route;
-                let body = None $(.or(Some($body)))?;
-                Ok(callers.reply(callers.plain(&context.request, &route, body)).await)
+                let body = None $(.or(Some($body.into())))?;
+                Ok(callers.reply(callers.plain(&context.request, &route, body.into())).await)
             }
         };
     }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -10,7 +10,6 @@
 use coord::refusal::Code;
 use dropshot::Body;
 use dropshot::RequestInfo;
-use dropshot::StreamingBody;
 use http::HeaderMap;
 use http::Response;
 use wire::CallRequest;
@@ -93,7 +92,7 @@
     }
 
     /// Runs a chat completion.
-    pub async fn chat(&self, headers: &HeaderMap, body: StreamingBody) -> Answer {
+    pub async fn chat(&self, headers: &HeaderMap, body: request::Body) -> Answer {
         let caller = self.authenticate(headers)?;
         let deadline = request::deadline(headers, &self.limits)?;
         let turn = request::turn(headers)?;
@@ -113,7 +112,7 @@
         &self,
         headers: &HeaderMap,
         parent: Option<&str>,
-        body: StreamingBody,
+        body: request::Body,
     ) -> Answer {
         let caller = self.authenticate(headers)?;
         let deadline = request::deadline(headers, &self.limits)?;
@@ -177,7 +176,7 @@
         &self,
         info: &RequestInfo,
         route: &str,
-        body: Option<StreamingBody>,
+        body: Option<request::Body>,
     ) -> Answer {
         let headers = info.headers();
         let route: id::Route = route.parse().map_err(|_| no_route())?;
