--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of the entry daemon.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 
 use coord::id::DataCentre;
 use coord::id::Node;
@@ -46,9 +45,6 @@
     pub policy: Policy,
     #[serde(default)]
     pub log_level: Level,
-    /// Folder for bulk data, on hosts that have a disk.
-    #[serde(default)]
-    pub data: Option<PathBuf>,
 }
 
 /// Addresses of this node.
