--- a/crates/sched/tests/queue.rs
+++ b/crates/sched/tests/queue.rs
@@ -1,5 +1,7 @@
 //! Order of calls in a target's queue.
 
+use std::collections::VecDeque;
+
 use coord::id::Customer;
 use coord::id::Tokens;
 use coord::time::Millis;
@@ -125,7 +127,7 @@
     for id in 0..CALLS {
         queue.push(job(id, "backlogged", 0), Time(0));
     }
-    let mut running = std::collections::VecDeque::new();
+    let mut running = VecDeque::new();
     let mut greedy = 0;
     queue.push(job(CALLS, "greedy", 0), Time(0));
     for id in 1..=CALLS {
