--- a/tests/tests/once.rs
+++ b/tests/tests/once.rs
@@ -5,8 +5,10 @@
 use coord::id::Shard;
 use holds::audit;
 use holds::audit::Tally;
+use holds::audit::Try;
 use holds::booking::Bookings;
 use holds::booking::is_final;
+use holds::caller::Answer;
 use holds::fleet::Fleet;
 use holds::fleet::Plan;
 use rstest::rstest;
@@ -85,6 +87,9 @@
     resend_all(&bookings).await;
     let tally = check(&fleet, &bookings)?;
     eprintln!("{fault:?}: {tally:?}");
+    let tries = bookings.audit.tries().into_iter();
+    let changed: Vec<_> = tries.filter(|(_, tries)| has_changed(tries)).collect();
+    assert!(changed.is_empty(), "a final outcome changed: {changed:?}");
     assert_eq!(tally.requests, BOOKINGS);
     assert_eq!(
         tally.answered + tally.unknown,
@@ -192,6 +197,12 @@
     Ok(())
 }
 
+/// Whether a caller was told an answer and an unknown outcome.
+fn has_changed(tries: &[Try]) -> bool {
+    let told = |holds: fn(&Answer) -> bool| tries.iter().any(|tried| holds(&tried.answer));
+    told(Answer::ok) && told(|answer| answer.code() == "outcome-unknown")
+}
+
 /// Every caller asks once more, at another entry, when all is well again.
 async fn resend_all(bookings: &Bookings) {
     let sent = (0..BOOKINGS).map(|number| {
