--- a/tests/tests/once.rs
+++ b/tests/tests/once.rs
@@ -126,7 +126,7 @@
     let other = (owner + 1) % 3;
     let waiting = tokio::spawn({
         let bookings = bookings.clone();
-        async move { bookings.send("once", other).await }
+        async move { bookings.book("once", other).await }
     });
     let folder = fleet.folder.clone();
     let ran = async || audit::executions(&folder, "tool-1").is_ok_and(|ran| ran.len() == 1);
@@ -134,12 +134,12 @@
     fleet.entries[owner].process.kill();
     fleet.tools[0].sidecar.kill();
     fleet.wait_replaced(shard, owner).await?;
-    waiting.await?;
     fleet.tools[0].fake.kill();
     fleet.restart_target(0, true)?;
     fleet.restart_sidecar(0, true)?;
     fleet.wait_serving(fleet.tools[0].admin).await?;
 
+    waiting.await?;
     let answer = bookings.book("once", other).await;
     assert_eq!(answer.code(), "outcome-unknown", "{answer:?}");
     assert_eq!(answer.ran(), "unknown", "{answer:?}");
