--- a/crates/entry/src/cache.rs
+++ b/crates/entry/src/cache.rs
@@ -13,15 +13,19 @@
 use coord::config;
 use coord::id::Epoch;
 use coord::id::Program;
+use coord::id::SHARDS;
 use coord::id::Shard;
 use coord::id::Target;
 use coord::id::Tokens;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::sync::broadcast::error::RecvError;
 use wire::CacheLease;
 use wire::CacheRequest;
 
 use crate::call::Call;
 use crate::clock;
+use crate::shards::Gained;
 
 const STEP: &str = "cache";
 /// A program without a call for this long gives its cache up.
@@ -52,6 +56,8 @@
     held: Mutex<Map<Program, Held>>,
     /// To be released, until the sidecar has confirmed it or the lease has run out.
     released: Mutex<Vec<(Program, Held, Instant)>>,
+    /// Wakes the sending of releases.
+    wake: Notify,
 }
 
 impl Caches {
@@ -62,6 +68,12 @@
             .map(|held| (held.target.clone(), held.tokens))
     }
 
+    /// Sidecars of the targets that hold them.
+    pub fn sidecars(&self) -> Vec<SocketAddr> {
+        let held = self.held.lock();
+        held.values().map(|held| held.sidecar).collect()
+    }
+
     /// Number of histories held.
     pub fn len(&self) -> usize {
         self.held.lock().len()
@@ -104,11 +116,17 @@
         }
     }
 
+    /// Notes what a former owner held, unless more is known here.
+    fn adopt(&self, program: Program, held: Held) {
+        self.held.lock().entry(program).or_insert(held);
+    }
+
     fn give_up(&self, program: &Program, held: Held) {
         let mut released = self.released.lock();
         if released.len() < RELEASES_LIMIT {
             released.push((program.clone(), held, Instant::now()));
         }
+        self.wake.notify_one();
     }
 
     fn programs(&self) -> Vec<(Program, Held)> {
@@ -136,15 +154,56 @@
 pub async fn keep(call: Arc<Call>) {
     let hold = clock::duration(call.settings.limits.cache_hold_ms);
     let mut tick = tokio::time::interval(hold / RENEWALS);
+    let mut gained = call.member.gained();
     loop {
-        tick.tick().await;
-        renew(&call, hold).await;
+        tokio::select! {
+            _ = tick.tick() => renew(&call, hold).await,
+            gain = gained.recv() => match gain {
+                Ok(Gained { shard, .. }) => adopt(&call, shard),
+                Err(RecvError::Lagged(_)) => {
+                    (0..SHARDS).map(Shard).for_each(|shard| adopt(&call, shard));
+                }
+                Err(RecvError::Closed) => return,
+            },
+            () = call.caches.wake.notified() => {}
+        }
         flush(&call).await;
     }
 }
 
+/// Takes over the leases of a shard's programs from its former owner, and releases those of ended
+/// programs, whose release that owner may not have sent.
+fn adopt(call: &Call, shard: Shard) {
+    let Some(authority) = call.member.authority(shard) else {
+        return;
+    };
+    let config = call.member.config();
+    let held = call.member.shards().inspect(shard, |state| {
+        let programs = state.replica.programs();
+        let held = programs.filter_map(|(name, program)| {
+            let target = config.target(program.engine.as_ref()?)?;
+            let held = Held {
+                target: target.id.clone(),
+                sidecar: target.sidecar,
+                tokens: program.history_tokens(),
+                shard,
+                epoch: authority.epoch,
+                used: Instant::now(),
+            };
+            Some((name.clone(), held, program.ended.is_some()))
+        });
+        held.collect::<Vec<_>>()
+    });
+    for (name, held, ended) in held.unwrap_or_default() {
+        match ended {
+            true => call.caches.give_up(&name, held),
+            false => call.caches.adopt(name, held),
+        }
+    }
+}
+
 /// Sends the releases that are due.
-pub async fn flush(call: &Call) {
+async fn flush(call: &Call) {
     let hold = clock::duration(call.settings.limits.cache_hold_ms);
     let now = Instant::now();
     let due = call.caches.take_released();
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -74,12 +74,13 @@
         admission: Arc<Admission>,
         instruments: Arc<Instruments>,
     ) -> Arc<Call> {
+        let table = Table::new(&settings.data_centre, rand::rng().random());
         Arc::new(Call {
             member,
             settings,
             admission,
             instruments,
-            table: Table::default(),
+            table,
             caches: Caches::default(),
             flight: Flight::default(),
             retries: Mutex::new(Budget::new()),
@@ -119,8 +120,8 @@
                 if out.begun() {
                     let (step, peer) = (refusal.step.as_str(), refusal.peer.as_str());
                     log::warn!(step, peer; "answer broken off: {}", refusal.message);
+                    self.instruments.refused(&refusal);
                 }
-                self.instruments.refused(&refusal);
                 out.refuse(refusal).await;
             }
             Err(Stop::Moved(_)) if out.begun() => out.refuse(stream::broken()).await,
@@ -266,7 +267,6 @@
         let question = Question {
             config: &config,
             policy: &self.settings.policy,
-            near: &self.settings.data_centre,
             service: &job.service,
             input: prompt.tokens,
             output: job.max_tokens(),
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -1,6 +1,7 @@
 //! Callers' requests: chat completions, programs, models and plain routes.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use coord::config::Config;
@@ -9,7 +10,6 @@
 use coord::refusal::Code;
 use dropshot::Body;
 use dropshot::RequestInfo;
-use dropshot::StreamingBody;
 use http::HeaderMap;
 use http::Response;
 use wire::CallRequest;
@@ -20,6 +20,7 @@
 use crate::auth;
 use crate::auth::Caller;
 use crate::ingress::Ingress;
+use crate::instruments::Instruments;
 use crate::member::Member;
 use crate::plain;
 use crate::refusal;
@@ -39,15 +40,37 @@
     member: Arc<Member>,
     ingress: Arc<Ingress>,
     limits: Limits,
+    instruments: Arc<Instruments>,
 }
 
 impl Callers {
     /// Handlers over a member and its way to the owners.
-    pub fn new(member: Arc<Member>, ingress: Arc<Ingress>, limits: Limits) -> Callers {
+    pub fn new(
+        member: Arc<Member>,
+        ingress: Arc<Ingress>,
+        limits: Limits,
+        instruments: Arc<Instruments>,
+    ) -> Callers {
         Callers {
             member,
             ingress,
             limits,
+            instruments,
+        }
+    }
+
+    /// The answer as HTTP; counted.
+    pub async fn reply(&self, answer: impl Future<Output = Answer>) -> Response<Body> {
+        let begun = Instant::now();
+        match answer.await {
+            Ok(response) => {
+                self.instruments.requested(begun.elapsed());
+                response
+            }
+            Err(refusal) => {
+                self.instruments.refused(&refusal);
+                refusal::response(&refusal)
+            }
         }
     }
 
@@ -69,7 +92,7 @@
     }
 
     /// Runs a chat completion.
-    pub async fn chat(&self, headers: &HeaderMap, body: StreamingBody) -> Answer {
+    pub async fn chat(&self, headers: &HeaderMap, body: request::Body) -> Answer {
         let caller = self.authenticate(headers)?;
         let deadline = request::deadline(headers, &self.limits)?;
         let turn = request::turn(headers)?;
@@ -89,7 +112,7 @@
         &self,
         headers: &HeaderMap,
         parent: Option<&str>,
-        body: StreamingBody,
+        body: request::Body,
     ) -> Answer {
         let caller = self.authenticate(headers)?;
         let deadline = request::deadline(headers, &self.limits)?;
@@ -153,7 +176,7 @@
         &self,
         info: &RequestInfo,
         route: &str,
-        body: Option<StreamingBody>,
+        body: Option<request::Body>,
     ) -> Answer {
         let headers = info.headers();
         let route: id::Route = route.parse().map_err(|_| no_route())?;
