Probe less in steady state, and tell of changes on a pace of its own

Cause: 10 probes a second take most of the 3 KB/s that a node has for control.

Now 3 probes a second for decisions and 3 of routine for the targets that an entry is responsible for, each of them every 20 s; a change is told on a pace of 10 a second beside them. A working set exchanges one target every 15 s, so that with 20 models the fresh ones leave probes for the others.

At most 16 probes in one second, while the own targets are told for the first time.

--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -17,7 +17,7 @@
 /// Entries responsible for one target.
 pub const RESPONSIBLE: usize = 2;
 /// A responsible entry asks its targets this often.
-pub const INTERVAL: Duration = Duration::from_secs(10);
+pub const INTERVAL: Duration = Duration::from_secs(20);
 /// Pause before a target is told again what it has not confirmed.
 const RETRY: Duration = Duration::from_secs(2);
 
--- a/crates/entry/src/survey.rs
+++ b/crates/entry/src/survey.rs
@@ -25,11 +25,13 @@
 use crate::roster::Roster;
 
 /// Probes a second for the sake of decisions.
-const DECISION_RATE: u32 = 5;
-/// Probes a second of the targets that this node is responsible for.
-const DUTY_RATE: u32 = 5;
-/// Probes a second of one entry in all, beyond a small fleet.
+const DECISION_RATE: u32 = 3;
+/// Routine probes a second of the targets that this node is responsible for.
+const DUTY_RATE: u32 = 3;
+/// Probes a second of one entry in steady state, beyond a small fleet.
 pub const RATE: u32 = DECISION_RATE + DUTY_RATE;
+/// Probes a second on top of it that tell of changes.
+pub const NEWS_RATE: u32 = 10;
 /// A service counts as placed lately for this long.
 const LATELY: Duration = Duration::from_secs(10);
 
@@ -38,6 +40,7 @@
 pub(crate) struct Survey {
     decisions: Pace,
     duties: Pace,
+    news: Pace,
     duty: Duty,
 }
 
@@ -46,6 +49,7 @@
         Survey {
             decisions: Pace::per_second(DECISION_RATE),
             duties: Pace::per_second(DUTY_RATE),
+            news: Pace::per_second(NEWS_RATE),
             duty: Duty::default(),
         }
     }
@@ -126,29 +130,28 @@
         now: Instant,
     ) -> Vec<Arc<Listed>> {
         self.survey.duty.update(roster, map, me);
-        let news = self.survey.duty.news();
-        let routine = self.survey.duty.routine(now);
         let stale = self.stale(roster, now);
         let Survey {
-            decisions, duties, ..
+            decisions,
+            duties,
+            news,
+            duty,
         } = &mut self.survey;
+        let paced = [
+            (news, duty.news()),
+            (duties, duty.routine(now)),
+            (decisions, stale),
+        ];
         let mut due = Vec::new();
         let mut taken: Set<id::Target> = Set::default();
-        let mut take = |listed: Arc<Listed>, paces: &mut [&mut Pace]| {
-            let known = taken.contains(&listed.target.id);
-            if !known && paces.iter_mut().any(|pace| pace.take(now)) {
-                taken.insert(listed.target.id.clone());
-                due.push(listed);
+        for (pace, wished) in paced {
+            for listed in wished {
+                let known = taken.contains(&listed.target.id);
+                if !known && pace.take(now) {
+                    taken.insert(listed.target.id.clone());
+                    due.push(listed);
+                }
             }
-        };
-        for listed in news {
-            take(listed, &mut [&mut *duties, &mut *decisions]);
-        }
-        for listed in routine {
-            take(listed, &mut [&mut *duties]);
-        }
-        for listed in stale {
-            take(listed, &mut [&mut *decisions]);
         }
         due
     }
--- a/crates/entry/src/working.rs
+++ b/crates/entry/src/working.rs
@@ -22,7 +22,7 @@
 /// Targets of a set that come from the own data centre, if it has them.
 const NEAR: usize = 12;
 /// A set exchanges one target after this long.
-const ROTATION: Duration = Duration::from_secs(5);
+const ROTATION: Duration = Duration::from_secs(15);
 /// Draws for one place of a set.
 const DRAWS: usize = 8;
 /// A set is kept for this long after its last use.
