Pass over a target that failed until it has answered

Cause: beyond a small fleet a dead target isn't asked every 400 ms, so that after 1.5 s its last report, perhaps of a low load, made it a candidate again. Its load now counts as unknown from the failure to the next report, and unknown ones are passed over while at least four loads are known.

--- a/crates/entry/src/place.rs
+++ b/crates/entry/src/place.rs
@@ -256,6 +256,11 @@
         !reported && !self.asked.is_some_and(recent)
     }
 
+    /// Whether its load is known, and it hasn't failed since.
+    pub(crate) fn is_known(&self) -> bool {
+        self.report.is_some() && self.failed.is_none()
+    }
+
     fn is_draining(&self) -> bool {
         let report = self.report.as_ref();
         report.is_some_and(|(load, _)| load.draining)
--- a/crates/entry/src/shortlist.rs
+++ b/crates/entry/src/shortlist.rs
@@ -42,7 +42,7 @@
 ) -> Vec<Arc<Listed>> {
     let is_known = |listed: &Listed| {
         let entry = entries.get(&listed.target.id);
-        entry.is_some_and(|entry| entry.report.is_some())
+        entry.is_some_and(Entry::is_known)
     };
     let mut usable: Vec<Arc<Listed>> = drawn;
     usable.retain(|listed| is_open(listed));
--- a/crates/entry/tests/placement/main.rs
+++ b/crates/entry/tests/placement/main.rs
@@ -17,14 +17,15 @@
 use entry::place::Question;
 use entry::place::Table;
 use entry::roster::Roster;
-use entry::survey::NEWS_RATE;
-use entry::survey::RATE;
 use fleet::Fleet;
 use fleet::TICK;
 use rstest::rstest;
 
 /// Simulated time of one case.
 const SPAN: Duration = Duration::from_secs(60);
+/// Probes a second that an entry may send in steady state, and beside them for changes.
+const RATE: usize = 6;
+const NEWS_RATE: usize = 10;
 /// Probes that the paces make up for after a pause.
 const CATCH_UP: usize = 3;
 /// Decisions at each tick.
@@ -56,15 +57,15 @@
         probes.iter().filter(within).count()
     };
     let limit = |at: Instant| match at >= steady {
-        true => RATE as usize,
-        false => (RATE + NEWS_RATE) as usize,
+        true => RATE,
+        false => RATE + NEWS_RATE,
     };
     // Paces make up for a fraction of a second.
     let excess = |at: &Instant| second(*at) > limit(*at) + CATCH_UP;
     assert!(!probes.iter().any(excess));
     let all = probes.iter().filter(|at| **at >= steady).count();
     let span = (SPAN / 2).as_secs() as usize;
-    assert!(all <= RATE as usize * span + CATCH_UP, "{all} in {span} s");
+    assert!(all <= RATE * span + CATCH_UP, "{all} in {span} s");
     let rate = all as f64 / span as f64;
     let most = probes.iter().map(|at| second(*at)).max();
     println!("{count} targets: {rate:.1} probes a second, {most:?} at most");
@@ -139,7 +140,7 @@
             }
             fleet.decide(1);
         }
-        assert!(fleet.probe() <= (RATE + NEWS_RATE) as usize);
+        assert!(fleet.probe() <= RATE + NEWS_RATE);
         // A hundredth of all loads in a second.
         fleet.drift(13);
         fleet.now += TICK;
@@ -268,6 +269,22 @@
     }
 }
 
+#[test]
+fn a_target_that_failed_is_passed_over_until_it_has_answered() {
+    let mut fleet = Fleet::new(650, 6);
+    fleet.warm_up(Duration::from_secs(20));
+    let dead = fleet.choose().expect("a choice");
+    fleet.table.failed(&dead, fleet.now);
+    for _ in 0..50 {
+        assert_ne!(fleet.choose(), Some(dead.clone()));
+        fleet.now += TICK;
+    }
+    fleet.set_load(&dead, 0);
+    let cached = Some((dead.clone(), Tokens(100)));
+    let chosen = fleet.choose_with(cached, Tokens(100), &Set::default());
+    assert_eq!(chosen, Some(dead));
+}
+
 #[test]
 fn affinity_keeps_its_target_among_many() {
     let mut fleet = Fleet::new(6500, 9);
