Tell a call whose outcome came too late to ask again

A report that another outcome stands was given the final code although the ledger knows better. Ruled out: the ingress, which gives unavailable. Now it is unavailable, ran unknown, with a time to come back.

--- a/crates/entry/src/ledger.rs
+++ b/crates/entry/src/ledger.rs
@@ -164,9 +164,12 @@
     }
 }
 
-/// The refusal of a call whose outcome came too late to count.
+/// The refusal of a call whose outcome came too late to count: what the ledger holds in its place is
+/// told to those that ask again.
 pub fn not_awaited() -> Refusal {
-    refusal::unknown(Code::OutcomeUnknown, STEP, "the outcome wasn't recorded")
+    let message = "another outcome is recorded; ask again for it";
+    let refusal = refusal::unknown(Code::Unavailable, STEP, message);
+    refusal::retry_after(refusal, RETRY_AFTER)
 }
 
 /// Waits for what a decision rests on.
