Let calls wait for a bucket's new owner as long as a takeover lasts

Ruled out: a longer wait for tokens, which is another bound. Now a call waits for an owner up to three leases within its deadline, and a silent owner is asked again after 2 s. The price is time: those calls wait for the takeover.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -43,6 +43,8 @@
 const PUBLIC_BURST: Burst = Burst(100);
 /// Requests of one customer that wait at once.
 const WAITING_LIMIT: u32 = 256;
+/// Leases in which a dead owner is replaced.
+const TAKEOVER_LEASES: u32 = 3;
 /// Pause before the owner is looked up again.
 const LOOK: Duration = Duration::from_millis(30);
 /// When to come back if the bucket can't be asked, in milliseconds.
@@ -106,10 +108,11 @@
         }
     }
 
-    /// Takes a call's token, wherever the bucket is.
+    /// Takes a call's token, wherever the bucket is; waits as long as a takeover lasts for an owner.
     pub async fn admit(&self, job: &Job) -> Result<(), Stop> {
         let shard = Shard::of_customer(&job.customer);
-        let end = job.deadline.min(Instant::now() + self.wait.max(LOOK) * 2);
+        let takeover = self.member.lease_duration() * TAKEOVER_LEASES;
+        let end = job.deadline.min(Instant::now() + takeover);
         loop {
             let request = AdmitRequest {
                 customer: job.customer.to_string(),
@@ -140,6 +143,7 @@
             return self.serve(request).await.reply;
         }
         let mut client = self.member.peers().owner(owner.addr);
+        let end = end.min(Instant::now() + self.wait.max(LOOK) * 2);
         let reply = tokio::time::timeout_at(end, client.admit(request)).await;
         match reply {
             Ok(Ok(reply)) => reply.into_inner().reply,
