Turn Nagle's delay off where the gRPC servers accept

Cause: tonic applies `tcp_nodelay` only to listeners that it binds itself. Entries and sidecars bind first and pass their connections on, so replies waited for delayed acknowledgements. `bench overhead` showed it: with the machine nearly idle, 20 calls a second took 48 ms through the path.

Ruled out: the load of the machine (the direct calls beside them stayed at 3 ms) and the tests' forwarding switches, which turn it off.

The bench's warm-up is no longer than a round.

--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -30,7 +30,7 @@
 /// Most requests of one round.
 const REQUESTS_LIMIT: u32 = 100_000;
 
-/// Requests that open connections, before the first round.
+/// Most requests that open connections, before the first round.
 const WARM_UP: u32 = 500;
 
 /// Arguments of `bench overhead`.
@@ -126,7 +126,14 @@
     let bar = ProgressBar::new(u64::from(2 * args.rounds)).with_prefix(name(call));
     let mut counts = [Counts::new()?, Counts::new()?];
     for way in [&direct, &path] {
-        round(way, call, args.rate, WARM_UP, &mut Counts::new()?).await?;
+        round(
+            way,
+            call,
+            args.rate,
+            WARM_UP.min(requests),
+            &mut Counts::new()?,
+        )
+        .await?;
     }
     for _ in 0..args.rounds {
         for (way, counts) in [&direct, &path].into_iter().zip(&mut counts) {
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -11,8 +11,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport;
+use tonic::transport::server::TcpIncoming;
 use wire::owner_server::OwnerServer;
 
 use crate::admission::Admission;
@@ -145,12 +145,16 @@
         let _ = stop.wait_for(|stop| *stop).await;
     };
     let serving = transport::Server::builder()
-        .tcp_nodelay(true)
         .add_service(owner)
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), stopped);
+        .serve_with_incoming_shutdown(incoming(listener), stopped);
     Ok(tokio::spawn(async move {
         if let Err(error) = serving.await {
             log::error!(step = "serve", peer = address.to_string().as_str(); "{error}");
         }
     }))
 }
+
+/// Connections without Nagle's delay; the server's own setting holds only where it binds itself.
+fn incoming(listener: TcpListener) -> TcpIncoming {
+    TcpIncoming::from(listener).with_nodelay(Some(true))
+}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -10,8 +10,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 use wire::target_server::TargetServer;
 
 use crate::clock;
@@ -130,13 +130,12 @@
         .max_decoding_message_size(wire::MESSAGE_LIMIT)
         .max_encoding_message_size(wire::MESSAGE_LIMIT);
     Server::builder()
-        .tcp_nodelay(true)
         .max_concurrent_streams(Some(streams as u32))
         .initial_connection_window_size(Some(WINDOW))
         .http2_keepalive_interval(Some(KEEPALIVE))
         .http2_keepalive_timeout(Some(KEEPALIVE))
         .add_service(service)
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+        .serve_with_incoming_shutdown(incoming(listener), async move {
             let _ = stopped.wait_for(|stopped| *stopped).await;
         })
         .await
@@ -203,3 +202,8 @@
         state.failed("serve entries", &error);
     }
 }
+
+/// Connections without Nagle's delay; the server's own setting holds only where it binds itself.
+fn incoming(listener: TcpListener) -> TcpIncoming {
+    TcpIncoming::from(listener).with_nodelay(Some(true))
+}
