--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -29,7 +29,9 @@
 
 impl Default for Http {
     fn default() -> Self {
-        Self(Client::builder(TokioExecutor::new()).build_http())
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self(Client::builder(TokioExecutor::new()).build(connector))
     }
 }
 
