--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -8,13 +8,9 @@
 
 use coord::Map;
 use coord::bucket::Block;
-use coord::bucket::Bucket;
-use coord::bucket::Take;
 use coord::config::Config;
 use coord::id;
-use coord::id::Burst;
 use coord::id::Epoch;
-use coord::id::Rate;
 use coord::id::Shard;
 use coord::record::Record;
 use coord::refusal::Code;
@@ -28,6 +24,11 @@
 use wire::admit_reply::Reply;
 
 use crate::auth;
+use crate::bucket::Entry;
+use crate::bucket::Limits;
+use crate::bucket::Look;
+use crate::bucket::Slot;
+use crate::bucket::Waiting;
 use crate::clock;
 use crate::clock::unix_ms;
 use crate::job::Job;
@@ -38,11 +39,6 @@
 use crate::refusal;
 
 const STEP: &str = "admit";
-/// Limits of callers without a key, unless a customer `public` is configured.
-const PUBLIC_RATE: f64 = 50.0;
-const PUBLIC_BURST: Burst = Burst(100);
-/// Requests of one customer that wait at once.
-const WAITING_LIMIT: u32 = 256;
 /// Leases in which a dead owner is replaced.
 const TAKEOVER_LEASES: u32 = 3;
 /// Pause before the owner is looked up again.
@@ -50,31 +46,6 @@
 /// When to come back if the bucket can't be asked, in milliseconds.
 const RETRY_AFTER: u64 = 1000;
 
-/// A customer's bucket under one epoch.
-#[derive(Debug)]
-struct Entry {
-    epoch: Epoch,
-    bucket: Bucket,
-    limits: Limits,
-    waiting: u32,
-    /// Level up to which blocks have been confirmed.
-    confirmed: u64,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct Limits {
-    rate: Rate,
-    burst: Burst,
-    weight: u32,
-}
-
-#[derive(Debug, Default)]
-struct Slot {
-    entry: Mutex<Option<Entry>>,
-    /// Held while a block is being confirmed.
-    block: tokio::sync::Mutex<()>,
-}
-
 /// The buckets of the customers whose shards this node owns, and the way to the others.
 pub struct Admission {
     member: Arc<Member>,
@@ -83,19 +54,11 @@
     slots: Mutex<Map<id::Customer, Arc<Slot>>>,
 }
 
-impl Entry {
-    fn confirm(&mut self, level: u64) {
-        self.bucket.confirm(level);
-        self.confirmed = self.confirmed.max(level);
-    }
-}
-
-/// What one look at the bucket gave.
-enum Look {
-    Granted,
-    Sleep(Duration),
-    Block(Block),
-    Refuse(Millis),
+/// Whose bucket a request is for, and where it is.
+struct Place<'a> {
+    slot: &'a Slot,
+    customer: &'a id::Customer,
+    shard: Shard,
 }
 
 impl Admission {
@@ -177,20 +140,17 @@
         let allowance = self.wait.min(Duration::from_millis(request.deadline_ms));
         let end = Instant::now() + allowance;
         let mut waiting = Waiting::new(&slot);
+        let place = Place {
+            slot: &slot,
+            customer: &customer,
+            shard,
+        };
         loop {
             let config = self.member.config();
             let limits = limits(&config, &customer, request)?;
             let authority = self.authority(shard)?;
             let left = end.saturating_duration_since(Instant::now());
-            match self.look(
-                &slot,
-                &customer,
-                shard,
-                authority,
-                limits,
-                left,
-                &mut waiting,
-            )? {
+            match self.look(&place, authority, limits, left, &mut waiting)? {
                 Look::Granted => {
                     return Ok(Granted {
                         weight: limits.weight,
@@ -198,7 +158,7 @@
                     });
                 }
                 Look::Sleep(length) => tokio::time::sleep(length).await,
-                Look::Block(block) => self.confirm(&slot, &customer, shard, block).await?,
+                Look::Block(block) => self.confirm(&place, block).await?,
                 Look::Refuse(wait) => return Err(over_rate(wait).into()),
             }
         }
@@ -213,18 +173,20 @@
         self.member.authority(shard).ok_or_else(moved)
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn look(
         &self,
-        slot: &Slot,
-        customer: &id::Customer,
-        shard: Shard,
+        place: &Place<'_>,
         authority: Authority,
         limits: Limits,
         left: Duration,
         waiting: &mut Waiting<'_>,
     ) -> Result<Look, Stop> {
         let now = self.member.now();
+        let Place {
+            slot,
+            customer,
+            shard,
+        } = *place;
         let mut held = slot.entry.lock();
         if held
             .as_ref()
@@ -255,13 +217,12 @@
     }
 
     /// Has a block recorded in two places before it is spent.
-    async fn confirm(
-        &self,
-        slot: &Slot,
-        customer: &id::Customer,
-        shard: Shard,
-        block: Block,
-    ) -> Result<(), Stop> {
+    async fn confirm(&self, place: &Place<'_>, block: Block) -> Result<(), Stop> {
+        let Place {
+            slot,
+            customer,
+            shard,
+        } = *place;
         let _one = slot.block.lock().await;
         if self.is_confirmed(slot, block) {
             return Ok(());
@@ -311,55 +272,6 @@
     }
 }
 
-/// One request's place among those that wait for a token.
-struct Waiting<'a> {
-    slot: &'a Slot,
-    counted: bool,
-}
-
-impl<'a> Waiting<'a> {
-    fn new(slot: &'a Slot) -> Waiting<'a> {
-        Waiting {
-            slot,
-            counted: false,
-        }
-    }
-
-    fn look(&mut self, entry: &mut Entry, now: coord::time::Time, left: Duration) -> Look {
-        let ahead = match self.counted {
-            true => 0,
-            false => entry.waiting,
-        };
-        let take = match ahead {
-            0 => entry.bucket.take(now),
-            ahead => Take::Wait(entry.bucket.wait(ahead, now)),
-        };
-        match take {
-            Take::Granted => Look::Granted,
-            Take::NeedsBlock(level) => Look::Block(entry.bucket.block(level)),
-            Take::Wait(wait) if clock::duration(wait) > left => Look::Refuse(wait),
-            Take::Wait(wait) if !self.counted && entry.waiting >= WAITING_LIMIT => {
-                Look::Refuse(wait)
-            }
-            Take::Wait(wait) => {
-                entry.waiting += u32::from(!self.counted);
-                self.counted = true;
-                Look::Sleep(clock::duration(wait).max(Duration::from_millis(1)))
-            }
-        }
-    }
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        let mut held = self.slot.entry.lock();
-        match held.as_mut() {
-            Some(entry) if self.counted => entry.waiting = entry.waiting.saturating_sub(1),
-            _ => {}
-        }
-    }
-}
-
 fn limits(
     config: &Config,
     customer: &id::Customer,
@@ -374,20 +286,12 @@
     match (configured, key) {
         (Some(limits), Some(key)) if auth::in_force(config, customer, &key) => Ok(limits),
         (limits, None) if request.public && customer.as_str() == auth::PUBLIC => {
-            Ok(limits.or_else(public).ok_or_else(unreachable)?)
+            Ok(limits.or_else(Limits::public).ok_or_else(unreachable)?)
         }
         _ => Err(auth::unauthorized("the key isn't in force")),
     }
 }
 
-fn public() -> Option<Limits> {
-    Some(Limits {
-        rate: Rate::try_from(PUBLIC_RATE).ok()?,
-        burst: PUBLIC_BURST,
-        weight: 1,
-    })
-}
-
 fn over_rate(wait: Millis) -> Refusal {
     let refusal = refusal::not_run(Code::RateLimited, STEP, "over the customer's rate");
     match wait {
--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -1,6 +1,5 @@
 //! The whole run of the program, from the command line to the exit code.
 
-use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +7,6 @@
 use node::command;
 use node::command::Exit;
 use node::metrics::Metrics;
-use node::settings;
 use node::shutdown;
 
 use crate::member::Member;
@@ -31,15 +29,12 @@
     let Some(command) = options.command else {
         return command::fail(Exit::Usage, "no command; see --help").into();
     };
-    match tokio::runtime::Runtime::new() {
-        Ok(runtime) => runtime.block_on(execute(command)).into(),
-        Err(error) => command::fail(Exit::Failure, error).into(),
-    }
+    command::run(execute(command))
 }
 
 async fn execute(command: Command) -> Exit {
     match command {
-        Command::Serve(file) => serve(&file.settings).await,
+        Command::Serve(file) => command::serve(&file.settings, daemon).await,
         Command::Check(file) => command::check::<Settings>(&file.settings),
         Command::Ticket(ticket) => match ticket.command {
             Some(command) => crate::command::ticket(command).await,
@@ -55,17 +50,6 @@
     }
 }
 
-async fn serve(file: &Path) -> Exit {
-    let settings = match settings::load::<Settings>(file) {
-        Ok(settings) => settings,
-        Err(error) => return command::fail(Exit::Settings, error),
-    };
-    match daemon(settings).await {
-        Ok(()) => Exit::Success,
-        Err(error) => command::fail(Exit::Failure, format!("{error:#}")),
-    }
-}
-
 async fn daemon(settings: Settings) -> eyre::Result<()> {
     node::log::start(settings.node.as_str(), settings.log_level)?;
     let metrics = Arc::new(Metrics::new()?);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod api;
 pub mod attempt;
 pub mod auth;
+pub mod bucket;
 pub mod cache;
 pub mod call;
 pub mod callers;
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -35,6 +35,30 @@
     }
 }
 
+/// Runs a command to its end on a runtime of its own.
+pub fn run(command: impl Future<Output = Exit>) -> ExitCode {
+    match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime.block_on(command).into(),
+        Err(error) => fail(Exit::Failure, error).into(),
+    }
+}
+
+/// Loads settings and serves until a planned stop has ended.
+pub async fn serve<T, F>(file: &Path, daemon: impl FnOnce(T) -> F) -> Exit
+where
+    T: DeserializeOwned + Check,
+    F: Future<Output = eyre::Result<()>>,
+{
+    let settings = match settings::load::<T>(file) {
+        Ok(settings) => settings,
+        Err(error) => return fail(Exit::Settings, error),
+    };
+    match daemon(settings).await {
+        Ok(()) => Exit::Success,
+        Err(error) => fail(Exit::Failure, format!("{error:#}")),
+    }
+}
+
 /// Prints a failure on standard error.
 pub fn fail(exit: Exit, error: impl fmt::Display) -> Exit {
     eprintln!("{error:#}");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod log;
 pub mod metrics;
 pub mod operator;
+pub mod options;
 pub mod platform;
 pub mod settings;
 pub mod shutdown;
