Serve callers by hyper-util, without delay and with refusals of our own

Ruled out: a catch-all endpoint, as dropshot allows none beside literal paths; half_close, as a caller that leaves would no longer be noticed.

--- a/crates/coord/src/refusal.rs
+++ b/crates/coord/src/refusal.rs
@@ -49,6 +49,8 @@
     Unauthorized = "unauthorized", 401;
     /// No such thing for this customer.
     NotFound = "not-found", 404;
+    /// The path exists, but not by this method.
+    MethodNotAllowed = "method-not-allowed", 405;
     /// A step that isn't the program's next.
     OutOfOrder = "out-of-order", 409;
     /// The program's budget doesn't cover it.
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -1,170 +1,76 @@
-//! The endpoints of the callers' HTTP interface.
+//! The paths of the callers' HTTP interface.
 //!
-//! A handler is cancelled when its caller leaves. That cancels idempotent work; the owner runs
+//! The server drops a handler when its caller leaves. That cancels idempotent work; the owner runs
 //! everything else in a task of its own, so nothing that may not be repeated depends on a handler.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-
-use dropshot::ApiDescription;
+use coord::refusal::Code;
 use dropshot::Body;
-use dropshot::ConfigDropshot;
-use dropshot::HandlerTaskMode;
-use dropshot::HttpError;
-use dropshot::HttpServer;
-use dropshot::Path;
-use dropshot::RequestContext;
-use dropshot::ServerBuilder;
-use dropshot::StreamingBody;
-use dropshot::endpoint;
+use http::Method;
+use http::Request;
 use http::Response;
-use schemars::JsonSchema;
-use serde::Deserialize;
+use hyper::body::Incoming;
+use wire::Refusal;
 
+use crate::callers::Answer;
 use crate::callers::Callers;
-
-/// Bodies of this many times the limit are received, so that one over it gets this system's answer.
-const RECEIVED: usize = 4;
-
-type Reply = Result<Response<Body>, HttpError>;
-type Context = RequestContext<Arc<Callers>>;
-
-#[derive(Debug, Deserialize, JsonSchema)]
-struct ProgramPath {
-    program: String,
-}
-
-#[derive(Debug, Deserialize, JsonSchema)]
-#[allow(dead_code)]
-struct PlainPath {
-    route: String,
-    path: Vec<String>,
-}
-
-/// Starts serving callers.
-pub fn serve(callers: Callers, address: SocketAddr) -> eyre::Result<HttpServer<Arc<Callers>>> {
-    let config = ConfigDropshot {
-        bind_address: address,
-        default_request_body_max_bytes: callers.body_limit() * RECEIVED,
-        default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
-        ..ConfigDropshot::default()
-    };
-    let server = ServerBuilder::new(description()?, Arc::new(callers), node::log::slog());
-    Ok(server.config(config).start()?)
-}
-
-fn description() -> eyre::Result<ApiDescription<Arc<Callers>>> {
-    let mut api = ApiDescription::new();
-    let registered = api
-        .register(chat)
-        .and_then(|()| api.register(open))
-        .and_then(|()| api.register(child))
-        .and_then(|()| api.register(show))
-        .and_then(|()| api.register(history))
-        .and_then(|()| api.register(end))
-        .and_then(|()| api.register(models));
-    registered.map_err(|error| eyre::eyre!("{error}"))?;
-    routes::register(&mut api).map_err(|error| eyre::eyre!("{error}"))?;
-    Ok(api)
-}
-
-#[endpoint { method = POST, path = "/v1/chat/completions" }]
-async fn chat(context: Context, body: StreamingBody) -> Reply {
-    let callers = context.context();
-    Ok(callers
-        .reply(callers.chat(context.request.headers(), body.into()))
-        .await)
-}
-
-#[endpoint { method = POST, path = "/v1/programs" }]
-async fn open(context: Context, body: StreamingBody) -> Reply {
-    let callers = context.context();
-    Ok(callers
-        .reply(callers.open(context.request.headers(), None, body.into()))
-        .await)
+use crate::refusal;
+use crate::request;
+
+const STEP: &str = "route";
+
+/// Methods of plain routes.
+const PLAIN_METHODS: [Method; 7] = [
+    Method::GET,
+    Method::HEAD,
+    Method::OPTIONS,
+    Method::POST,
+    Method::PUT,
+    Method::PATCH,
+    Method::DELETE,
+];
+
+/// Answers one request; every refusal carries its code and whether the request ran.
+pub async fn answer(callers: &Callers, request: Request<Incoming>) -> Response<Body> {
+    callers.reply(handle(callers, request)).await
 }
 
-#[endpoint { method = POST, path = "/v1/programs/{program}/children" }]
-async fn child(context: Context, path: Path<ProgramPath>, body: StreamingBody) -> Reply {
-    let callers = context.context();
-    let parent = path.into_inner().program;
-    let headers = context.request.headers();
-    Ok(callers
-        .reply(callers.open(headers, Some(&parent), body.into()))
-        .await)
-}
-
-#[endpoint { method = GET, path = "/v1/programs/{program}" }]
-async fn show(context: Context, path: Path<ProgramPath>) -> Reply {
-    let callers = context.context();
-    let program = path.into_inner().program;
-    let headers = context.request.headers();
-    Ok(callers.reply(callers.show(headers, &program, false)).await)
-}
-
-#[endpoint { method = GET, path = "/v1/programs/{program}/history" }]
-async fn history(context: Context, path: Path<ProgramPath>) -> Reply {
-    let callers = context.context();
-    let program = path.into_inner().program;
-    let headers = context.request.headers();
-    Ok(callers.reply(callers.show(headers, &program, true)).await)
-}
-
-#[endpoint { method = POST, path = "/v1/programs/{program}/end" }]
-async fn end(context: Context, path: Path<ProgramPath>) -> Reply {
-    let callers = context.context();
-    let program = path.into_inner().program;
-    Ok(callers
-        .reply(callers.end(context.request.headers(), &program))
-        .await)
-}
-
-#[endpoint { method = GET, path = "/v1/models" }]
-async fn models(context: Context) -> Reply {
-    let callers = context.context();
-    let answer = async { callers.models(context.request.headers()) };
-    Ok(callers.reply(answer).await)
-}
-
-/// One endpoint for each method of a plain route.
-mod routes {
-    use dropshot::ApiDescriptionRegisterError;
-
-    use super::*;
-
-    macro_rules! route {
-        ($name:ident, $method:ident, $($body:ident)?) => {
-            #[endpoint { method = $method, path = "/r/{route}/{path:.*}", unpublished = true }]
-            async fn $name(
-                context: Context,
-                path: Path<PlainPath>
-                $(, $body: StreamingBody)?
-            ) -> Reply {
-                let callers = context.context().clone();
-                let route = path.into_inner().route;
-                let body = None $(.or(Some($body.into())))?;
-                Ok(callers.reply(callers.plain(&context.request, &route, body.into())).await)
-            }
-        };
+async fn handle(callers: &Callers, request: Request<Incoming>) -> Answer {
+    let (head, body) = request.into_parts();
+    let body = request::Body::from(body);
+    let headers = &head.headers;
+    let path: Vec<&str> = head.uri.path().split('/').skip(1).collect();
+    match (path.as_slice(), &head.method) {
+        (["v1", "chat", "completions"], &Method::POST) => callers.chat(headers, body).await,
+        (["v1", "programs"], &Method::POST) => callers.open(headers, None, body).await,
+        (["v1", "programs", parent, "children"], &Method::POST) => {
+            callers.open(headers, Some(parent), body).await
+        }
+        (["v1", "programs", program], &Method::GET) => callers.show(headers, program, false).await,
+        (["v1", "programs", program, "history"], &Method::GET) => {
+            callers.show(headers, program, true).await
+        }
+        (["v1", "programs", program, "end"], &Method::POST) => callers.end(headers, program).await,
+        (["v1", "models"], &Method::GET) => callers.models(headers),
+        (["r", route, ..], method) if PLAIN_METHODS.contains(method) => {
+            let sends_none = matches!(*method, Method::GET | Method::HEAD);
+            let body = Some(body).filter(|_| !sends_none);
+            callers.plain(&head, route, body).await
+        }
+        (path, _) => Err(no_such(path)),
     }
+}
 
-    route!(get, GET,);
-    route!(head, HEAD,);
-    route!(options, OPTIONS, body);
-    route!(post, POST, body);
-    route!(put, PUT, body);
-    route!(patch, PATCH, body);
-    route!(delete, DELETE, body);
-
-    pub fn register(
-        api: &mut ApiDescription<Arc<Callers>>,
-    ) -> Result<(), ApiDescriptionRegisterError> {
-        api.register(get)?;
-        api.register(head)?;
-        api.register(options)?;
-        api.register(post)?;
-        api.register(put)?;
-        api.register(patch)?;
-        api.register(delete)
+fn no_such(path: &[&str]) -> Refusal {
+    let exists = matches!(
+        path,
+        ["v1", "chat", "completions"]
+            | ["v1", "programs" | "models"]
+            | ["v1", "programs", _]
+            | ["v1", "programs", _, "children" | "history" | "end"]
+            | ["r", _, ..]
+    );
+    match exists {
+        true => refusal::not_run(Code::MethodNotAllowed, STEP, "not by this method"),
+        false => refusal::not_run(Code::NotFound, STEP, "no such path"),
     }
 }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -9,9 +9,9 @@
 use coord::id::Shard;
 use coord::refusal::Code;
 use dropshot::Body;
-use dropshot::RequestInfo;
 use http::HeaderMap;
 use http::Response;
+use http::request::Parts;
 use wire::CallRequest;
 use wire::Refusal;
 use wire::call_request::What;
@@ -74,11 +74,6 @@
         }
     }
 
-    /// Largest body, in bytes.
-    pub fn body_limit(&self) -> usize {
-        self.limits.body_bytes
-    }
-
     fn authenticate(&self, headers: &HeaderMap) -> Result<Caller, Refusal> {
         auth::authenticate(&*self.config(headers)?, headers)
     }
@@ -172,13 +167,8 @@
     }
 
     /// Passes a request on to a plain service.
-    pub async fn plain(
-        &self,
-        info: &RequestInfo,
-        route: &str,
-        body: Option<request::Body>,
-    ) -> Answer {
-        let headers = info.headers();
+    pub async fn plain(&self, head: &Parts, route: &str, body: Option<request::Body>) -> Answer {
+        let headers = &head.headers;
         let route: id::Route = route.parse().map_err(|_| no_route())?;
         let caller = self.plain_caller(headers, &route)?;
         let deadline = request::deadline(headers, &self.limits)?;
@@ -191,8 +181,8 @@
         let shard = shard(&caller, turn.as_ref(), &name)?;
         let plain = wire::Plain {
             route: route.to_string(),
-            method: info.method().to_string(),
-            path: plain::path(info.uri()),
+            method: head.method.to_string(),
+            path: plain::path(&head.uri),
             headers: plain::headers(headers, &caller.customer, &name),
             body,
             program: turn
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod roster;
 pub mod rpc;
 pub mod run;
+pub mod server;
 pub mod service;
 pub mod settings;
 pub mod settle;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -6,11 +6,13 @@
 use bytes::BytesMut;
 use coord::id;
 use coord::refusal::Code;
-use dropshot::StreamingBody;
 use futures::Stream;
 use futures::StreamExt;
 use http::HeaderMap;
 use http::header;
+use http_body::Body as _;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -95,18 +97,18 @@
 
 /// A request's body. What is left of it when it is dropped is still received and thrown away for
 /// a short time: a connection closed on unread bytes is reset, which loses the answer on its way.
-pub struct Body(Option<StreamingBody>);
+pub struct Body(Option<Incoming>);
 
-impl From<StreamingBody> for Body {
-    fn from(body: StreamingBody) -> Body {
+impl From<Incoming> for Body {
+    fn from(body: Incoming) -> Body {
         Body(Some(body))
     }
 }
 
 impl Drop for Body {
     fn drop(&mut self) {
-        if let Some(body) = self.0.take() {
-            drain(Box::pin(body.into_stream()));
+        if let Some(body) = self.0.take().filter(|body| !body.is_end_stream()) {
+            drain(body.into_data_stream());
         }
     }
 }
@@ -132,7 +134,7 @@
     let Some(body) = body.0.take() else {
         return Ok(Bytes::new());
     };
-    let mut stream = Box::pin(body.into_stream());
+    let mut stream = body.into_data_stream();
     let mut whole = BytesMut::new();
     while let Some(part) = stream.next().await {
         let part = part.map_err(|_| bad("the body broke off"))?;
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,106 @@
+//! The callers' HTTP server.
+//!
+//! It sends each part of a stream at once, closes connections that stay silent, and on a planned
+//! stop takes no new connection and finishes what is open.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::api;
+use crate::callers::Callers;
+
+const STEP: &str = "serve";
+/// Time for the head of a request, also of the first one of a connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause after a connection couldn't be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// A running server.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Starts serving callers.
+    ///
+    /// Errors: the address can't be bound.
+    pub async fn start(callers: Callers, address: SocketAddr) -> eyre::Result<Server> {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.wrap_err_with(|| format!("binding {address}"))?;
+        let address = listener.local_addr()?;
+        let stop = watch::Sender::new(false);
+        let task = tokio::spawn(accept(listener, Arc::new(callers), stop.subscribe()));
+        Ok(Server {
+            address,
+            stop,
+            task,
+        })
+    }
+
+    /// Where callers are served.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes no new connection and finishes the answers that are open.
+    pub async fn close(self) {
+        self.stop.send_replace(true);
+        let _ = self.task.await;
+    }
+}
+
+async fn accept(listener: TcpListener, callers: Arc<Callers>, mut stop: watch::Receiver<bool>) {
+    let open = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        match accepted {
+            Ok((stream, peer)) => connect(stream, peer, &callers, &open),
+            Err(error) => {
+                log::warn!(step = STEP, peer = "callers"; "{error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    open.shutdown().await;
+}
+
+fn connect(stream: TcpStream, peer: SocketAddr, callers: &Arc<Callers>, open: &GracefulShutdown) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(step = STEP, peer = peer.to_string().as_str(); "{error}");
+    }
+    let callers = Arc::clone(callers);
+    let service = service_fn(move |request| {
+        let callers = Arc::clone(&callers);
+        async move { Ok::<_, Infallible>(api::answer(&callers, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = open.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!(step = STEP, peer = peer.to_string().as_str(); "{error}");
+        }
+    });
+}
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dropshot::HttpServer;
 use eyre::WrapErr;
 use opentelemetry::metrics::Meter;
 use tokio::net::TcpListener;
@@ -16,7 +15,6 @@
 use wire::owner_server::OwnerServer;
 
 use crate::admission::Admission;
-use crate::api;
 use crate::cache;
 use crate::call::Call;
 use crate::callers::Callers;
@@ -28,6 +26,7 @@
 use crate::probe;
 use crate::resolve;
 use crate::rpc;
+use crate::server::Server;
 use crate::sweep;
 
 /// Time between two looks at how far a planned stop has come.
@@ -41,7 +40,7 @@
     pub call: Arc<Call>,
     pub admission: Arc<Admission>,
     pub ingress: Arc<Ingress>,
-    callers: HttpServer<Arc<Callers>>,
+    callers: Server,
     grace: Duration,
     peers: JoinHandle<()>,
     loops: Vec<JoinHandle<()>>,
@@ -74,7 +73,7 @@
             limits,
             instruments,
         );
-        let callers = api::serve(callers, settings.listen.callers)?;
+        let callers = Server::start(callers, settings.listen.callers).await?;
         let stop = watch::Sender::new(false);
         let server = rpc::Server::new(
             Arc::clone(&member),
@@ -104,7 +103,7 @@
 
     /// Where callers are served.
     pub fn callers(&self) -> SocketAddr {
-        self.callers.local_addr()
+        self.callers.address()
     }
 
     /// Whether no call of a caller or of another entry is in progress here.
@@ -125,10 +124,10 @@
 }
 
 /// Serves callers until the balancer had time to notice, then finishes all that is in progress.
-async fn finish(callers: HttpServer<Arc<Callers>>, call: &Call, grace: Duration, limit: Duration) {
+async fn finish(callers: Server, call: &Call, grace: Duration, limit: Duration) {
     tokio::time::sleep(grace).await;
-    if let Ok(Err(error)) = tokio::time::timeout(limit, callers.close()).await {
-        log::warn!(step = "stop", peer = "callers"; "{error}");
+    if tokio::time::timeout(limit, callers.close()).await.is_err() {
+        log::warn!(step = "stop", peer = "callers"; "answers were still open at the limit");
     }
     let end = Instant::now() + limit;
     while call.flight.total() > 0 && Instant::now() < end {
