--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -108,7 +108,8 @@
         }
         fleet.wait_healthy().await?;
         let objects = fleet.objects(plan);
-        fleet.change(objects, json!([])).await?;
+        let ticket = fleet.change(objects, json!([])).await?;
+        fleet.wait_in_force(ticket).await?;
         fleet.wait_replicated().await?;
         Ok(fleet)
     }
@@ -216,6 +217,24 @@
         .await
     }
 
+    /// Waits until every entry has a ticket in force.
+    ///
+    /// Errors: not in time.
+    pub async fn wait_in_force(&self, ticket: u64) -> eyre::Result<()> {
+        for entry in &self.entries {
+            let newest = async || {
+                self.state(entry.admin)
+                    .await
+                    .map(|state| state["config"]["newest"].as_u64())
+            };
+            self.until("a ticket is in force", async || {
+                newest().await.is_ok_and(|newest| newest >= Some(ticket))
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
     /// Polls a condition until it holds.
     ///
     /// Errors: not in time.
