Open a stand-in's record in one place

Cause: engine and tool each chose between counting in memory and in a file. What still stands twice is left: the two fakes' handles (their states differ), the options of each command that gumdrop can't nest, and generated code.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -92,10 +92,7 @@
 impl Engine {
     /// Starts an engine.
     pub async fn start(settings: Settings) -> io::Result<Engine> {
-        let stats = match &settings.record {
-            Some(path) => Stats::recorded(path)?,
-            None => Stats::default(),
-        };
+        let stats = Stats::open(settings.record.as_deref())?;
         Engine::begin(settings, Arc::new(stats)).await
     }
 
--- a/crates/fakes/src/stats.rs
+++ b/crates/fakes/src/stats.rs
@@ -67,8 +67,16 @@
 }
 
 impl Stats {
+    /// Counts in memory, and in a file if one is named.
+    pub fn open(record: Option<&Path>) -> io::Result<Stats> {
+        match record {
+            Some(path) => Stats::recorded(path),
+            None => Ok(Stats::default()),
+        }
+    }
+
     /// Also appends each execution to a file as a JSON line, so that a crash loses none.
-    pub fn recorded(path: &Path) -> io::Result<Stats> {
+    fn recorded(path: &Path) -> io::Result<Stats> {
         let file = OpenOptions::new().create(true).append(true).open(path)?;
         Ok(Stats {
             counts: Mutex::default(),
--- a/crates/fakes/src/tool.rs
+++ b/crates/fakes/src/tool.rs
@@ -62,10 +62,7 @@
 impl Tool {
     /// Starts a service.
     pub async fn start(settings: Settings) -> io::Result<Tool> {
-        let stats = match &settings.record {
-            Some(path) => Stats::recorded(path)?,
-            None => Stats::default(),
-        };
+        let stats = Stats::open(settings.record.as_deref())?;
         Tool::begin(settings, Arc::new(stats)).await
     }
 
