--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -29,7 +29,11 @@
     let Some(command) = options.command else {
         return command::fail(Exit::Usage, "no command; see --help").into();
     };
-    command::run(execute(command))
+    match &command {
+        Command::Front(role) => command::run_on_one_thread(crate::role::front(role)),
+        Command::History(role) => command::run_on_one_thread(crate::role::history(role)),
+        _ => command::run(execute(command)),
+    }
 }
 
 async fn execute(command: Command) -> Exit {
@@ -44,6 +48,8 @@
             Some(command) => crate::command::key(command).await,
             None => command::fail(Exit::Usage, "key give or withdraw?"),
         },
+        Command::Front(role) => crate::role::front(&role).await,
+        Command::History(role) => crate::role::history(&role).await,
         Command::Dump(dump) => {
             command::dump(&dump.admin, &dump.key_file, dump.skip, dump.limit).await
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod replicate;
 pub mod request;
 pub mod resolve;
+pub mod role;
 pub mod roster;
 pub mod rpc;
 pub mod run;
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -27,6 +27,10 @@
     Serve(File),
     #[options(help = "check a settings file without starting")]
     Check(File),
+    #[options(help = "take callers' requests on the users' platform")]
+    Front(Role),
+    #[options(help = "keep turns and budgets on the users' platform")]
+    History(Role),
     #[options(help = "print the state of a running process")]
     Dump(Dump),
     #[options(help = "put or show a change ticket")]
@@ -35,6 +39,17 @@
     Key(Keying),
 }
 
+/// A role on the users' platform.
+#[derive(Debug, Gumdrop)]
+pub struct Role {
+    #[options(help = "show this help")]
+    pub help: bool,
+    #[options(help = "check the settings without starting")]
+    pub check: bool,
+    #[options(free, help = "settings file; else the platform's variable names it")]
+    pub settings: Option<PathBuf>,
+}
+
 /// Ticket commands.
 #[derive(Debug, Gumdrop)]
 pub struct Ticketing {
--- /dev/null
+++ b/crates/entry/src/role.rs
@@ -0,0 +1,54 @@
+//! The roles that run on the users' platform.
+
+use std::env;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use gateway::settings::Settings;
+use node::command;
+use node::command::Exit;
+use node::command::fail;
+use platform::Platform;
+use platform::object::Client;
+
+use crate::options::Role;
+
+/// Takes callers' requests.
+pub async fn front(role: &Role) -> Exit {
+    let Some(file) = file(role) else {
+        return fail(Exit::Usage, "which settings file?");
+    };
+    match role.check {
+        true => command::check::<Settings>(&file),
+        false => command::serve(&file, run_front).await,
+    }
+}
+
+/// Keeps turns and budgets.
+pub async fn history(role: &Role) -> Exit {
+    let Some(file) = file(role) else {
+        return fail(Exit::Usage, "which settings file?");
+    };
+    match role.check {
+        true => command::check::<Settings>(&file),
+        false => command::serve(&file, run_history).await,
+    }
+}
+
+async fn run_front(settings: Settings) -> eyre::Result<()> {
+    node::log::start(&settings.host, settings.log_level)?;
+    let objects = Client::new(settings.object_store);
+    gateway::controller::entry(settings, objects, Arc::new(Platform)).await
+}
+
+async fn run_history(settings: Settings) -> eyre::Result<()> {
+    node::log::start(&settings.host, settings.log_level)?;
+    let objects = Client::new(settings.object_store);
+    gateway::controller::history(settings, objects).await
+}
+
+/// The settings file: as named, or else by the platform's variable.
+fn file(role: &Role) -> Option<PathBuf> {
+    let named = role.settings.clone();
+    named.or_else(|| env::var_os(platform::SETTINGS_VARIABLE).map(PathBuf::from))
+}
--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,185 @@
+//! What happens to a request, from its head to its answer.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::Request;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::body::Body;
+use crate::config::CustomerLimits;
+use crate::config::Route;
+use crate::config::Service;
+use crate::config::Work;
+use crate::edge::Call;
+use crate::plain;
+use crate::refusal::Refusal;
+use crate::request::Job;
+use crate::state::Snapshot;
+use crate::state::State;
+use crate::turn;
+
+/// Answers one request.
+///
+/// Errors: never.
+pub async fn answer(
+    state: Arc<State>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let received = Instant::now();
+    let mut name = None;
+    let result = run(&state, request, received, &mut name).await;
+    let mut response = match result {
+        Ok(response) => response,
+        Err(refusal) => refuse(&state, &refusal, name.as_deref(), received),
+    };
+    if state.is_draining() {
+        let headers = response.headers_mut();
+        headers.insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+fn refuse(
+    state: &State,
+    refusal: &Refusal,
+    request: Option<&str>,
+    received: Instant,
+) -> Response<Body> {
+    log::info!(
+        step = "answer", peer = "caller", request = request.unwrap_or(""),
+        status = refusal.status().as_u16(), took_ms = received.elapsed().as_millis() as u64;
+        "{refusal}"
+    );
+    let mut response = refusal.response();
+    if let Some(request) = request {
+        state.dialect.name_request(response.headers_mut(), request);
+    }
+    response
+}
+
+async fn run(
+    state: &Arc<State>,
+    request: Request<Incoming>,
+    received: Instant,
+    name: &mut Option<String>,
+) -> Result<Response<Body>, Refusal> {
+    let (parts, body) = request.into_parts();
+    let snapshot = state.snapshot().ok_or(Refusal::NotConfigured)?;
+    let host = match parts.headers.get(header::HOST) {
+        Some(host) => host.to_str().unwrap_or(""),
+        None => parts.uri.host().unwrap_or(""),
+    };
+    let path = parts.uri.path();
+    let route = snapshot.table.route(host, path);
+    let route = Arc::clone(route.ok_or_else(|| unknown(state, Refusal::NoRoute))?);
+    let call = state.dialect.call(&parts.headers);
+    let call = call.map_err(|error| Refusal::Malformed(error.0))?;
+    *name = Some(call.request.as_str().to_owned());
+    let customer = authenticate(state, &snapshot, &route, &call)?;
+    let limit = snapshot.table.config.limits.body_bytes;
+    let body = read(body, limit).await?;
+    let deadline = deadline(&route, &call, received);
+    let job = Job {
+        service: choose_service(&route, &call)?,
+        version: snapshot.table.config.version,
+        call,
+        customer,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        received,
+        deadline,
+        route,
+    };
+    match job.route.work {
+        Work::Stream(stream) => turn::answer(state, job, stream, body).await,
+        Work::Idempotent | Work::NonIdempotent => {
+            let response = plain::answer(state, &job, body).await?;
+            job.log_end(&job.service, "answered", 0);
+            Ok(response)
+        }
+    }
+}
+
+/// A refusal for what isn't in the configuration, if that is known to be the newest.
+fn unknown(state: &State, refusal: Refusal) -> Refusal {
+    match state.is_current() {
+        true => refusal,
+        false => Refusal::NotConfigured,
+    }
+}
+
+fn authenticate(
+    state: &State,
+    snapshot: &Snapshot,
+    route: &Route,
+    call: &Call,
+) -> Result<Option<Arc<CustomerLimits>>, Refusal> {
+    let customer = call
+        .key
+        .as_ref()
+        .and_then(|key| snapshot.table.customer(key));
+    match customer {
+        Some(customer) => Ok(Some(Arc::clone(customer))),
+        None if route.open || snapshot.table.config.customers.is_empty() => Ok(None),
+        None => Err(unknown(state, Refusal::NoKey)),
+    }
+}
+
+async fn read(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    let mut bytes = BytesMut::new();
+    let mut first = None;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| Refusal::Malformed(error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > limit {
+            return Err(Refusal::TooLong);
+        }
+        match &first {
+            None if bytes.is_empty() => first = Some(data),
+            _ => {
+                bytes.extend_from_slice(&first.take().unwrap_or_default());
+                bytes.extend_from_slice(&data);
+            }
+        }
+    }
+    Ok(first.unwrap_or_else(|| bytes.freeze()))
+}
+
+fn deadline(route: &Route, call: &Call, received: Instant) -> Instant {
+    let timeout = call.deadline.unwrap_or(Duration::MAX).min(route.timeout);
+    received + timeout
+}
+
+/// The service that gets a request; a program stays with one.
+fn choose_service(route: &Route, call: &Call) -> Result<Service, Refusal> {
+    let sum: u32 = route.shares.iter().map(|share| share.weight).sum();
+    let name = match &call.program {
+        Some(program) => program.as_str(),
+        None => call.request.as_str(),
+    };
+    let mut point = match sum {
+        0 => 0,
+        sum => (crate::balance::key(&[name]) >> 16) as u32 % sum,
+    };
+    for share in &route.shares {
+        if point < share.weight {
+            return Ok(share.service.clone());
+        }
+        point -= share.weight;
+    }
+    match route.shares.first() {
+        Some(share) => Ok(share.service.clone()),
+        None => Err(Refusal::NoRoute),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,59 @@
+//! Bodies of answers to callers.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http_body::Body as HttpBody;
+use http_body::Frame;
+use http_body::SizeHint;
+use http_body_util::Full;
+
+use crate::stream::Broken;
+use crate::stream::Relay;
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum Body {
+    Whole(Full<Bytes>),
+    Stream(Box<Relay>),
+}
+
+impl Body {
+    /// A body that is known whole.
+    pub fn whole(bytes: impl Into<Bytes>) -> Body {
+        Body::Whole(Full::new(bytes.into()))
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            Body::Whole(body) => Pin::new(body)
+                .poll_frame(context)
+                .map_err(|never| match never {}),
+            Body::Stream(relay) => relay.poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Body::Whole(body) => body.is_end_stream(),
+            Body::Stream(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Whole(body) => body.size_hint(),
+            Body::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/controller.rs
@@ -0,0 +1,182 @@
+//! The whole run of an entry and of a history host.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::eyre;
+use history::join;
+use history::join::Plan;
+use history::membership::Member;
+use history::server::Server;
+use history::time::Wall;
+use node::link;
+use node::object::Change;
+use node::object::Kind;
+use node::object::Object;
+use node::object::Objects;
+use node::shutdown;
+use tokio::sync::watch;
+
+use crate::edge::Dialect;
+use crate::follow;
+use crate::follow::News;
+use crate::listener;
+use crate::settings::Settings;
+use crate::state::State;
+
+/// Pause between sweeps of what has expired.
+const SWEEP_PAUSE: Duration = Duration::from_millis(1000);
+
+/// Pause before the membership of the history is asked for again.
+const MEMBERSHIP_PAUSE: Duration = Duration::from_millis(500);
+
+/// How long new callers may still come after a planned stop began: the balancer asks once a second
+/// and believes the second refusal.
+const LINGER: Duration = Duration::from_millis(2600);
+
+/// Part of a planned stop's time that is left unused.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// Share of a disk that the history may fill.
+const DISK_SHARE: f64 = 0.7;
+
+/// Runs an entry until a planned stop has ended.
+///
+/// Errors: an address can't be bound.
+pub async fn entry<O: Objects>(
+    settings: Settings,
+    objects: O,
+    dialect: Arc<dyn Dialect>,
+) -> eyre::Result<()> {
+    let callers = settings.listen.callers;
+    let callers = callers.ok_or_else(|| eyre!("listen.callers is missing"))?;
+    let ready = settings.listen.ready;
+    let ready = ready.ok_or_else(|| eyre!("listen.ready is missing"))?;
+    let stop_time = Duration::from_secs_f64(settings.stop_s);
+    let callers = listener::bind(callers).await?;
+    let ready = listener::bind(ready).await?;
+    let state = State::new(settings, dialect);
+    let objects = Arc::new(objects);
+    log::info!(step = "start", peer = "self"; "entry starts");
+    tokio::spawn(listener::serve_ready(ready, Arc::clone(&state)));
+    for kind in [Kind::Config, Kind::Targets] {
+        let (objects, state) = (Arc::clone(&objects), Arc::clone(&state));
+        tokio::spawn(async move {
+            follow::follow(&*objects, kind, |kind, news| state.hear(kind, news)).await;
+        });
+    }
+    tokio::spawn(find_history(Arc::clone(&objects), Arc::clone(&state)));
+    tokio::spawn(sweep(Arc::clone(&state)));
+    let stop = watch::Sender::new(false);
+    let server = listener::serve(callers, Arc::clone(&state), stop.subscribe());
+    let server = tokio::spawn(server);
+    shutdown::requested().await?;
+    log::info!(step = "stop", peer = "self"; "planned stop begins");
+    state.drain();
+    tokio::time::sleep(LINGER).await;
+    stop.send_replace(true);
+    let left = stop_time.saturating_sub(LINGER + STOP_MARGIN);
+    match tokio::time::timeout(left, server).await {
+        Ok(_) => log::info!(step = "stop", peer = "self"; "all answers are finished"),
+        Err(_) => log::warn!(step = "stop", peer = "self"; "answers are cut: time is up"),
+    }
+    log::logger().flush();
+    Ok(())
+}
+
+/// Learns the membership of the history once; later changes come from history hosts.
+async fn find_history<O: Objects>(objects: Arc<O>, state: Arc<State>) {
+    loop {
+        match objects.get(Kind::Members, join::OBJECT).await {
+            Ok(Some(object)) => match serde_json::from_value(object.spec) {
+                Ok(membership) => {
+                    state.history.learn(membership);
+                    if state.history.membership().members.len() > state.settings.tolerated_losses {
+                        return;
+                    }
+                }
+                Err(error) => {
+                    log::error!(step = "read membership", peer = "platform"; "{error}");
+                }
+            },
+            Ok(None) => {}
+            Err(error) => log::debug!(step = "read membership", peer = "platform"; "{error}"),
+        }
+        tokio::time::sleep(join::jittered(MEMBERSHIP_PAUSE)).await;
+    }
+}
+
+async fn sweep(state: Arc<State>) {
+    loop {
+        tokio::time::sleep(SWEEP_PAUSE).await;
+        state.expire();
+    }
+}
+
+/// Runs a history host until a planned stop.
+///
+/// Errors: no disk, or it can't be read; an address can't be bound.
+pub async fn history<O: Objects>(settings: Settings, objects: O) -> eyre::Result<()> {
+    let folder = settings.data_folder.clone();
+    let folder = folder.ok_or_else(|| eyre!("data_folder is missing"))?;
+    let capacity = settings.resources.disk_mb as f64 * DISK_SHARE * 1e6;
+    let server = Server::open(&folder, capacity as u64)?;
+    let listener = listener::bind(settings.peer_address()).await?;
+    log::info!(step = "start", peer = "self"; "history host starts");
+    tokio::spawn(link::serve(listener, Arc::clone(&server)));
+    let plan = Plan {
+        me: Member {
+            disk: server.disk(),
+            host: settings.host.clone(),
+            address: settings.peer_address(),
+        },
+        losses: settings.tolerated_losses,
+        first_start: settings.first_start,
+    };
+    let objects = Arc::new(objects);
+    tokio::spawn(expire(Arc::clone(&server)));
+    tokio::spawn(take_part(Arc::clone(&server), objects, plan));
+    shutdown::requested().await?;
+    log::info!(step = "stop", peer = "self"; "history host stops");
+    log::logger().flush();
+    Ok(())
+}
+
+async fn take_part<O: Objects>(server: Arc<Server>, objects: Arc<O>, plan: Plan) {
+    join::join(&server, &*objects, &plan).await;
+    let order = watch::Sender::new(false);
+    let mut ordered = order.subscribe();
+    let following = follow::follow(&*objects, Kind::Retirements, |_, news| {
+        if is_ordered(news, &plan.me.host) {
+            order.send_replace(true);
+        }
+    });
+    tokio::select! {
+        () = following => {}
+        _ = ordered.wait_for(|ordered| *ordered) => {}
+    }
+    history::retire::retire(&server, &*objects, &plan).await;
+}
+
+/// Whether a host is to be emptied.
+fn is_ordered(news: &News, host: &str) -> bool {
+    let open = |object: &Object| {
+        let state = object.status.get("state").and_then(|state| state.as_str());
+        object.name == host && state != Some("completed")
+    };
+    match news {
+        News::Listed(objects) => objects.iter().any(open),
+        News::Changed(changes) => changes.iter().any(|change| match change {
+            Change::Put(object) => open(object),
+            Change::Deleted(_) => false,
+        }),
+        News::Lost | News::Regained => false,
+    }
+}
+
+async fn expire(server: Arc<Server>) {
+    loop {
+        tokio::time::sleep(SWEEP_PAUSE).await;
+        server.expire(Wall::now());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,91 @@
+//! Follows objects of one kind: a listing, then changes as they come, and a new listing whenever
+//! changes were missed.
+
+use std::time::Duration;
+
+use node::object::Change;
+use node::object::Error;
+use node::object::Kind;
+use node::object::Object;
+use node::object::Objects;
+use node::object::Revision;
+use sched::retry::Delay;
+use tokio::time::Instant;
+
+/// How long the object store holds a watch; each one is paid for.
+const WATCH_TIME: Duration = Duration::from_secs(25);
+
+/// First and longest pause before a failed call is made again.
+const PAUSE_MS: (u64, u64) = (150, 1200);
+
+/// Failing for this long means that the object store was away, not only a connection to it.
+const AWAY: Duration = Duration::from_millis(400);
+
+/// What was learned.
+#[derive(Debug, Clone)]
+pub enum News {
+    /// All objects of the kind.
+    Listed(Vec<Object>),
+    /// Changes, in order.
+    Changed(Vec<Change>),
+    /// The object store doesn't answer.
+    Lost,
+    /// The object store answers again.
+    Regained,
+}
+
+/// Follows a kind of objects until the task is dropped.
+pub async fn follow<O: Objects>(objects: &O, kind: Kind, hear: impl Fn(Kind, &News)) {
+    let mut since: Option<Revision> = None;
+    let mut delay = new_delay();
+    let mut failing: Option<Instant> = None;
+    let mut lost = true;
+    loop {
+        let result = step(objects, kind, since).await;
+        match result {
+            Ok((news, revision)) => {
+                delay = new_delay();
+                failing = None;
+                if std::mem::replace(&mut lost, false) {
+                    hear(kind, &News::Regained);
+                }
+                hear(kind, &news);
+                since = Some(revision);
+            }
+            Err(Error::Expired) => since = None,
+            Err(error) => {
+                let first = *failing.get_or_insert_with(Instant::now);
+                // A call that timed out has been without an answer for long.
+                let silent = error == Error::Unknown || first.elapsed() >= AWAY;
+                log::debug!(step = "follow", peer = "platform", kind:% = kind; "{error}");
+                if silent && !std::mem::replace(&mut lost, true) {
+                    hear(kind, &News::Lost);
+                }
+                let pause = delay.next(rand::random());
+                tokio::time::sleep(Duration::from_millis(pause.0)).await;
+            }
+        }
+    }
+}
+
+fn new_delay() -> Delay {
+    let (first, longest) = PAUSE_MS;
+    Delay::new(coord::time::Millis(first), coord::time::Millis(longest))
+}
+
+async fn step<O: Objects>(
+    objects: &O,
+    kind: Kind,
+    since: Option<Revision>,
+) -> Result<(News, Revision), Error> {
+    match since {
+        None => {
+            let listing = objects.list(kind).await?;
+            Ok((News::Listed(listing.objects), listing.revision))
+        }
+        Some(since) => {
+            let changes = objects.watch(kind, since, WATCH_TIME).await?;
+            Ok((News::Changed(changes.changes), changes.revision))
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/plain.rs
@@ -0,0 +1,164 @@
+//! Requests to plain services.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::Response;
+use http_body_util::BodyExt;
+use tokio::time::Instant;
+
+use crate::balance;
+use crate::balance::Wish;
+use crate::body::Body;
+use crate::directory::Entry;
+use crate::error::Error;
+use crate::header::strip_hop_by_hop;
+use crate::refusal::Refusal;
+use crate::request::Job;
+use crate::send;
+use crate::send::Answer;
+use crate::send::Attempt;
+use crate::state::State;
+
+/// Targets that may turn one request away before it is refused.
+const TURNED_AWAY_LIMIT: usize = 4;
+
+/// Runs a request at a target, and at others while that does no harm.
+pub async fn answer(state: &Arc<State>, job: &Job, body: Bytes) -> Result<Response<Body>, Refusal> {
+    let attempt = Attempt {
+        job,
+        body,
+        urgency: None,
+        last_event: None,
+    };
+    let mut tries = Tries::default();
+    loop {
+        let entry = tries.next(state, job, affinity(job))?;
+        let answered = match send::send(state, &entry, &attempt).await {
+            Ok(answer) => collect(answer, job).await,
+            Err(error) => Err(error),
+        };
+        match answered {
+            Ok(response) => return Ok(response),
+            Err(error) => tries.failed(&entry, error, job)?,
+        }
+    }
+}
+
+fn affinity(job: &Job) -> Option<u64> {
+    let object = job.call.affinity.as_ref().filter(|_| job.route.sticky)?;
+    Some(balance::key(&[&job.route.name, object]))
+}
+
+/// Targets that were tried for one request.
+#[derive(Debug, Default)]
+pub struct Tries {
+    tried: Vec<compact_str::CompactString>,
+    /// Targets that may have run the request.
+    runs: u32,
+    turned_away: usize,
+    last: Option<String>,
+}
+
+impl Tries {
+    /// The next target to try.
+    ///
+    /// Errors: there is none, or no time.
+    pub fn next(
+        &mut self,
+        state: &State,
+        job: &Job,
+        affinity: Option<u64>,
+    ) -> Result<Entry, Refusal> {
+        if Instant::now() >= job.deadline {
+            return Err(self.give_up(job));
+        }
+        let services = state.services();
+        let entries = services.get(&job.service).map_or(&[][..], Vec::as_slice);
+        let tried: Vec<&str> = self.tried.iter().map(|id| id.as_str()).collect();
+        let wish = Wish {
+            affinity,
+            data_centre: state.settings.data_centre.as_str(),
+            now_ms: state.now_ms(),
+        };
+        match balance::choose(entries, &tried, wish, rand::random()) {
+            Some(entry) => Ok(entry.clone()),
+            None => Err(self.give_up(job)),
+        }
+    }
+
+    /// Takes a failed attempt.
+    ///
+    /// Errors: the request may not be tried again.
+    pub fn failed(&mut self, entry: &Entry, error: Error, job: &Job) -> Result<(), Refusal> {
+        self.tried.push(entry.target.id.clone());
+        self.last = Some(error.to_string());
+        match error {
+            Error::NotRun(_) => self.turned_away += 1,
+            Error::Timeout => {
+                self.runs += 1;
+                return Err(Refusal::Timeout);
+            }
+            Error::MaybeRun(_) => self.runs += 1,
+        }
+        let spent = self.runs > 0 && (!job.idempotent() || self.runs >= job.route.attempts);
+        match spent || self.turned_away > TURNED_AWAY_LIMIT {
+            true => Err(self.give_up(job)),
+            false => Ok(()),
+        }
+    }
+
+    /// Takes a stream that broke after its engine had begun to answer.
+    ///
+    /// Errors: the stream may not go on elsewhere.
+    pub fn broke(&mut self, job: &Job) -> Result<(), Refusal> {
+        self.runs += 1;
+        match self.runs >= job.route.attempts {
+            true => Err(self.give_up(job)),
+            false => Ok(()),
+        }
+    }
+
+    fn give_up(&self, job: &Job) -> Refusal {
+        let cause = self.last.clone();
+        let cause = cause.unwrap_or_else(|| format!("no target of {}", job.service));
+        match self.runs {
+            0 => Refusal::Unavailable {
+                cause,
+                retry: crate::request::retry_pause(),
+            },
+            _ => Refusal::Lost(cause),
+        }
+    }
+}
+
+/// Reads an answer's whole body.
+///
+/// Errors: the body is cut short.
+pub async fn collect(answer: Answer, job: &Job) -> Result<Response<Body>, Error> {
+    let Answer {
+        mut parts,
+        mut body,
+        lease,
+        idle,
+        ..
+    } = answer;
+    let read = async {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        Ok::<_, hyper::Error>(bytes.freeze())
+    };
+    let bytes = match tokio::time::timeout_at(send::patience(job), read).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(error)) => return Err(Error::MaybeRun(format!("body is cut short: {error}"))),
+        Err(_) => return Err(Error::Timeout),
+    };
+    lease.release(idle);
+    strip_hop_by_hop(&mut parts.headers);
+    Ok(Response::from_parts(parts, Body::whole(bytes)))
+}
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,188 @@
+//! One attempt at a target.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http::response::Parts;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::directory::Entry;
+use crate::edge::Dispatch;
+use crate::edge::Reply;
+use crate::error::Error;
+use crate::header::strip_hop_by_hop;
+use crate::pool;
+use crate::pool::Lease;
+use crate::pool::Pick;
+use crate::request::Job;
+use crate::state::State;
+
+/// Time after the deadline in which a target's own answer to it may still arrive.
+const LATE_ANSWER: Duration = Duration::from_millis(80);
+
+/// A target's answer up to its body.
+#[derive(Debug)]
+pub struct Answer {
+    pub parts: Parts,
+    pub body: Incoming,
+    pub lease: Lease,
+    pub reply: Reply,
+    /// How long the target keeps the connection unused; zero closes it.
+    pub idle: Option<Duration>,
+}
+
+/// What is sent.
+#[derive(Debug, Clone)]
+pub struct Attempt<'a> {
+    pub job: &'a Job,
+    pub body: Bytes,
+    pub urgency: Option<u8>,
+    /// The last event that the caller has, if a broken stream goes on.
+    pub last_event: Option<&'a str>,
+}
+
+/// Until when a target's answer is waited for.
+pub fn patience(job: &Job) -> Instant {
+    job.deadline + LATE_ANSWER
+}
+
+/// Sends a request to a target and waits for the head of its answer.
+///
+/// Errors: whether the target may have run the request.
+pub async fn send(
+    state: &Arc<State>,
+    entry: &Entry,
+    attempt: &Attempt<'_>,
+) -> Result<Answer, Error> {
+    let result = exchange(state, entry, attempt).await;
+    match &result {
+        Ok(answer) => answer.lease.succeeded(),
+        Err(Error::Timeout) => {}
+        Err(error) => {
+            pool::failed(&entry.load, state.now_ms());
+            log::info!(
+                step = "send", peer = entry.target.id.as_str(),
+                request = attempt.job.call.request.as_str(),
+                running = entry.load.running.load(Ordering::Relaxed);
+                "attempt failed: {error}"
+            );
+        }
+    }
+    result
+}
+
+async fn exchange(
+    state: &Arc<State>,
+    entry: &Entry,
+    attempt: &Attempt<'_>,
+) -> Result<Answer, Error> {
+    let job = attempt.job;
+    let pick = match job.idempotent() {
+        true => Pick::Newest,
+        false => Pick::Oldest,
+    };
+    let limit = state.connection_limit(&entry.target.service);
+    let mut lease = state
+        .pool
+        .checkout(entry, pick, limit, job.deadline)
+        .await?;
+    let request = request(state, entry, attempt);
+    let Some(sender) = lease.sender() else {
+        return Err(Error::NotRun("connection is gone".to_owned()));
+    };
+    let sent = tokio::time::timeout_at(patience(job), sender.try_send_request(request)).await;
+    let response = match sent {
+        Err(_) => return Err(Error::Timeout),
+        Ok(Err(error)) if error.message().is_some() => {
+            return Err(Error::NotRun(format!("not sent: {}", error.error())));
+        }
+        Ok(Err(error)) => return Err(Error::MaybeRun(format!("no answer: {}", error.error()))),
+        Ok(Ok(response)) => response,
+    };
+    let (parts, body) = response.into_parts();
+    let reply = state.dialect.reply(&parts.headers);
+    check(&parts.status, &parts.headers, &reply, job)?;
+    let idle = idle_time(&parts.headers);
+    Ok(Answer {
+        parts,
+        body,
+        lease,
+        reply,
+        idle,
+    })
+}
+
+fn request(state: &State, entry: &Entry, attempt: &Attempt<'_>) -> Request<Full<Bytes>> {
+    let job = attempt.job;
+    let mut headers = job.headers.clone();
+    strip_hop_by_hop(&mut headers);
+    let dispatch = Dispatch {
+        target: entry.target.id.as_str(),
+        customer: job.customer.as_ref().map(|customer| &customer.name),
+        left: job.deadline.saturating_duration_since(Instant::now()),
+        urgency: attempt.urgency,
+        last_event: attempt.last_event,
+    };
+    state.dialect.dispatch(&mut headers, &dispatch);
+    let mut request = Request::new(Full::new(attempt.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Whether an answer is one to this request, and what it says of having run.
+fn check(
+    status: &StatusCode,
+    headers: &HeaderMap,
+    reply: &Reply,
+    job: &Job,
+) -> Result<(), Error> {
+    let promise = matches!(
+        *status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    );
+    let other = reply
+        .request
+        .as_ref()
+        .is_some_and(|request| request != job.call.request.as_str());
+    match () {
+        () if other => Err(Error::MaybeRun("answer to another request".to_owned())),
+        () if reply.not_run || *status == StatusCode::MISDIRECTED_REQUEST => {
+            Err(Error::NotRun(format!("target answers {status}")))
+        }
+        () if promise => Err(Error::MaybeRun(format!("target answers {status}"))),
+        () if reply.request.is_none() => Err(Error::MaybeRun("answer without a name".to_owned())),
+        () if status.is_success() && !reply.sealed => {
+            Err(Error::MaybeRun("success without a seal".to_owned()))
+        }
+        () if headers.contains_key(header::CONTENT_ENCODING) => {
+            Err(Error::MaybeRun("encoded body".to_owned()))
+        }
+        () => Ok(()),
+    }
+}
+
+fn idle_time(headers: &HeaderMap) -> Option<Duration> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let close = text("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    if close {
+        return Some(Duration::ZERO);
+    }
+    let parameters = text("keep-alive")?.split(',');
+    let seconds = parameters
+        .filter_map(|parameter| parameter.trim().strip_prefix("timeout="))
+        .find_map(|seconds| seconds.parse().ok());
+    seconds.map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,244 @@
+//! What all requests of an entry share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use node::object::Change;
+use node::object::Kind;
+use node::object::Object;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+use tokio::time::Instant;
+
+use crate::chain;
+use crate::config::Config;
+use crate::config::Version;
+use crate::directory::Directory;
+use crate::directory::Services;
+use crate::edge::Dialect;
+use crate::follow::News;
+use crate::pool::Pool;
+use crate::settings::Settings;
+use crate::table::Table;
+
+/// Content of recent turns that an entry keeps, in bytes: some hundred programs under way.
+const CHAIN_BYTES: usize = 12 * 1024 * 1024;
+
+/// Silence of the object store after which what isn't configured may be so already.
+const STALE: Duration = Duration::from_secs(3);
+
+/// Share of a target's connections that this entry may have, over an even split.
+const CONNECTION_SHARE: f64 = 0.9;
+
+/// Connections to a target whose service isn't configured.
+const CONNECTIONS: u32 = 16;
+
+/// A configuration in force.
+#[derive(Debug)]
+pub struct Snapshot {
+    pub table: Table,
+}
+
+/// What all requests share.
+pub struct State {
+    pub settings: Settings,
+    pub dialect: Arc<dyn Dialect>,
+    pub history: history::client::Client,
+    pub pool: Arc<Pool>,
+    pub chains: Mutex<chain::Cache>,
+    started: Instant,
+    snapshot: RwLock<Option<Arc<Snapshot>>>,
+    directory: Mutex<Directory>,
+    services: RwLock<Arc<Services>>,
+    draining: AtomicBool,
+    /// Milliseconds since the start at which the object store began to be silent; 0: it isn't.
+    silent_since_ms: AtomicU64,
+    /// Entries that share the targets, this one included.
+    entries: AtomicU64,
+}
+
+impl std::fmt::Debug for State {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("State").finish_non_exhaustive()
+    }
+}
+
+impl State {
+    /// The state of an entry that knows nothing yet.
+    pub fn new(settings: Settings, dialect: Arc<dyn Dialect>) -> Arc<State> {
+        let losses = settings.tolerated_losses;
+        let entries = settings.seeds.len().max(1) as u64;
+        Arc::new(State {
+            settings,
+            dialect,
+            history: history::client::Client::new(losses),
+            pool: Arc::default(),
+            chains: Mutex::new(chain::Cache::new(CHAIN_BYTES)),
+            started: Instant::now(),
+            snapshot: RwLock::default(),
+            directory: Mutex::default(),
+            services: RwLock::default(),
+            draining: AtomicBool::new(false),
+            silent_since_ms: AtomicU64::new(1),
+            entries: AtomicU64::new(entries),
+        })
+    }
+
+    /// The configuration in force; none before the first.
+    pub fn snapshot(&self) -> Option<Arc<Snapshot>> {
+        self.snapshot.read().clone()
+    }
+
+    /// Targets that take new work.
+    pub fn services(&self) -> Arc<Services> {
+        Arc::clone(&self.services.read())
+    }
+
+    /// Milliseconds since the start.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether callers should come here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.snapshot.read().is_some() && !self.services.read().is_empty()
+    }
+
+    /// Whether the newest configuration is known, as far as can be told.
+    pub fn is_current(&self) -> bool {
+        let silent = self.silent_since_ms.load(Ordering::Relaxed);
+        silent == 0 || self.now_ms().saturating_sub(silent) < STALE.as_millis() as u64
+    }
+
+    /// How many entries share the targets.
+    pub fn set_entries(&self, entries: usize) {
+        self.entries.store(entries.max(1) as u64, Ordering::Relaxed);
+    }
+
+    /// Connections that this entry may have to a target.
+    pub fn connection_limit(&self, service: &str) -> u32 {
+        let snapshot = self.snapshot();
+        let limits = snapshot
+            .as_ref()
+            .and_then(|snapshot| snapshot.table.config.services.get(service));
+        let all = limits.map_or(CONNECTIONS, |limits| limits.connections);
+        let entries = self.entries.load(Ordering::Relaxed) as f64;
+        let share = f64::from(all) * CONNECTION_SHARE / entries;
+        (share as u32).max(2)
+    }
+
+    /// Tokens in one event of a service's streams.
+    pub fn tokens_per_event(&self, service: &str) -> u64 {
+        let snapshot = self.snapshot();
+        let limits = snapshot
+            .as_ref()
+            .and_then(|snapshot| snapshot.table.config.services.get(service));
+        limits
+            .and_then(|limits| limits.engine)
+            .map_or(1, |engine| engine.tokens_per_event)
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    pub fn configure(&self, config: Config) {
+        let mut snapshot = self.snapshot.write();
+        let current = snapshot
+            .as_ref()
+            .map_or(Version(0), |snapshot| snapshot.table.config.version);
+        if config.version <= current {
+            return;
+        }
+        log::info!(
+            step = "configure", peer = "platform", version = config.version.0,
+            former = current.0, routes = config.routes.len(), customers = config.customers.len();
+            "configuration is in force"
+        );
+        let table = Table::new(config);
+        *snapshot = Some(Arc::new(Snapshot { table }));
+    }
+
+    /// Takes news from the object store.
+    pub fn hear(&self, kind: Kind, news: &News) {
+        match (kind, news) {
+            (_, News::Lost) => self.lose(),
+            (_, News::Regained) => self.regain(),
+            (Kind::Config, News::Listed(objects)) => {
+                objects.iter().for_each(|object| self.read_config(object));
+            }
+            (Kind::Config, News::Changed(changes)) => {
+                for change in changes {
+                    if let Change::Put(object) = change {
+                        self.read_config(object);
+                    }
+                }
+            }
+            (Kind::Targets, News::Listed(objects)) => {
+                let mut directory = self.directory.lock();
+                directory.list(objects, &*self.dialect, Instant::now());
+                self.publish(&directory);
+            }
+            (Kind::Targets, News::Changed(changes)) => {
+                let mut directory = self.directory.lock();
+                for change in changes {
+                    directory.change(change, &*self.dialect, Instant::now());
+                }
+                self.publish(&directory);
+            }
+            _ => {}
+        }
+    }
+
+    fn lose(&self) {
+        let now = self.now_ms().max(1);
+        let former =
+            self.silent_since_ms
+                .compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+        if former.is_ok() {
+            log::warn!(step = "follow", peer = "platform"; "object store doesn't answer");
+        }
+    }
+
+    fn regain(&self) {
+        if self.silent_since_ms.swap(0, Ordering::Relaxed) != 0 {
+            log::info!(step = "follow", peer = "platform"; "object store answers");
+            self.directory.lock().regained(Instant::now());
+        }
+    }
+
+    fn read_config(&self, object: &Object) {
+        match self.dialect.config(object) {
+            Ok(config) => self.configure(config),
+            Err(error) => {
+                log::error!(
+                    step = "read configuration", peer = object.name.as_str();
+                    "configuration is left out: {error}"
+                );
+            }
+        }
+    }
+
+    fn publish(&self, directory: &Directory) {
+        *self.services.write() = Arc::new(directory.services());
+    }
+
+    /// Forgets targets that are gone and connections that are unused.
+    pub fn expire(&self) {
+        let mut directory = self.directory.lock();
+        directory.expire(Instant::now());
+        self.publish(&directory);
+        drop(directory);
+        self.pool.expire();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,276 @@
+//! Relays a turn's stream, event by event.
+//!
+//! The end of the stream goes out only after what a later turn needs of this one is kept. A stream
+//! that breaks goes on at another engine if its route allows it, behind the events already sent.
+
+use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use history::record::Record;
+use history::record::Turn;
+use history::time::Wall;
+use http_body::Body as _;
+use http_body::Frame;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+
+use crate::event;
+use crate::event::Scanner;
+use crate::event::Whole;
+use crate::pool::Lease;
+use crate::refusal::Refusal;
+use crate::send;
+use crate::send::Answer;
+use crate::state::State;
+use crate::turn;
+use crate::turn::Running;
+
+/// Time for keeping a turn before its end goes out.
+const KEEP_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Why a stream ends without its end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Broken(pub String);
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "stream is cut: {}", self.0)
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// An engine's stream.
+struct Source {
+    body: Incoming,
+    lease: Lease,
+    idle: Option<Duration>,
+}
+
+type Resumed = (Running, Result<Answer, Refusal>);
+
+enum Phase {
+    Flowing(Source),
+    Resuming(BoxFuture<'static, Resumed>),
+    Keeping(BoxFuture<'static, Result<(), Broken>>),
+    Ended,
+}
+
+/// A turn's stream on its way to the caller.
+pub struct Relay {
+    state: Arc<State>,
+    /// None while the turn is sent to another engine.
+    running: Option<Running>,
+    phase: Phase,
+    scanner: Scanner,
+    /// Data of the events, if the turn is kept.
+    output: Vec<u8>,
+    last_id: Option<String>,
+    events: u64,
+    expired: Pin<Box<Sleep>>,
+}
+
+impl fmt::Debug for Relay {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Relay")
+            .field("events", &self.events)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Relay {
+    /// Relays an engine's answer.
+    pub fn new(
+        state: Arc<State>,
+        running: Running,
+        body: Incoming,
+        lease: Lease,
+        idle: Option<Duration>,
+    ) -> Relay {
+        let expired = tokio::time::sleep_until(send::patience(&running.job));
+        Relay {
+            state,
+            running: Some(running),
+            phase: Phase::Flowing(Source { body, lease, idle }),
+            scanner: Scanner::default(),
+            output: Vec::new(),
+            last_id: None,
+            events: 0,
+            expired: Box::pin(expired),
+        }
+    }
+
+    /// The next events.
+    pub fn poll_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        if self.expired.as_mut().poll(context).is_ready() {
+            return self.fail("the caller's time is up".to_owned());
+        }
+        loop {
+            match &mut self.phase {
+                Phase::Flowing(source) => {
+                    let frame = std::task::ready!(Pin::new(&mut source.body).poll_frame(context));
+                    match frame {
+                        Some(Ok(frame)) => match frame.into_data() {
+                            Ok(data) => match self.take(data) {
+                                Ok(events) if events.is_empty() => {}
+                                Ok(events) => return Poll::Ready(Some(Ok(Frame::data(events)))),
+                                Err(broken) => return self.fail(broken.0),
+                            },
+                            Err(_trailers) => {}
+                        },
+                        Some(Err(error)) => self.interrupted(error.to_string()),
+                        None if self.scanner.is_partial() => {
+                            self.interrupted("stream ends in the middle of an event".to_owned());
+                        }
+                        None => self.ended(),
+                    }
+                }
+                Phase::Resuming(resumed) => {
+                    let (running, answer) = std::task::ready!(resumed.as_mut().poll(context));
+                    self.running = Some(running);
+                    match answer {
+                        Ok(answer) if answer.parts.status.is_success() => self.resume(answer),
+                        Ok(answer) => {
+                            let status = answer.parts.status;
+                            return self.fail(format!("the next engine answers {status}"));
+                        }
+                        Err(refusal) => return self.fail(refusal.to_string()),
+                    }
+                }
+                Phase::Keeping(kept) => {
+                    let kept = std::task::ready!(kept.as_mut().poll(context));
+                    self.phase = Phase::Ended;
+                    return match kept {
+                        Ok(()) => Poll::Ready(None),
+                        Err(broken) => self.fail(broken.0),
+                    };
+                }
+                Phase::Ended => return Poll::Ready(None),
+            }
+        }
+    }
+
+    /// Takes a piece of the stream; returns whole events.
+    fn take(&mut self, data: Bytes) -> Result<Bytes, Broken> {
+        let pushed = self.scanner.push(data);
+        let Whole { bytes, count } =
+            pushed.map_err(|event::TooLong| Broken("an event is too long".to_owned()))?;
+        self.events += count;
+        if let Some(running) = &mut self.running {
+            if let Some(reserved) = &mut running.reserved {
+                reserved.used += count * running.tokens_per_event;
+            }
+            if running.stream.kept {
+                event::append_data(&bytes, &mut self.output);
+            }
+            if running.stream.resumable && let Some(id) = event::last_id(&bytes) {
+                self.last_id = Some(String::from_utf8_lossy(id).into_owned());
+            }
+        }
+        Ok(bytes)
+    }
+
+    /// The engine's stream broke: goes on at another one if that may be.
+    fn interrupted(&mut self, cause: String) {
+        self.phase = Phase::Ended;
+        let Some(mut running) = self.running.take() else {
+            return;
+        };
+        log::info!(
+            step = "relay", peer = running.job.service.as_str(),
+            request = running.job.call.request.as_str(), events = self.events,
+            resumable = running.stream.resumable;
+            "stream broke: {cause}"
+        );
+        self.scanner = Scanner::default();
+        let last = self.last_id.clone();
+        let state = Arc::clone(&self.state);
+        self.phase = Phase::Resuming(Box::pin(async move {
+            let answer = match running.stream.resumable {
+                true => {
+                    let attempts = running.tries.broke(&running.job);
+                    match attempts {
+                        Ok(()) => turn::dispatch(&state, &mut running, last.as_deref()).await,
+                        Err(refusal) => Err(refusal),
+                    }
+                }
+                false => Err(Refusal::Lost(cause)),
+            };
+            (running, answer)
+        }));
+    }
+
+    fn resume(&mut self, answer: Answer) {
+        let Answer {
+            body, lease, idle, ..
+        } = answer;
+        self.phase = Phase::Flowing(Source { body, lease, idle });
+    }
+
+    /// The engine's stream is complete: keeps what a later turn needs.
+    fn ended(&mut self) {
+        let phase = std::mem::replace(&mut self.phase, Phase::Ended);
+        if let Phase::Flowing(source) = phase {
+            source.lease.release(source.idle);
+        }
+        let Some(mut running) = self.running.take() else {
+            return;
+        };
+        running.job.log_end(&running.job.service, "answered", self.events);
+        if !running.stream.kept {
+            return;
+        }
+        let turn = self.turn(&running);
+        let mut records = vec![Record::Turn(turn.clone())];
+        records.extend(running.reserved.as_mut().map(|reserved| reserved.settle()));
+        let state = Arc::clone(&self.state);
+        self.phase = Phase::Keeping(Box::pin(async move {
+            let near = match &running.reserved {
+                Some(reserved) => reserved.account().clone(),
+                None => history::record::Account {
+                    customer: turn.customer.clone(),
+                    program: turn::program_name(&running.job),
+                },
+            };
+            let deadline = Instant::now() + KEEP_TIMEOUT;
+            match state.history.keep(records, &near, deadline).await {
+                Ok(()) => {
+                    state.chains.lock().insert(turn);
+                    Ok(())
+                }
+                Err(error) => Err(Broken(format!("turn can't be kept: {error}"))),
+            }
+        }));
+    }
+
+    fn turn(&mut self, running: &Running) -> Turn {
+        let mut content = Vec::with_capacity(running.input.len() + self.output.len());
+        content.extend_from_slice(&running.input);
+        content.append(&mut self.output);
+        Turn {
+            id: running.job.call.request.clone(),
+            customer: turn::customer_name(&running.job),
+            previous: running.job.call.previous.clone(),
+            content: Bytes::from(content),
+            expires: Wall::now().after(running.stream.retention),
+        }
+    }
+
+    fn fail(&mut self, cause: String) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        self.phase = Phase::Ended;
+        if let Some(running) = self.running.take() {
+            running.job.log_end(&running.job.service, &cause, self.events);
+        }
+        Poll::Ready(Some(Err(Broken(cause))))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/turn.rs
@@ -0,0 +1,322 @@
+//! Turns of programs: budget, history, engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use coord::id::Customer;
+use coord::id::Program;
+use coord::id::Request;
+use history::client::Grant;
+use history::client::Reservation;
+use history::record::Account;
+use history::record::Turn;
+use history::time::Wall;
+use http::Response;
+use tokio::time::Instant;
+
+use crate::balance;
+use crate::body::Body;
+use crate::chain::Found;
+use crate::config::Stream;
+use crate::directory::Entry;
+use crate::header::strip_hop_by_hop;
+use crate::plain;
+use crate::plain::Tries;
+use crate::refusal::Refusal;
+use crate::request::Job;
+use crate::request::retry_pause;
+use crate::send;
+use crate::send::Answer;
+use crate::send::Attempt;
+use crate::state::State;
+use crate::stream::Relay;
+
+/// Time for the history's answer; beyond, a turn is refused while its caller can still come back.
+const HISTORY_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Time for keeping what a turn has used, once its caller needn't wait for it.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A turn whose tokens are reserved; they are settled when it is dropped.
+#[derive(Debug)]
+pub struct Reserved {
+    state: Arc<State>,
+    reservation: Reservation,
+    /// Tokens handed to the caller.
+    pub used: u64,
+    settled: bool,
+}
+
+impl Reserved {
+    /// The record of what the turn has used, to be kept together with others.
+    pub fn settle(&mut self) -> history::record::Record {
+        self.settled = true;
+        history::client::settled(&self.reservation, self.used)
+    }
+
+    /// Where the turn's records stand.
+    pub fn account(&self) -> &Account {
+        &self.reservation.account
+    }
+}
+
+impl Drop for Reserved {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        let state = Arc::clone(&self.state);
+        let reservation = self.reservation.clone();
+        let used = self.used;
+        tokio::spawn(async move {
+            let deadline = Instant::now() + SETTLE_TIMEOUT;
+            if let Err(error) = state.history.settle(&reservation, used, deadline).await {
+                log::warn!(
+                    step = "settle", peer = "history", request = reservation.turn.as_str();
+                    "turn counts at its most: {error}"
+                );
+            }
+        });
+    }
+}
+
+/// What a turn needs while its stream runs.
+#[derive(Debug)]
+pub struct Running {
+    pub job: Job,
+    /// The whole input, as sent to the engine.
+    pub body: Bytes,
+    /// What the turn adds to its chain.
+    pub input: Bytes,
+    pub stream: Stream,
+    pub reserved: Option<Reserved>,
+    pub urgency: Option<u8>,
+    pub tries: Tries,
+    pub tokens_per_event: u64,
+}
+
+/// Runs a turn; its stream is relayed while it runs.
+pub async fn answer(
+    state: &Arc<State>,
+    job: Job,
+    stream: Stream,
+    input: Bytes,
+) -> Result<Response<Body>, Refusal> {
+    let deadline = job.deadline.min(Instant::now() + HISTORY_TIMEOUT);
+    let (reserved, body) = tokio::join!(
+        reserve(state, &job, stream, deadline),
+        build(state, &job, stream, &input, deadline)
+    );
+    let (reserved, body) = (reserved?, body?);
+    let urgency = Some(urgency(&job));
+    let mut running = Running {
+        tokens_per_event: state.tokens_per_event(&job.service),
+        job,
+        body,
+        input,
+        stream,
+        reserved,
+        urgency,
+        tries: Tries::default(),
+    };
+    let answer = dispatch(state, &mut running, None).await?;
+    match answer.parts.status.is_success() {
+        true => Ok(relay(state, running, answer)),
+        false => match plain::collect(answer, &running.job).await {
+            Ok(response) => Ok(response),
+            Err(error) => Err(Refusal::Lost(error.to_string())),
+        },
+    }
+}
+
+/// Sends a turn to an engine, and to others while that does no harm.
+///
+/// Errors: no engine answers.
+pub async fn dispatch(
+    state: &Arc<State>,
+    running: &mut Running,
+    last_event: Option<&str>,
+) -> Result<Answer, Refusal> {
+    loop {
+        let entry = next(state, running)?;
+        let attempt = Attempt {
+            job: &running.job,
+            body: running.body.clone(),
+            urgency: running.urgency,
+            last_event,
+        };
+        match send::send(state, &entry, &attempt).await {
+            Ok(answer) => return Ok(answer),
+            Err(error) => running.tries.failed(&entry, error, &running.job)?,
+        }
+    }
+}
+
+fn next(state: &State, running: &mut Running) -> Result<Entry, Refusal> {
+    let job = &running.job;
+    let name = match &job.call.program {
+        Some(program) => program.as_str(),
+        None => job.call.request.as_str(),
+    };
+    let affinity = balance::key(&[name]);
+    running.tries.next(state, job, Some(affinity))
+}
+
+fn relay(state: &Arc<State>, running: Running, answer: Answer) -> Response<Body> {
+    let Answer {
+        mut parts,
+        body,
+        lease,
+        idle,
+        ..
+    } = answer;
+    strip_hop_by_hop(&mut parts.headers);
+    let relay = Relay::new(Arc::clone(state), running, body, lease, idle);
+    Response::from_parts(parts, Body::Stream(Box::new(relay)))
+}
+
+/// Urgency for an engine, from the customer's or else the route's priority.
+fn urgency(job: &Job) -> u8 {
+    const MIDDLE: u8 = 4;
+    const LEAST: u8 = 9;
+    let of_customer = job.customer.as_ref().and_then(|customer| customer.priority);
+    let priority = of_customer.unwrap_or(job.route.priority);
+    MIDDLE.saturating_add(priority).min(LEAST)
+}
+
+async fn reserve(
+    state: &Arc<State>,
+    job: &Job,
+    stream: Stream,
+    deadline: Instant,
+) -> Result<Option<Reserved>, Refusal> {
+    let (Some(program), Some(budget), Some(tokens)) =
+        (&job.call.program, job.call.budget, job.call.tokens)
+    else {
+        return Ok(None);
+    };
+    let reservation = Reservation {
+        account: Account {
+            customer: customer_name(job),
+            program: program.clone(),
+        },
+        turn: job.call.request.clone(),
+        most: tokens.most,
+        budget,
+        expires: Wall::now().after(stream.retention),
+    };
+    let reserved = Reserved {
+        state: Arc::clone(state),
+        reservation,
+        used: 0,
+        settled: false,
+    };
+    match state
+        .history
+        .reserve(&reserved.reservation, deadline)
+        .await
+    {
+        Ok(Grant::Granted) => Ok(Some(reserved)),
+        Ok(Grant::Spent(taken)) => {
+            log::info!(
+                step = "reserve", peer = "history", request = job.call.request.as_str(),
+                program = program.as_str(), taken = taken, most = tokens.most, budget = budget;
+                "budget doesn't hold the turn"
+            );
+            Err(Refusal::BudgetSpent)
+        }
+        Err(error) => Err(unavailable(&error)),
+    }
+}
+
+/// Builds an engine's input from the chain that a turn continues.
+async fn build(
+    state: &Arc<State>,
+    job: &Job,
+    stream: Stream,
+    input: &Bytes,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let previous = match &job.call.previous {
+        Some(previous) if stream.kept => previous,
+        _ => return Ok(input.clone()),
+    };
+    let customer = customer_name(job);
+    let contents = fetch(state, job, previous, &customer, deadline).await?;
+    let size = contents.iter().map(Bytes::len).sum::<usize>() + input.len();
+    let mut body = BytesMut::with_capacity(size);
+    for content in &contents {
+        body.extend_from_slice(content);
+    }
+    body.extend_from_slice(input);
+    Ok(body.freeze())
+}
+
+async fn fetch(
+    state: &Arc<State>,
+    job: &Job,
+    previous: &Request,
+    customer: &Customer,
+    deadline: Instant,
+) -> Result<Vec<Bytes>, Refusal> {
+    let found = state.chains.lock().find(previous, customer);
+    let (missing, known) = match found {
+        Found::Whole(contents) => return Ok(contents),
+        Found::Foreign => return Err(Refusal::NoTurn),
+        Found::From(missing, known) => (missing, known),
+    };
+    let near = Account {
+        customer: customer.clone(),
+        program: program_name(job),
+    };
+    let chain = state.history.chain(&missing, &near, deadline).await;
+    let chain: Vec<Turn> = match chain {
+        Ok(Some(chain)) if chain.iter().all(|turn| turn.customer == *customer) => chain,
+        Ok(_) => return Err(Refusal::NoTurn),
+        Err(error) => return Err(unavailable(&error)),
+    };
+    let mut contents = history::client::joined(&chain);
+    contents.extend(known);
+    let mut cache = state.chains.lock();
+    chain.into_iter().rev().for_each(|turn| cache.insert(turn));
+    Ok(contents)
+}
+
+/// Name under which turns of routes that are open to all are kept.
+pub fn customer_name(job: &Job) -> Customer {
+    match &job.customer {
+        Some(customer) => customer.name.clone(),
+        None => no_customer(),
+    }
+}
+
+/// Name of the program that a turn belongs to; its own if it belongs to none.
+pub fn program_name(job: &Job) -> Program {
+    match &job.call.program {
+        Some(program) => program.clone(),
+        None => no_program(),
+    }
+}
+
+fn no_customer() -> Customer {
+    match "_".parse() {
+        Ok(name) => name,
+        Err(_) => unreachable!("an underscore is a name"),
+    }
+}
+
+fn no_program() -> Program {
+    match "_".parse() {
+        Ok(name) => name,
+        Err(_) => unreachable!("an underscore is a name"),
+    }
+}
+
+fn unavailable(error: &history::error::Error) -> Refusal {
+    Refusal::Unavailable {
+        cause: error.to_string(),
+        retry: retry_pause(),
+    }
+}
--- /dev/null
+++ b/crates/history/src/client.rs
@@ -0,0 +1,354 @@
+//! The history as entries see it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use coord::id::Request;
+use tokio::time::Instant;
+
+use crate::Map;
+use crate::account;
+use crate::account::Verdict;
+use crate::error::Error;
+use crate::membership::Membership;
+use crate::message;
+use crate::message::Answer;
+use crate::message::Call;
+use crate::quorum;
+use crate::quorum::Outcome;
+use crate::quorum::Progress;
+use crate::quorum::View;
+use crate::quorum::Views;
+use crate::record::Account;
+use crate::record::Charge;
+use crate::record::Disk;
+use crate::record::Record;
+use crate::record::State;
+use crate::record::Turn;
+use crate::time::Wall;
+
+/// Memberships that one call goes through at most.
+const MEMBERSHIPS: usize = 4;
+
+/// Access to the history.
+#[derive(Debug)]
+pub struct Client {
+    views: Views,
+    losses: usize,
+}
+
+/// Whether a turn may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Grant {
+    Granted,
+    /// The budget doesn't hold the turn; this much is taken by others.
+    Spent(u64),
+}
+
+/// A turn to reserve.
+#[derive(Debug, Clone)]
+pub struct Reservation {
+    pub account: Account,
+    pub turn: Request,
+    /// Tokens that the turn may generate.
+    pub most: u64,
+    /// Tokens that all turns of the program may generate.
+    pub budget: u64,
+    pub expires: Wall,
+}
+
+impl Client {
+    /// A client that bears the loss of this many disks.
+    pub fn new(losses: usize) -> Client {
+        Client {
+            views: Views::default(),
+            losses,
+        }
+    }
+
+    /// Takes a membership, unless a newer one is known.
+    pub fn learn(&self, membership: Membership) -> bool {
+        self.views.learn(membership)
+    }
+
+    /// The newest membership known.
+    pub fn membership(&self) -> Membership {
+        self.views.get().membership.clone()
+    }
+
+    /// Reserves a turn's tokens, unless the budget doesn't hold them.
+    ///
+    /// Errors: too few disks answered; the reservation may stand.
+    pub async fn reserve(
+        &self,
+        reservation: &Reservation,
+        deadline: Instant,
+    ) -> Result<Grant, Error> {
+        let charge = Charge {
+            account: reservation.account.clone(),
+            turn: reservation.turn.clone(),
+            state: State::Reserved(reservation.most),
+            expires: reservation.expires,
+        };
+        let mut seen = account::View::default();
+        let mut call = Call::Reserve(charge);
+        let mut confirmed = false;
+        loop {
+            self.read_account(&call, &mut seen, deadline).await?;
+            let verdict = seen.decide(
+                &reservation.turn,
+                reservation.most,
+                reservation.budget,
+                confirmed,
+            );
+            match verdict {
+                Verdict::Granted => return Ok(Grant::Granted),
+                Verdict::Spent { taken } => return Ok(Grant::Spent(taken)),
+                Verdict::Confirm => {
+                    confirmed = true;
+                    call = Call::Show(reservation.account.clone());
+                }
+            }
+        }
+    }
+
+    async fn read_account(
+        &self,
+        call: &Call,
+        seen: &mut account::View,
+        deadline: Instant,
+    ) -> Result<(), Error> {
+        let writes = matches!(call, Call::Reserve(_));
+        let body = message::encode(call);
+        for _ in 0..MEMBERSHIPS {
+            let view = self.views.get();
+            let write_quorum = match writes {
+                true => view.membership.write_quorum(self.losses),
+                false => 0,
+            };
+            let read_quorum = view.membership.read_quorum(self.losses);
+            let needed = write_quorum.max(read_quorum);
+            let order = order(&view, &[]);
+            let mut answered = 0;
+            let mut certain = 0;
+            let outcome = quorum::ask(
+                &self.views,
+                &view,
+                &order,
+                order.len(),
+                body.clone(),
+                deadline,
+                |_, answer| {
+                    if let Answer::Account { charges, complete } = answer {
+                        seen.merge(charges);
+                        answered += 1;
+                        certain += usize::from(complete);
+                    }
+                    match answered >= write_quorum && certain >= read_quorum {
+                        true => Progress::Done,
+                        false => Progress::Wait,
+                    }
+                },
+            )
+            .await;
+            match outcome {
+                Outcome::Done => return Ok(()),
+                Outcome::Stale => {}
+                Outcome::Incomplete => return Err(incomplete(&view, certain, needed)),
+            }
+        }
+        Err(Error::NoMembership)
+    }
+
+    /// Keeps records on enough disks that they count.
+    ///
+    /// Errors: too few disks answered; the records may stand.
+    pub async fn keep(
+        &self,
+        records: Vec<Record>,
+        near: &Account,
+        deadline: Instant,
+    ) -> Result<(), Error> {
+        let body = message::encode(&Call::Append(records));
+        for _ in 0..MEMBERSHIPS {
+            let view = self.views.get();
+            let needed = view.membership.write_quorum(self.losses);
+            let order = order(&view, near.program.as_str().as_bytes());
+            let mut kept = 0;
+            let outcome = quorum::ask(
+                &self.views,
+                &view,
+                &order,
+                needed,
+                body.clone(),
+                deadline,
+                |_, answer| {
+                    kept += usize::from(answer == Answer::Appended);
+                    match kept >= needed {
+                        true => Progress::Done,
+                        false => Progress::Wait,
+                    }
+                },
+            )
+            .await;
+            match outcome {
+                Outcome::Done => return Ok(()),
+                Outcome::Stale => {}
+                Outcome::Incomplete => return Err(incomplete(&view, kept, needed)),
+            }
+        }
+        Err(Error::NoMembership)
+    }
+
+    /// Records how much of its reservation a turn has used.
+    ///
+    /// Errors: as for [`Client::keep`].
+    pub async fn settle(
+        &self,
+        reservation: &Reservation,
+        tokens: u64,
+        deadline: Instant,
+    ) -> Result<(), Error> {
+        let charge = settled(reservation, tokens);
+        self.keep(vec![charge], &reservation.account, deadline)
+            .await
+    }
+
+    /// A turn and those before it, oldest last; none if there is no such turn. The account says
+    /// which disks are asked first.
+    ///
+    /// Errors: too few disks answered to be certain.
+    pub async fn chain(
+        &self,
+        turn: &Request,
+        near: &Account,
+        deadline: Instant,
+    ) -> Result<Option<Vec<Turn>>, Error> {
+        let mut found: Map<Request, Turn> = Map::default();
+        let mut chain = Vec::new();
+        let mut next = Some(turn.clone());
+        while let Some(id) = next {
+            if !found.contains_key(&id) && !self.find(&id, &mut found, near, deadline).await? {
+                return Ok(None);
+            }
+            let Some(turn) = found.remove(&id) else {
+                return Ok(None);
+            };
+            next = turn.previous.clone();
+            chain.push(turn);
+        }
+        Ok(Some(chain))
+    }
+
+    /// Finds a turn, and those before it that stand on the same disk; false if there is none.
+    async fn find(
+        &self,
+        turn: &Request,
+        found: &mut Map<Request, Turn>,
+        near: &Account,
+        deadline: Instant,
+    ) -> Result<bool, Error> {
+        let body = message::encode(&Call::Chain(turn.clone()));
+        for _ in 0..MEMBERSHIPS {
+            let view = self.views.get();
+            let needed = view.membership.read_quorum(self.losses);
+            let order = order(&view, near.program.as_str().as_bytes());
+            let mut absent = 0;
+            let mut present = false;
+            let outcome = quorum::ask(
+                &self.views,
+                &view,
+                &order,
+                1,
+                body.clone(),
+                deadline,
+                |_, answer| {
+                    match answer {
+                        Answer::Chain { turns, .. } if !turns.is_empty() => {
+                            found.extend(turns.into_iter().map(|turn| (turn.id.clone(), turn)));
+                            present = true;
+                        }
+                        Answer::Chain { complete: true, .. } => absent += 1,
+                        _ => {}
+                    }
+                    match present || absent >= needed {
+                        true => Progress::Done,
+                        false => Progress::Wait,
+                    }
+                },
+            )
+            .await;
+            match outcome {
+                Outcome::Done => return Ok(present),
+                Outcome::Stale => {}
+                Outcome::Incomplete => return Err(incomplete(&view, absent, needed)),
+            }
+        }
+        Err(Error::NoMembership)
+    }
+
+    /// Whether enough disks answer that turns can run.
+    pub async fn reachable(&self, timeout: Duration) -> bool {
+        let account = Account {
+            customer: probe_name(),
+            program: probe_name(),
+        };
+        let mut seen = account::View::default();
+        let deadline = Instant::now() + timeout;
+        self.read_account(&Call::Show(account), &mut seen, deadline)
+            .await
+            .is_ok()
+    }
+}
+
+/// The record that a turn has used this many tokens.
+pub fn settled(reservation: &Reservation, tokens: u64) -> Record {
+    Record::Charge(Charge {
+        account: reservation.account.clone(),
+        turn: reservation.turn.clone(),
+        state: State::Settled(tokens),
+        expires: reservation.expires,
+    })
+}
+
+/// Turns' content in the order in which an engine reads it, from a chain with the oldest last.
+pub fn joined(chain: &[Turn]) -> Vec<Bytes> {
+    let oldest_first = chain.iter().rev();
+    oldest_first.map(|turn| turn.content.clone()).collect()
+}
+
+fn incomplete(view: &View, answered: usize, needed: usize) -> Error {
+    match view.membership.members.is_empty() {
+        true => Error::NoMembership,
+        false => Error::NoQuorum { answered, needed },
+    }
+}
+
+/// Disks in an order that all entries share for a key.
+fn order(view: &View, key: &[u8]) -> Vec<Disk> {
+    let mut disks: Vec<Disk> = view
+        .membership
+        .members
+        .iter()
+        .map(|member| member.disk)
+        .collect();
+    if !key.is_empty() {
+        disks.sort_by_cached_key(|disk| weight(*disk, key));
+    }
+    disks
+}
+
+fn weight(disk: Disk, key: &[u8]) -> u64 {
+    use std::hash::Hasher;
+    let mut hasher = rustc_hash::FxHasher::default();
+    hasher.write(key);
+    hasher.write_u64(disk.0);
+    hasher.finish()
+}
+
+fn probe_name<T: std::str::FromStr>() -> T {
+    match "probe".parse() {
+        Ok(name) => name,
+        Err(_) => unreachable!("a plain word is a name"),
+    }
+}
--- /dev/null
+++ b/crates/history/src/quorum.rs
@@ -0,0 +1,168 @@
+//! Asking several disks at a time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use node::link;
+use node::link::Link;
+use parking_lot::RwLock;
+use tokio::time::Instant;
+
+use crate::Map;
+use crate::membership::Membership;
+use crate::message;
+use crate::message::Answer;
+use crate::message::Head;
+use crate::record::Disk;
+
+/// Time for one answer before a host is asked again.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pause before a host that wasn't reached is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// Time after which hosts that were spared at first are asked too; some syncs long.
+const HEDGE_DELAY: Duration = Duration::from_millis(40);
+
+/// The disks that count and how they are reached.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    pub membership: Membership,
+    links: Map<Disk, Link>,
+}
+
+/// The newest view.
+#[derive(Debug, Default)]
+pub struct Views {
+    current: RwLock<Arc<View>>,
+}
+
+impl Views {
+    /// The newest view.
+    pub fn get(&self) -> Arc<View> {
+        Arc::clone(&self.current.read())
+    }
+
+    /// Takes a membership, unless a newer one is known; says whether it was newer.
+    pub fn learn(&self, membership: Membership) -> bool {
+        let mut current = self.current.write();
+        if membership.epoch <= current.membership.epoch {
+            return false;
+        }
+        let reached: Map<_, _> = current
+            .links
+            .values()
+            .map(|link| (link.address(), link.clone()))
+            .collect();
+        let links = membership.members.iter().map(|member| {
+            let known = reached.get(&member.address).cloned();
+            let link = known.unwrap_or_else(|| Link::new(member.address));
+            (member.disk, link)
+        });
+        let links = links.collect();
+        log::info!(
+            step = "learn membership", peer = "history", epoch:% = membership.epoch,
+            disks = membership.members.len();
+            "newer membership"
+        );
+        *current = Arc::new(View { membership, links });
+        true
+    }
+}
+
+/// What an answer means for the question.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Progress {
+    /// More answers are needed.
+    Wait,
+    /// The question is answered.
+    Done,
+}
+
+/// How asking ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Done,
+    /// A newer membership was learned: ask again under it.
+    Stale,
+    /// Time is up, or nobody is left to ask.
+    Incomplete,
+}
+
+/// Asks disks in the order given, `first` of them at once and the rest after a delay or a failure,
+/// until `each` has seen enough answers.
+pub async fn ask(
+    views: &Views,
+    view: &View,
+    order: &[Disk],
+    first: usize,
+    body: Bytes,
+    deadline: Instant,
+    mut each: impl FnMut(Disk, Answer) -> Progress,
+) -> Outcome {
+    let epoch = view.membership.epoch;
+    let mut waiting = order.iter().filter_map(|disk| {
+        let link = view.links.get(disk)?;
+        let head = Head { disk: *disk, epoch };
+        Some(call(*disk, link.clone(), message::frame(head, &body), deadline))
+    });
+    let mut asked = FuturesUnordered::new();
+    asked.extend(waiting.by_ref().take(first));
+    let hedge = tokio::time::sleep(HEDGE_DELAY);
+    tokio::pin!(hedge);
+    let mut hedged = false;
+    loop {
+        let answer = tokio::select! {
+            answer = asked.next() => answer,
+            () = &mut hedge, if !hedged => {
+                hedged = true;
+                asked.extend(waiting.by_ref());
+                continue;
+            }
+        };
+        match answer {
+            None => return Outcome::Incomplete,
+            Some((_, Some(Answer::Stale(membership)))) => {
+                views.learn(membership);
+                return Outcome::Stale;
+            }
+            Some((disk, Some(answer @ (Answer::OtherDisk | Answer::Closed)))) => {
+                log::debug!(step = "ask history", peer:% = disk; "{answer:?}");
+                asked.extend(waiting.by_ref().take(1));
+            }
+            Some((disk, Some(answer))) => {
+                if each(disk, answer) == Progress::Done {
+                    return Outcome::Done;
+                }
+                if asked.is_empty() {
+                    asked.extend(waiting.by_ref().take(1));
+                }
+            }
+            Some((_, None)) => asked.extend(waiting.by_ref().take(1)),
+        }
+    }
+}
+
+/// Asks one disk until it answers or time is up.
+async fn call(disk: Disk, link: Link, frame: Bytes, deadline: Instant) -> (Disk, Option<Answer>) {
+    loop {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return (disk, None);
+        }
+        let answer = link.call(frame.clone(), left.min(ANSWER_TIMEOUT)).await;
+        match answer.map(|frame| message::read_answer(&frame)) {
+            Ok(Ok(answer)) => return (disk, Some(answer)),
+            Ok(Err(error)) => {
+                log::warn!(step = "read answer", peer:% = disk; "{error}");
+                return (disk, None);
+            }
+            Err(link::Error::Unreachable | link::Error::Lost) => {
+                tokio::time::sleep(RETRY_PAUSE.min(left)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/history/src/retire.rs
@@ -0,0 +1,122 @@
+//! Emptying a history host before it is taken away.
+//!
+//! The host takes no new records, hands all it has to the others, leaves the membership and says
+//! that it is done. A client that still asks it under the old membership is refused and learns the
+//! new one from the others.
+
+use std::time::Duration;
+
+use eyre::WrapErr;
+use eyre::bail;
+use eyre::eyre;
+use futures::future::join_all;
+use node::link::Link;
+use node::object::Kind;
+use node::object::Objects;
+use serde_json::json;
+
+use crate::join;
+use crate::join::Plan;
+use crate::membership::Member;
+use crate::membership::Membership;
+use crate::message::Answer;
+use crate::message::Call;
+use crate::message::Position;
+use crate::record::Record;
+use crate::server::Server;
+
+/// Pause before emptying is tried again.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// State of an order, as written for the operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Running,
+    Completed,
+}
+
+/// Empties this host, however long it takes.
+pub async fn retire<O: Objects>(server: &Server, objects: &O, plan: &Plan) {
+    log::info!(step = "retire", peer = "history"; "host is being emptied");
+    report(objects, plan, State::Running).await;
+    server.close();
+    loop {
+        match attempt(server, objects, plan).await {
+            Ok(()) => break,
+            Err(error) => {
+                log::warn!(step = "retire", peer = "history"; "not empty yet: {error:#}");
+                tokio::time::sleep(join::jittered(PAUSE)).await;
+            }
+        }
+    }
+    while !report(objects, plan, State::Completed).await {
+        tokio::time::sleep(join::jittered(PAUSE)).await;
+    }
+    log::info!(step = "retire", peer = "history"; "host is empty");
+}
+
+async fn attempt<O: Objects>(server: &Server, objects: &O, plan: &Plan) -> eyre::Result<()> {
+    let object = objects.get(Kind::Members, join::OBJECT).await;
+    let object = object.wrap_err("reading the membership")?;
+    let object = object.ok_or_else(|| eyre!("there is no membership"))?;
+    let current: Membership = serde_json::from_value(object.spec)?;
+    if current.find(plan.me.disk).is_none() {
+        return Ok(());
+    }
+    let next = current.without(plan.me.disk);
+    hand_over(server, &next, plan.losses).await?;
+    join::write(objects, &next, Some(object.revision)).await?;
+    join::inform(&next, plan.me.disk).await;
+    Ok(())
+}
+
+/// Gives all records to the others, to enough of them that each record counts without this host.
+async fn hand_over(server: &Server, others: &Membership, losses: usize) -> eyre::Result<()> {
+    let needed = others.write_quorum(losses).min(others.members.len());
+    let given = others.members.iter().map(|member| give(server, member));
+    let results = join_all(given).await;
+    let count = results.iter().filter(|result| result.is_ok()).count();
+    match count < needed {
+        true => bail!("{count} of {needed} history hosts hold the records"),
+        false => Ok(()),
+    }
+}
+
+async fn give(server: &Server, member: &Member) -> eyre::Result<()> {
+    let link = Link::new(member.address);
+    let mut position = Position::default();
+    loop {
+        let (records, next, end) = server.page(position);
+        if !records.is_empty() {
+            append(&link, member, records).await?;
+        }
+        if end {
+            return Ok(());
+        }
+        position = next;
+    }
+}
+
+async fn append(link: &Link, member: &Member, records: Vec<Record>) -> eyre::Result<()> {
+    match join::call(link, member.disk, &Call::Append(records)).await? {
+        Answer::Appended => Ok(()),
+        answer => bail!("{} answers {answer:?}", member.host),
+    }
+}
+
+/// Writes the order's state; false if that failed.
+async fn report<O: Objects>(objects: &O, plan: &Plan, state: State) -> bool {
+    let state = match state {
+        State::Running => "running",
+        State::Completed => "completed",
+    };
+    let status = json!({ "state": state });
+    let written = objects.set_status(Kind::Retirements, &plan.me.host, status);
+    match written.await {
+        Ok(()) => true,
+        Err(error) => {
+            log::warn!(step = "report retirement", peer = "platform"; "{error}");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/history/src/time.rs
@@ -0,0 +1,31 @@
+//! Wall-clock time of expiries.
+
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How far the clocks of two hosts may be apart; records are kept this much longer.
+pub const CLOCK_SLACK: Duration = Duration::from_secs(30);
+
+/// Milliseconds since 1970, UTC.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Wall(pub u64);
+
+impl Wall {
+    /// The host's time of day.
+    pub fn now() -> Wall {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        // A clock before 1970 only makes records expire later.
+        Wall(since.unwrap_or_default().as_millis() as u64)
+    }
+
+    /// This much later.
+    pub fn after(self, duration: Duration) -> Wall {
+        Wall(self.0.saturating_add(duration.as_millis() as u64))
+    }
+}
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -43,6 +43,17 @@
     }
 }
 
+/// Runs a command to its end on the calling thread, for hosts with a fraction of a core.
+pub fn run_on_one_thread(command: impl Future<Output = Exit>) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(command).into(),
+        Err(error) => fail(Exit::Failure, error).into(),
+    }
+}
+
 /// Loads settings and serves until a planned stop has ended.
 pub async fn serve<T, F>(file: &Path, daemon: impl FnOnce(T) -> F) -> Exit
 where
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -71,6 +71,9 @@
         .level_for("entry", level.into())
         .level_for("sidecar", level.into())
         .level_for("node", level.into())
+        .level_for("gateway", level.into())
+        .level_for("history", level.into())
+        .level_for("platform", level.into())
         .format(move |out, message, record| {
             let line = line(&process, &message.to_string(), record);
             out.finish(format_args!("{line}"));
