Share rates, loads and news among entries; balance engines by load

Change: entries report what they admit and run by datagrams ten times a second; a cut watch lists again; a turn goes where the fewest requests run unless the prompt it would have to be read anew is worth more.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod observer;
 pub mod program;
 pub mod promise;
+pub mod quota;
 pub mod record;
 pub mod refusal;
 pub mod replica;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -84,6 +84,9 @@
     let call = call.map_err(|error| Refusal::Malformed(error.0))?;
     *name = Some(call.request.as_str().to_owned());
     let customer = authenticate(state, &snapshot, &route, &call)?;
+    if let Some(customer) = &customer {
+        state.check_rate(customer)?;
+    }
     let limit = snapshot.table.config.limits.body_bytes;
     let body = read(body, limit).await?;
     let deadline = deadline(&route, &call, received);
@@ -102,6 +105,9 @@
     match job.route.work {
         Work::Stream(stream) => turn::answer(state, job, stream, body).await,
         Work::Idempotent | Work::NonIdempotent => {
+            if let Some(customer) = &job.customer {
+                state.admit(customer, false)?;
+            }
             let response = plain::answer(state, &job, body).await?;
             job.log_end(&job.service, "answered", 0);
             Ok(response)
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -20,7 +20,9 @@
 use crate::edge::Dialect;
 use crate::follow;
 use crate::follow::News;
+use crate::gossip;
 use crate::listener;
+use crate::news;
 use crate::settings::Settings;
 use crate::state::State;
 
@@ -30,6 +32,12 @@
 /// Pause before the membership of the history is asked for again.
 const MEMBERSHIP_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause between questions whether the history answers.
+const HISTORY_PAUSE: Duration = Duration::from_millis(1000);
+
+/// Time for the history to answer that question.
+const HISTORY_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// How long new callers may still come after a planned stop began: the balancer asks once a second
 /// and believes the second refusal.
 const LINGER: Duration = Duration::from_millis(2600);
@@ -67,6 +75,11 @@
     }
     tokio::spawn(find_history(Arc::clone(&objects), Arc::clone(&state)));
     tokio::spawn(sweep(Arc::clone(&state)));
+    tokio::spawn(share(objects, Arc::clone(&state)));
+    let peers = listener::bind(state.settings.peer_address()).await?;
+    tokio::spawn(link::serve(peers, Arc::clone(&state)));
+    tokio::spawn(news::follow(Arc::clone(&state)));
+    tokio::spawn(watch_history(Arc::clone(&state)));
     let stop = watch::Sender::new(false);
     let server = listener::serve(callers, Arc::clone(&state), stop.subscribe());
     let server = tokio::spawn(server);
@@ -106,6 +119,24 @@
     }
 }
 
+/// Exchanges reports with the other entries.
+async fn share<O: Objects>(objects: Arc<O>, state: Arc<State>) {
+    let registered = gossip::register(&*objects, &state);
+    let (exchanged, ()) = tokio::join!(gossip::run(Arc::clone(&state)), registered);
+    if let Err(error) = exchanged {
+        log::error!(step = "exchange reports", peer = "entries"; "{error}");
+    }
+}
+
+/// Asks the history hosts now and then whether they answer.
+async fn watch_history(state: Arc<State>) {
+    loop {
+        let reached = state.history.reachable(HISTORY_TIMEOUT).await;
+        state.set_history(reached);
+        tokio::time::sleep(HISTORY_PAUSE).await;
+    }
+}
+
 async fn sweep(state: Arc<State>) {
     loop {
         tokio::time::sleep(SWEEP_PAUSE).await;
@@ -165,8 +196,8 @@
         object.name == host && state != Some("completed")
     };
     match news {
-        News::Listed(objects) => objects.iter().any(open),
-        News::Changed(changes) => changes.iter().any(|change| match change {
+        News::Listed(objects, _) => objects.iter().any(open),
+        News::Changed(changes, _) => changes.iter().any(|change| match change {
             Change::Put(object) => open(object),
             Change::Deleted(_) => false,
         }),
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -13,6 +13,7 @@
 use compact_str::CompactString;
 use node::object::Change;
 use node::object::Object;
+use node::object::Revision;
 use tokio::time::Instant;
 
 use crate::Map;
@@ -29,6 +30,8 @@
 pub struct Load {
     /// Requests that this process has at the target.
     pub running: AtomicU32,
+    /// Requests that other entries have at the target.
+    pub elsewhere: AtomicU32,
     /// Failures in a row.
     pub failures: AtomicU32,
     /// Until when it is spared, in milliseconds since the process started.
@@ -43,9 +46,10 @@
 }
 
 impl Entry {
-    /// Requests that this process has at the target.
+    /// Requests that all entries have at the target, as far as known.
     pub fn running(&self) -> u32 {
-        self.load.running.load(Ordering::Relaxed)
+        let own = self.load.running.load(Ordering::Relaxed);
+        own + self.load.elsewhere.load(Ordering::Relaxed)
     }
 }
 
@@ -62,6 +66,8 @@
     targets: Map<CompactString, Known>,
     /// When the object store was last regained.
     regained: Option<Instant>,
+    /// Revision of the object store that the targets are from.
+    pub revision: Revision,
 }
 
 /// Targets that take new work, by service.
@@ -91,6 +97,24 @@
         }
     }
 
+    /// Takes what another entry knows, if that is newer.
+    pub fn adopt(&mut self, revision: Revision, targets: Vec<Target>, now: Instant) {
+        if revision <= self.revision {
+            return;
+        }
+        self.revision = revision;
+        let missing: Vec<CompactString> = self
+            .targets
+            .keys()
+            .filter(|id| !targets.iter().any(|target| target.id == **id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(&id, now);
+        }
+        targets.into_iter().for_each(|target| self.put_target(target));
+    }
+
     /// Takes a change of one registration.
     pub fn change(&mut self, change: &Change, dialect: &dyn Dialect, now: Instant) {
         match change {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -52,6 +52,8 @@
     pub previous: Option<Request>,
     /// The shared part that the prompt starts with.
     pub shared_prefix: Option<u64>,
+    /// Tokens of the prompt behind the shared part that an earlier turn has read.
+    pub context_tokens: u64,
     /// Whether the caller goes on with a stream that broke.
     pub resumes: bool,
 }
@@ -107,7 +109,7 @@
 }
 
 /// A target as it registered itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     pub id: CompactString,
     pub service: Service,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -12,8 +12,8 @@
 use sched::retry::Delay;
 use tokio::time::Instant;
 
-/// How long the object store holds a watch; each one is paid for.
-const WATCH_TIME: Duration = Duration::from_secs(25);
+/// How long the object store holds a watch: each one is paid for, but a dead one isn't noticed.
+const WATCH_TIME: Duration = Duration::from_secs(8);
 
 /// First and longest pause before a failed call is made again.
 const PAUSE_MS: (u64, u64) = (150, 1200);
@@ -25,9 +25,9 @@
 #[derive(Debug, Clone)]
 pub enum News {
     /// All objects of the kind.
-    Listed(Vec<Object>),
+    Listed(Vec<Object>, Revision),
     /// Changes, in order.
-    Changed(Vec<Change>),
+    Changed(Vec<Change>, Revision),
     /// The object store doesn't answer.
     Lost,
     /// The object store answers again.
@@ -52,12 +52,18 @@
                 hear(kind, &news);
                 since = Some(revision);
             }
-            Err(Error::Expired) => since = None,
+            Err(Error::Expired) => {
+                log::info!(step = "follow", peer = "platform", kind:% = kind; "changes were missed: lists again");
+                since = None;
+            }
             Err(error) => {
+                // A watch that was cut may have missed changes, and one opened in its place may
+                // wait for long before it says so.
+                since = None;
                 let first = *failing.get_or_insert_with(Instant::now);
                 // A call that timed out has been without an answer for long.
                 let silent = error == Error::Unknown || first.elapsed() >= AWAY;
-                log::debug!(step = "follow", peer = "platform", kind:% = kind; "{error}");
+                log::info!(step = "follow", peer = "platform", kind:% = kind; "{error}");
                 if silent && !std::mem::replace(&mut lost, true) {
                     hear(kind, &News::Lost);
                 }
@@ -81,11 +87,13 @@
     match since {
         None => {
             let listing = objects.list(kind).await?;
-            Ok((News::Listed(listing.objects), listing.revision))
+            let revision = listing.revision;
+            Ok((News::Listed(listing.objects, revision), revision))
         }
         Some(since) => {
             let changes = objects.watch(kind, since, WATCH_TIME).await?;
-            Ok((News::Changed(changes.changes), changes.revision))
+            let revision = changes.revision;
+            Ok((News::Changed(changes.changes, revision), revision))
         }
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::balance;
+use crate::balance::Prompt;
 use crate::balance::Wish;
 use crate::body::Body;
 use crate::directory::Entry;
@@ -34,7 +35,7 @@
     };
     let mut tries = Tries::default();
     loop {
-        let entry = tries.next(state, job, affinity(job))?;
+        let entry = tries.next(state, job, Prompt::None, affinity(job))?;
         let answered = match send::send(state, &entry, &attempt).await {
             Ok(answer) => collect(answer, job).await,
             Err(error) => Err(error),
@@ -69,6 +70,7 @@
         &mut self,
         state: &State,
         job: &Job,
+        prompt: Prompt,
         affinity: Option<u64>,
     ) -> Result<Entry, Refusal> {
         if Instant::now() >= job.deadline {
@@ -78,6 +80,7 @@
         let entries = services.get(&job.service).map_or(&[][..], Vec::as_slice);
         let tried: Vec<&str> = self.tried.iter().map(|id| id.as_str()).collect();
         let wish = Wish {
+            prompt,
             affinity,
             data_centre: state.settings.data_centre.as_str(),
             now_ms: state.now_ms(),
--- /dev/null
+++ b/crates/gateway/src/quota.rs
@@ -0,0 +1,170 @@
+//! Rates of all customers on this entry; the decisions are [`coord::quota`]'s.
+
+use std::time::Duration;
+
+use coord::id::Customer;
+use coord::quota::Fleet;
+use coord::quota::Quota;
+use coord::quota::Take;
+use coord::quota::Total;
+use coord::quota::Use;
+use coord::time::Millis;
+use coord::time::Time;
+
+use crate::Map;
+use crate::config::CustomerLimits;
+use crate::refusal::Refusal;
+
+/// Longest time to come back that is told.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+
+/// Requests of a program, before any has been seen to its end.
+const PROGRAM_REQUESTS: f64 = 9.0;
+
+/// Weight of one program in the mean number of requests.
+const PROGRAM_WEIGHT: f64 = 0.02;
+
+/// Fewest and most requests that a program is taken to need.
+const PROGRAM_RANGE: (f64, f64) = (1.0, 60.0);
+
+/// A customer's bucket, and when it last admitted something.
+#[derive(Debug)]
+struct Entry {
+    quota: Quota,
+    limits: (f64, u32),
+    changed: Time,
+}
+
+/// Buckets of all customers.
+#[derive(Debug)]
+pub struct Quotas {
+    customers: Map<Customer, Entry>,
+    /// Mean number of requests that follow a first turn, itself included.
+    program_requests: f64,
+    /// Requests since the last first turn.
+    following: f64,
+}
+
+impl Default for Quotas {
+    fn default() -> Quotas {
+        Quotas {
+            customers: Map::default(),
+            program_requests: PROGRAM_REQUESTS,
+            following: 0.0,
+        }
+    }
+}
+
+impl Quotas {
+    /// Takes a request from its customer's rate.
+    ///
+    /// Errors: the rate doesn't hold it.
+    pub fn take(
+        &mut self,
+        limits: &CustomerLimits,
+        first: bool,
+        fleet: Fleet,
+        now: Time,
+    ) -> Result<(), Refusal> {
+        let usage = match first {
+            true => Use::Start(self.program_requests),
+            false => Use::Follow,
+        };
+        let taken = match self.entry(limits, fleet, now) {
+            None => Take::Granted,
+            Some(entry) => {
+                let taken = entry.quota.take(usage, fleet, now);
+                if taken == Take::Granted {
+                    entry.changed = now;
+                }
+                taken
+            }
+        };
+        match taken {
+            Take::Granted => {
+                self.count(first);
+                Ok(())
+            }
+            Take::Wait(wait) => Err(Refusal::OverRate(pause(wait))),
+        }
+    }
+
+    /// Refuses a request that its customer's rate surely doesn't hold.
+    ///
+    /// Errors: the rate is used up.
+    pub fn check(
+        &mut self,
+        limits: &CustomerLimits,
+        fleet: Fleet,
+        now: Time,
+    ) -> Result<(), Refusal> {
+        let per_request = limits.rate.map_or(0.0, |rate| 1.0 / rate.per_second());
+        let entry = self.entry(limits, fleet, now);
+        match entry.is_some_and(|entry| entry.quota.is_empty(fleet, now)) {
+            true => {
+                let wait = Duration::try_from_secs_f64(per_request).unwrap_or(LONGEST_WAIT);
+                Err(Refusal::OverRate(wait.min(LONGEST_WAIT)))
+            }
+            false => Ok(()),
+        }
+    }
+
+    /// Takes another entry's report of what it has admitted.
+    pub fn report(
+        &mut self,
+        peer: (u64, u64),
+        totals: &[(Customer, Total)],
+        silent: Millis,
+        fleet: Fleet,
+        now: Time,
+    ) {
+        let (peer, incarnation) = peer;
+        for (customer, total) in totals {
+            if let Some(entry) = self.customers.get_mut(customer) {
+                let quota = &mut entry.quota;
+                quota.report(peer, incarnation, *total, silent, fleet, now);
+            }
+        }
+    }
+
+    /// What was admitted for customers that had requests since a time.
+    pub fn totals(&self, since: Time) -> Vec<(Customer, Total)> {
+        let entries = self.customers.iter();
+        entries
+            .filter(|(_, entry)| entry.changed >= since)
+            .map(|(customer, entry)| (customer.clone(), entry.quota.total()))
+            .collect()
+    }
+
+    /// The bucket of a customer; none if its rate is unlimited.
+    fn entry(&mut self, limits: &CustomerLimits, fleet: Fleet, now: Time) -> Option<&mut Entry> {
+        let rate = limits.rate?;
+        let key = (rate.per_second(), limits.burst.0);
+        let entry = self.customers.entry(limits.name.clone());
+        let entry = entry.or_insert_with(|| Entry {
+            quota: Quota::new(rate, limits.burst, fleet, now),
+            limits: key,
+            changed: now,
+        });
+        if entry.limits != key {
+            entry.limits = key;
+            entry.quota.set_limits(rate, limits.burst, fleet, now);
+        }
+        Some(entry)
+    }
+
+    /// Learns how many requests a program takes.
+    fn count(&mut self, first: bool) {
+        self.following += 1.0;
+        if first {
+            let (fewest, most) = PROGRAM_RANGE;
+            let seen = self.following.clamp(fewest, most);
+            self.program_requests += PROGRAM_WEIGHT * (seen - self.program_requests);
+            self.following = 0.0;
+        }
+    }
+}
+
+fn pause(wait: Millis) -> Duration {
+    Duration::from_millis(wait.0).min(LONGEST_WAIT)
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,26 +1,41 @@
 //! What all requests of an entry share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use coord::quota::Fleet;
+use coord::time::Time;
 use node::object::Change;
 use node::object::Kind;
 use node::object::Object;
+use node::object::Revision;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use tokio::time::Instant;
 
 use crate::chain;
 use crate::config::Config;
+use crate::config::CustomerLimits;
 use crate::config::Version;
 use crate::directory::Directory;
 use crate::directory::Services;
 use crate::edge::Dialect;
+use crate::edge::Target;
 use crate::follow::News;
+use crate::gossip;
+use crate::gossip::Peers;
+use crate::gossip::Report;
+use crate::news;
+use crate::news::Answer;
+use crate::news::Question;
 use crate::pool::Pool;
+use crate::program::Programs;
+use crate::quota::Quotas;
+use crate::refusal::Refusal;
 use crate::settings::Settings;
 use crate::table::Table;
 
@@ -40,6 +55,8 @@
 #[derive(Debug)]
 pub struct Snapshot {
     pub table: Table,
+    /// The object that it was read from, as text for other entries.
+    object: String,
 }
 
 /// What all requests share.
@@ -49,6 +66,7 @@
     pub history: history::client::Client,
     pub pool: Arc<Pool>,
     pub chains: Mutex<chain::Cache>,
+    pub programs: Mutex<Programs>,
     started: Instant,
     snapshot: RwLock<Option<Arc<Snapshot>>>,
     directory: Mutex<Directory>,
@@ -56,8 +74,11 @@
     draining: AtomicBool,
     /// Milliseconds since the start at which the object store began to be silent; 0: it isn't.
     silent_since_ms: AtomicU64,
-    /// Entries that share the targets, this one included.
-    entries: AtomicU64,
+    /// Whether enough history hosts answer.
+    history_answers: AtomicBool,
+    incarnation: u64,
+    quotas: Mutex<Quotas>,
+    peers: Mutex<Peers>,
 }
 
 impl std::fmt::Debug for State {
@@ -70,20 +91,23 @@
     /// The state of an entry that knows nothing yet.
     pub fn new(settings: Settings, dialect: Arc<dyn Dialect>) -> Arc<State> {
         let losses = settings.tolerated_losses;
-        let entries = settings.seeds.len().max(1) as u64;
         Arc::new(State {
             settings,
             dialect,
             history: history::client::Client::new(losses),
             pool: Arc::default(),
             chains: Mutex::new(chain::Cache::new(CHAIN_BYTES)),
+            programs: Mutex::default(),
             started: Instant::now(),
             snapshot: RwLock::default(),
             directory: Mutex::default(),
             services: RwLock::default(),
             draining: AtomicBool::new(false),
             silent_since_ms: AtomicU64::new(1),
-            entries: AtomicU64::new(entries),
+            history_answers: AtomicBool::new(false),
+            incarnation: rand::random(),
+            quotas: Mutex::default(),
+            peers: Mutex::default(),
         })
     }
 
@@ -114,7 +138,10 @@
 
     /// Whether callers should come here.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.snapshot.read().is_some() && !self.services.read().is_empty()
+        let configured = self.snapshot.read().is_some() && !self.services.read().is_empty();
+        let history = self.history_answers.load(Ordering::Relaxed)
+            || !self.peers.lock().history_elsewhere(self.time());
+        !self.is_draining() && configured && history
     }
 
     /// Whether the newest configuration is known, as far as can be told.
@@ -123,9 +150,142 @@
         silent == 0 || self.now_ms().saturating_sub(silent) < STALE.as_millis() as u64
     }
 
-    /// How many entries share the targets.
-    pub fn set_entries(&self, entries: usize) {
-        self.entries.store(entries.max(1) as u64, Ordering::Relaxed);
+    /// Whether the object store doesn't answer.
+    pub fn is_lost(&self) -> bool {
+        self.silent_since_ms.load(Ordering::Relaxed) != 0
+    }
+
+    /// Whether enough history hosts answer.
+    pub fn set_history(&self, answers: bool) {
+        let former = self.history_answers.swap(answers, Ordering::Relaxed);
+        if former != answers {
+            log::info!(step = "ask history", peer = "history", answers = answers; "history changed");
+        }
+    }
+
+    /// Now, on the clock of the state machines.
+    pub fn time(&self) -> Time {
+        Time(self.now_ms())
+    }
+
+    /// Takes a request from its customer's rate.
+    ///
+    /// Errors: the rate doesn't hold it.
+    pub fn admit(&self, customer: &CustomerLimits, first: bool) -> Result<(), Refusal> {
+        let (fleet, now) = (self.fleet(), self.time());
+        self.quotas.lock().take(customer, first, fleet, now)
+    }
+
+    /// Refuses a request that its customer's rate surely doesn't hold.
+    ///
+    /// Errors: the rate is used up.
+    pub fn check_rate(&self, customer: &CustomerLimits) -> Result<(), Refusal> {
+        let (fleet, now) = (self.fleet(), self.time());
+        self.quotas.lock().check(customer, fleet, now)
+    }
+
+    fn fleet(&self) -> Fleet {
+        self.peers.lock().fleet(self.time())
+    }
+
+    /// Another entry may be at this address.
+    pub fn meet(&self, address: SocketAddr) {
+        if address != self.settings.peer_address() {
+            self.peers.lock().add(address, self.time());
+        }
+    }
+
+    /// Takes another entry's report.
+    pub fn hear_entry(&self, address: SocketAddr, report: &Report) {
+        let now = self.time();
+        let mut peers = self.peers.lock();
+        let silent = peers.hear(address, report, now);
+        let (fleet, running) = (peers.fleet(now), peers.running(now));
+        drop(peers);
+        let peer = (crate::balance::key(&[&report.host]), report.incarnation);
+        self.quotas
+            .lock()
+            .report(peer, &report.totals, silent, fleet, now);
+        for entry in self.services().values().flatten() {
+            let hash = crate::balance::hash(&entry.target.id);
+            let elsewhere = running.get(&hash).copied().unwrap_or(0);
+            entry.load.elsewhere.store(elsewhere, Ordering::Relaxed);
+        }
+    }
+
+    /// This entry's report and where it goes.
+    pub fn report(&self) -> (Report, Vec<SocketAddr>) {
+        let now = self.time();
+        let services = self.services();
+        let running = services.values().flatten().filter_map(|entry| {
+            let running = entry.load.running.load(Ordering::Relaxed);
+            (running > 0).then(|| (crate::balance::hash(&entry.target.id), running))
+        });
+        let snapshot = self.snapshot();
+        let version = snapshot.map_or(Version(0), |snapshot| snapshot.table.config.version);
+        let report = Report {
+            host: self.settings.host.clone(),
+            incarnation: self.incarnation,
+            version: version.0,
+            current: !self.is_lost(),
+            history: self.history_answers.load(Ordering::Relaxed),
+            leaving: self.is_draining(),
+            totals: self.quotas.lock().totals(gossip::repeat_since(now)),
+            running: running.collect(),
+        };
+        (report, self.peers.lock().addresses())
+    }
+
+    /// An entry to ask for what the object store doesn't tell.
+    pub fn informed_entry(&self) -> Option<SocketAddr> {
+        let peers = self.peers.lock();
+        let now = self.time();
+        match self.snapshot().is_some() {
+            true => peers.informed(now),
+            false => peers.informed(now).or_else(|| peers.any(now)),
+        }
+    }
+
+    /// What this entry knows, to ask others for more.
+    pub fn question(&self) -> Question {
+        let snapshot = self.snapshot();
+        let version = snapshot.map_or(Version(0), |snapshot| snapshot.table.config.version);
+        Question {
+            version: version.0,
+            revision: self.directory.lock().revision.0,
+        }
+    }
+
+    /// What this entry knows beyond another.
+    pub fn news(&self, question: Question) -> Answer {
+        let snapshot = self.snapshot();
+        let newer = snapshot.filter(|known| known.table.config.version.0 > question.version);
+        let directory = self.directory.lock();
+        let targets = (directory.revision.0 > question.revision).then(|| {
+            let targets: Vec<Target> = directory.targets().cloned().collect();
+            (directory.revision.0, targets)
+        });
+        Answer {
+            config: newer.map(|snapshot| snapshot.object.clone()),
+            targets,
+            membership: self.history.membership(),
+        }
+    }
+
+    /// Takes what another entry knows.
+    pub fn take_news(&self, answer: Answer, peer: &str) {
+        if let Some(text) = answer.config {
+            match news::read_object(&text) {
+                Ok(object) => self.read_config(&object),
+                Err(error) => log::warn!(step = "read news", peer = peer; "{error}"),
+            }
+        }
+        if let Some((revision, targets)) = answer.targets {
+            let mut directory = self.directory.lock();
+            directory.adopt(Revision(revision), targets, Instant::now());
+            self.publish(&directory);
+        }
+        self.history.learn(answer.membership);
     }
 
     /// Connections that this entry may have to a target.
@@ -135,7 +295,7 @@
             .as_ref()
             .and_then(|snapshot| snapshot.table.config.services.get(service));
         let all = limits.map_or(CONNECTIONS, |limits| limits.connections);
-        let entries = self.entries.load(Ordering::Relaxed) as f64;
+        let entries = self.fleet().entries as f64;
         let share = f64::from(all) * CONNECTION_SHARE / entries;
         (share as u32).max(2)
     }
@@ -152,7 +312,7 @@
     }
 
     /// Puts a configuration in force unless a newer one is.
-    pub fn configure(&self, config: Config) {
+    pub fn configure(&self, config: Config, object: String) {
         let mut snapshot = self.snapshot.write();
         let current = snapshot
             .as_ref()
@@ -166,7 +326,7 @@
             "configuration is in force"
         );
         let table = Table::new(config);
-        *snapshot = Some(Arc::new(Snapshot { table }));
+        *snapshot = Some(Arc::new(Snapshot { table, object }));
     }
 
     /// Takes news from the object store.
@@ -174,23 +334,25 @@
         match (kind, news) {
             (_, News::Lost) => self.lose(),
             (_, News::Regained) => self.regain(),
-            (Kind::Config, News::Listed(objects)) => {
+            (Kind::Config, News::Listed(objects, _)) => {
                 objects.iter().for_each(|object| self.read_config(object));
             }
-            (Kind::Config, News::Changed(changes)) => {
+            (Kind::Config, News::Changed(changes, _)) => {
                 for change in changes {
                     if let Change::Put(object) = change {
                         self.read_config(object);
                     }
                 }
             }
-            (Kind::Targets, News::Listed(objects)) => {
+            (Kind::Targets, News::Listed(objects, revision)) => {
                 let mut directory = self.directory.lock();
                 directory.list(objects, &*self.dialect, Instant::now());
+                directory.revision = directory.revision.max(*revision);
                 self.publish(&directory);
             }
-            (Kind::Targets, News::Changed(changes)) => {
+            (Kind::Targets, News::Changed(changes, revision)) => {
                 let mut directory = self.directory.lock();
+                directory.revision = directory.revision.max(*revision);
                 for change in changes {
                     directory.change(change, &*self.dialect, Instant::now());
                 }
@@ -219,7 +381,7 @@
 
     fn read_config(&self, object: &Object) {
         match self.dialect.config(object) {
-            Ok(config) => self.configure(config),
+            Ok(config) => self.configure(config, news::write_object(object)),
             Err(error) => {
                 log::error!(
                     step = "read configuration", peer = object.name.as_str();
@@ -240,5 +402,6 @@
         self.publish(&directory);
         drop(directory);
         self.pool.expire();
+        self.peers.lock().expire(self.time());
     }
 }
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::balance;
+use crate::balance::Prompt;
 use crate::body::Body;
 use crate::chain::Found;
 use crate::config::Stream;
@@ -95,6 +96,8 @@
     pub urgency: Option<u8>,
     pub tries: Tries,
     pub tokens_per_event: u64,
+    /// What an engine may have read of the prompt.
+    pub prompt: Prompt,
 }
 
 /// Runs a turn; its stream is relayed while it runs.
@@ -105,20 +108,23 @@
     input: Bytes,
 ) -> Result<Response<Body>, Refusal> {
     let deadline = job.deadline.min(Instant::now() + HISTORY_TIMEOUT);
+    let seen = job.call.program.as_ref();
+    let seen = seen.and_then(|program| state.programs.lock().target(program));
+    let likely = likely_target(state, &job, prompt(&job, seen));
     let (reserved, body) = tokio::join!(
-        reserve(state, &job, stream, deadline),
+        reserve(state, &job, stream, likely, deadline),
         build(state, &job, stream, &input, deadline)
     );
-    let (reserved, body) = (reserved?, body?);
-    let urgency = Some(urgency(&job));
+    let ((reserved, elsewhere), body) = (reserved?, body?);
     let mut running = Running {
         tokens_per_event: state.tokens_per_event(&job.service),
+        prompt: prompt(&job, seen.or(elsewhere)),
+        urgency: Some(urgency(&job)),
         job,
         body,
         input,
         stream,
         reserved,
-        urgency,
         tries: Tries::default(),
     };
     let answer = dispatch(state, &mut running, None).await?;
@@ -155,13 +161,31 @@
 }
 
 fn next(state: &State, running: &mut Running) -> Result<Entry, Refusal> {
-    let job = &running.job;
-    let name = match &job.call.program {
-        Some(program) => program.as_str(),
-        None => job.call.request.as_str(),
-    };
-    let affinity = balance::key(&[name]);
-    running.tries.next(state, job, Some(affinity))
+    let entry = running
+        .tries
+        .next(state, &running.job, running.prompt, None)?;
+    if let Some(program) = &running.job.call.program {
+        let target = balance::hash(&entry.target.id);
+        state.programs.lock().set_target(program, target);
+    }
+    Ok(entry)
+}
+
+/// What an engine may have read of a turn's prompt, if the program's newest turn ran there.
+fn prompt(job: &Job, target: Option<u32>) -> Prompt {
+    match target {
+        Some(target) => Prompt::Known {
+            target,
+            tokens: job.call.context_tokens,
+        },
+        None => Prompt::New,
+    }
+}
+
+/// Hash of the target that will run a turn, as far as can be told before its budget is known.
+fn likely_target(state: &State, job: &Job, prompt: Prompt) -> u32 {
+    let entry = Tries::default().next(state, job, prompt, None);
+    entry.map_or(0, |entry| balance::hash(&entry.target.id))
 }
 
 fn relay(state: &Arc<State>, running: Running, answer: Answer) -> Response<Body> {
@@ -190,12 +214,16 @@
     state: &Arc<State>,
     job: &Job,
     stream: Stream,
+    target: u32,
     deadline: Instant,
-) -> Result<Option<Reserved>, Refusal> {
+) -> Result<(Option<Reserved>, Option<u32>), Refusal> {
     let (Some(program), Some(budget), Some(tokens)) =
         (&job.call.program, job.call.budget, job.call.tokens)
     else {
-        return Ok(None);
+        if let Some(customer) = &job.customer {
+            state.admit(customer, false)?;
+        }
+        return Ok((None, None));
     };
     let reservation = Reservation {
         account: Account {
@@ -205,6 +233,7 @@
         turn: job.call.request.clone(),
         most: tokens.most,
         budget,
+        target,
         expires: Wall::now().after(stream.retention),
     };
     let reserved = Reserved {
@@ -218,7 +247,12 @@
         .reserve(&reserved.reservation, deadline)
         .await
     {
-        Ok(Grant::Granted) => Ok(Some(reserved)),
+        Ok(Grant::Granted { first, target }) => {
+            if let Some(customer) = &job.customer {
+                state.admit(customer, first)?;
+            }
+            Ok((Some(reserved), target))
+        }
         Ok(Grant::Spent(taken)) => {
             log::info!(
                 step = "reserve", peer = "history", request = job.call.request.as_str(),
--- a/crates/history/src/account.rs
+++ b/crates/history/src/account.rs
@@ -7,6 +7,7 @@
 use coord::id::Request;
 
 use crate::Map;
+use crate::record::Entry;
 use crate::record::State;
 
 /// Turns in progress from which on an account is read once more before the last tokens are given
@@ -17,6 +18,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct View {
     charges: Map<Request, State>,
+    /// Hash of the target of the newest turn, if one was shown.
+    pub target: Option<u32>,
 }
 
 /// Whether a turn may run.
@@ -34,13 +37,20 @@
 
 impl View {
     /// Adds what one disk showed.
-    pub fn merge(&mut self, charges: impl IntoIterator<Item = (Request, State)>) {
-        for (turn, state) in charges {
+    pub fn merge(&mut self, charges: Vec<Entry>) {
+        let newest = charges.iter().rev().find(|entry| entry.target != 0);
+        self.target = newest.map(|entry| entry.target).or(self.target);
+        for Entry { turn, state, .. } in charges {
             let known = self.charges.entry(turn).or_insert(state);
             *known = known.merge(state);
         }
     }
 
+    /// Whether no other turn than this is known.
+    pub fn is_first(&self, turn: &Request) -> bool {
+        self.charges.keys().all(|other| other == turn)
+    }
+
     /// Tokens that other turns than this have taken or may still take.
     pub fn taken_by_others(&self, turn: &Request) -> u64 {
         let others = self.charges.iter().filter(|(other, _)| *other != turn);
--- a/crates/history/src/client.rs
+++ b/crates/history/src/client.rs
@@ -40,7 +40,12 @@
 /// Whether a turn may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Grant {
-    Granted,
+    Granted {
+        /// Whether no other turn of the program is known.
+        first: bool,
+        /// Hash of the target of the program's newest turn.
+        target: Option<u32>,
+    },
     /// The budget doesn't hold the turn; this much is taken by others.
     Spent(u64),
 }
@@ -54,6 +59,8 @@
     pub most: u64,
     /// Tokens that all turns of the program may generate.
     pub budget: u64,
+    /// Hash of the target that is to run the turn.
+    pub target: u32,
     pub expires: Wall,
 }
 
@@ -88,6 +95,7 @@
             account: reservation.account.clone(),
             turn: reservation.turn.clone(),
             state: State::Reserved(reservation.most),
+            target: reservation.target,
             expires: reservation.expires,
         };
         let mut seen = account::View::default();
@@ -102,7 +110,11 @@
                 confirmed,
             );
             match verdict {
-                Verdict::Granted => return Ok(Grant::Granted),
+                Verdict::Granted => {
+                    let first = seen.is_first(&reservation.turn);
+                    let target = seen.target;
+                    return Ok(Grant::Granted { first, target });
+                }
                 Verdict::Spent { taken } => return Ok(Grant::Spent(taken)),
                 Verdict::Confirm => {
                     confirmed = true;
@@ -307,6 +319,7 @@
         account: reservation.account.clone(),
         turn: reservation.turn.clone(),
         state: State::Settled(tokens),
+        target: reservation.target,
         expires: reservation.expires,
     })
 }
--- a/crates/history/src/index.rs
+++ b/crates/history/src/index.rs
@@ -14,8 +14,8 @@
 use crate::message::Position;
 use crate::record::Account;
 use crate::record::Charge;
+use crate::record::Entry;
 use crate::record::Record;
-use crate::record::State;
 use crate::record::Turn;
 use crate::segment::Number;
 use crate::time::CLOCK_SLACK;
@@ -38,7 +38,8 @@
 
 #[derive(Debug, Default)]
 struct Budget {
-    charges: Vec<(Request, State)>,
+    /// In the order in which they came.
+    charges: Vec<Entry>,
     expires: Wall,
 }
 
@@ -110,14 +111,18 @@
         let known = budget
             .charges
             .iter_mut()
-            .find(|(turn, _)| *turn == charge.turn);
+            .find(|entry| entry.turn == charge.turn);
         let changed = match known {
-            Some((_, state)) => {
-                let merged = state.merge(charge.state);
-                std::mem::replace(state, merged) != merged
+            Some(entry) => {
+                let merged = entry.state.merge(charge.state);
+                std::mem::replace(&mut entry.state, merged) != merged
             }
             None => {
-                budget.charges.push((charge.turn.clone(), charge.state));
+                budget.charges.push(Entry {
+                    turn: charge.turn.clone(),
+                    state: charge.state,
+                    target: charge.target,
+                });
                 true
             }
         };
@@ -149,7 +154,7 @@
     }
 
     /// Charges of an account.
-    pub fn charges(&self, account: &Account) -> Vec<(Request, State)> {
+    pub fn charges(&self, account: &Account) -> Vec<Entry> {
         let budget = self.budgets.get(account);
         budget.map_or_else(Vec::new, |budget| budget.charges.clone())
     }
@@ -190,11 +195,12 @@
             Key::Turn(id) => self.turns.get(id).map(|kept| Record::Turn(kept.turn(id))),
             Key::Charge(account, turn) => {
                 let budget = self.budgets.get(account)?;
-                let found = budget.charges.iter().find(|(known, _)| known == turn)?;
+                let found = budget.charges.iter().find(|entry| entry.turn == *turn)?;
                 Some(Record::Charge(Charge {
                     account: account.clone(),
                     turn: turn.clone(),
-                    state: found.1,
+                    state: found.state,
+                    target: found.target,
                     expires: budget.expires,
                 }))
             }
--- a/crates/history/src/message.rs
+++ b/crates/history/src/message.rs
@@ -16,8 +16,8 @@
 use crate::record::Account;
 use crate::record::Charge;
 use crate::record::Disk;
+use crate::record::Entry;
 use crate::record::Record;
-use crate::record::State;
 use crate::record::Turn;
 
 /// Bytes of a call's head: disk and epoch.
@@ -52,7 +52,7 @@
 pub enum Answer {
     Appended,
     Account {
-        charges: Vec<(Request, State)>,
+        charges: Vec<Entry>,
         /// Whether charges that aren't shown may have counted before this disk did.
         complete: bool,
     },
--- a/crates/history/src/record.rs
+++ b/crates/history/src/record.rs
@@ -42,10 +42,21 @@
     pub account: Account,
     pub turn: Request,
     pub state: State,
+    /// Hash of the target that was to run the turn; its memory may hold the program's prompts.
+    pub target: u32,
     /// End of retention.
     pub expires: Wall,
 }
 
+/// What an account shows of one turn.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    pub turn: Request,
+    pub state: State,
+    /// Hash of the target that was to run the turn.
+    pub target: u32,
+}
+
 /// A program's budget: its customer and name.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Account {
