--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -42,7 +42,10 @@
     };
     if state.is_draining() {
         let headers = response.headers_mut();
-        headers.insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+        headers.insert(
+            header::CONNECTION,
+            header::HeaderValue::from_static("close"),
+        );
     }
     Ok(response)
 }
@@ -109,7 +112,7 @@
                 state.admit(customer, false)?;
             }
             let response = plain::answer(state, &job, body).await?;
-            job.log_end(&job.service, "answered", 0);
+            job.log_end(&job.service, "answered", None);
             Ok(response)
         }
     }
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -10,10 +10,12 @@
 
 use crate::directory::Entry;
 
-/// Tokens to read that hold up an engine as much as one more request in its batch does: the
-/// engines of both sites read some 150 tokens a millisecond, and a request adds some 27 ms to the
-/// others' turns.
-const TOKENS_PER_REQUEST: f64 = 375.0;
+/// Tokens to read that hold up an engine as much as one more request in its batch does: at ten
+/// requests, the engines of both sites lose some 19 ms to either.
+const TOKENS_PER_REQUEST: f64 = 250.0;
+
+/// Part of the time for reading a shared part that counts: others will use it too.
+const SHARED_READING: f64 = 0.15;
 
 /// Spread of load, in requests, within which engines count as equal, so that entries which know the
 /// same loads don't all choose the same engine.
@@ -23,9 +25,12 @@
 const WAY: f64 = 0.5;
 
 /// What a request asks of its target.
-#[derive(Debug, Clone, Copy)]
+#[derive(Clone, Copy)]
 pub struct Wish<'a> {
-    pub prompt: Prompt,
+    /// What is to be read; none for plain requests.
+    pub prompt: Option<Prompt>,
+    /// Whether a target has read a shared part; both by hash.
+    pub read: &'a dyn Fn(u32, u32) -> bool,
     /// Requests with the same value go to the same target, if they ask for it.
     pub affinity: Option<u64>,
     /// Where this process runs.
@@ -34,15 +39,16 @@
     pub now_ms: u64,
 }
 
-/// What a target may have read of a request before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Prompt {
-    /// Nothing that counts.
-    None,
-    /// A first turn.
-    New,
-    /// Earlier turns of this many tokens, at the target with this hash.
-    Known { target: u32, tokens: u64 },
+/// What a turn's engine must have read; what it has read before costs nothing.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Hash of the part that other programs share.
+    pub shared: Option<u32>,
+    pub shared_tokens: u64,
+    /// Hash of the target that ran the program's newest turn.
+    pub target: Option<u32>,
+    /// Tokens of the program's own part.
+    pub own_tokens: u64,
 }
 
 /// Chooses among targets; none if all were tried.
@@ -67,9 +73,9 @@
     };
     match (wish.prompt, wish.affinity) {
         _ if candidates.is_empty() => None,
-        (Prompt::None, Some(key)) => ranked(&candidates, key),
-        (Prompt::None, None) => less_loaded(&candidates, wish, random),
-        (prompt, _) => cheapest(&candidates, prompt, random),
+        (Some(prompt), _) => cheapest(&candidates, prompt, wish.read, random),
+        (None, Some(key)) => ranked(&candidates, key),
+        (None, None) => less_loaded(&candidates, wish, random),
     }
 }
 
@@ -77,22 +83,13 @@
 fn cheapest<'a>(
     candidates: &[&'a Entry],
     prompt: Prompt,
+    read: &dyn Fn(u32, u32) -> bool,
     random: [u32; 2],
 ) -> Option<&'a Entry> {
-    let start = random[0] as usize % candidates.len();
-    let rotated = candidates[start..].iter().chain(&candidates[..start]);
     let mut best: Option<(f64, &Entry)> = None;
-    for (index, entry) in rotated.enumerate() {
-        let reading = match prompt {
-            Prompt::Known { target, tokens } if target != hash(&entry.target.id) => {
-                tokens as f64 / TOKENS_PER_REQUEST
-            }
-            _ => 0.0,
-        };
-        let jitter = match prompt {
-            Prompt::New => uniform(random[1], index) * SPREAD,
-            _ => 0.0,
-        };
+    for (index, entry) in candidates.iter().enumerate() {
+        let jitter = uniform(random[0].wrapping_add(random[1]), index) * SPREAD;
+        let reading = reading(prompt, hash(&entry.target.id), read) / TOKENS_PER_REQUEST;
         let cost = f64::from(entry.running()) + reading + jitter;
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, entry));
@@ -101,6 +98,19 @@
     best.map(|(_, entry)| entry)
 }
 
+/// Tokens that a target would have to read anew.
+fn reading(prompt: Prompt, target: u32, read: &dyn Fn(u32, u32) -> bool) -> f64 {
+    let shared = match prompt.shared {
+        Some(shared) if !read(shared, target) => prompt.shared_tokens as f64 * SHARED_READING,
+        _ => 0.0,
+    };
+    let own = match prompt.target {
+        Some(known) if known != target => prompt.own_tokens as f64,
+        _ => 0.0,
+    };
+    shared + own
+}
+
 /// A number from 0 to 1 for each index.
 fn uniform(random: u32, index: usize) -> f64 {
     let mixed = random.wrapping_mul(2 * index as u32 + 1).rotate_left(13);
@@ -144,7 +154,11 @@
     let cost = |entry: &Entry| {
         let near = entry.target.data_centre.as_str() == wish.data_centre;
         let load = f64::from(entry.running()) / f64::from(entry.target.slots.max(1));
-        load + if near { 0.0 } else { WAY / f64::from(entry.target.slots.max(1)) }
+        load + if near {
+            0.0
+        } else {
+            WAY / f64::from(entry.target.slots.max(1))
+        }
     };
     match cost(one) <= cost(two) {
         true => Some(one),
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -112,7 +112,9 @@
         for id in missing {
             self.remove(&id, now);
         }
-        targets.into_iter().for_each(|target| self.put_target(target));
+        targets
+            .into_iter()
+            .for_each(|target| self.put_target(target));
     }
 
     /// Takes a change of one registration.
@@ -145,9 +147,7 @@
                 }
                 return;
             }
-            Some(known) if known.entry.target.born == target.born => {
-                Arc::clone(&known.entry.load)
-            }
+            Some(known) if known.entry.target.born == target.born => Arc::clone(&known.entry.load),
             _ => Arc::default(),
         };
         log::info!(
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -51,9 +51,9 @@
     /// The turn that this one continues.
     pub previous: Option<Request>,
     /// The shared part that the prompt starts with.
-    pub shared_prefix: Option<u64>,
-    /// Tokens of the prompt behind the shared part that an earlier turn has read.
-    pub context_tokens: u64,
+    pub shared_prefix: Option<Part>,
+    /// Tokens of the prompt behind the shared part.
+    pub own_tokens: u64,
     /// Whether the caller goes on with a stream that broke.
     pub resumes: bool,
 }
@@ -68,6 +68,13 @@
     }
 }
 
+/// A part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    pub id: u64,
+    pub tokens: u64,
+}
+
 /// Tokens of a turn.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TokenUse {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -62,6 +62,8 @@
     pub totals: Vec<(Customer, Total)>,
     /// Requests at targets, by the hash of the target's id.
     pub running: Vec<(u32, u32)>,
+    /// Shared parts of prompts that targets have read of late; both by hash.
+    pub read: Vec<(u32, u32)>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -257,19 +259,23 @@
                 && object.spec != spec
             {
                 let revision = object.revision;
-                objects
-                    .update(Kind::Entries, host, revision, spec)
-                    .await?;
+                objects.update(Kind::Entries, host, revision, spec).await?;
             }
         }
         Err(error) => return Err(error),
     }
     let listing = objects.list(Kind::Entries).await?;
-    for object in listing.objects.iter().filter(|object| object.name != **host) {
+    for object in listing
+        .objects
+        .iter()
+        .filter(|object| object.name != **host)
+    {
         let address = object.spec.get("address").and_then(|value| value.as_str());
         match address.map(str::parse) {
             Some(Ok(address)) => state.meet(address),
-            _ => log::warn!(step = "read entry", peer = object.name.as_str(); "entry without an address"),
+            _ => {
+                log::warn!(step = "read entry", peer = object.name.as_str(); "entry without an address")
+            }
         }
     }
     Ok(())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod news;
 pub mod plain;
 pub mod pool;
+pub mod prefix;
 pub mod program;
 pub mod quota;
 pub mod refusal;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -67,7 +67,9 @@
     if let Err(error) = node::socket::prepare(&stream) {
         log::debug!(step = "accept", peer:% = peer; "{error}");
     }
-    let limits = state.snapshot().map(|snapshot| snapshot.table.config.limits);
+    let limits = state
+        .snapshot()
+        .map(|snapshot| snapshot.table.config.limits);
     let idle = limits.map_or(IDLE_DEFAULT, |limits| limits.idle_timeout);
     let head = limits.map_or(HEADER_DEFAULT, |limits| limits.header_bytes);
     let state = Arc::clone(state);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -35,7 +35,7 @@
     };
     let mut tries = Tries::default();
     loop {
-        let entry = tries.next(state, job, Prompt::None, affinity(job))?;
+        let entry = tries.next(state, job, None, affinity(job))?;
         let answered = match send::send(state, &entry, &attempt).await {
             Ok(answer) => collect(answer, job).await,
             Err(error) => Err(error),
@@ -70,7 +70,7 @@
         &mut self,
         state: &State,
         job: &Job,
-        prompt: Prompt,
+        prompt: Option<Prompt>,
         affinity: Option<u64>,
     ) -> Result<Entry, Refusal> {
         if Instant::now() >= job.deadline {
@@ -79,8 +79,11 @@
         let services = state.services();
         let entries = services.get(&job.service).map_or(&[][..], Vec::as_slice);
         let tried: Vec<&str> = self.tried.iter().map(|id| id.as_str()).collect();
+        let prefixes = state.prefixes.lock();
+        let read = |shared, target| prefixes.is_read(shared, target, state.time());
         let wish = Wish {
             prompt,
+            read: &read,
             affinity,
             data_centre: state.settings.data_centre.as_str(),
             now_ms: state.now_ms(),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -28,7 +28,10 @@
     /// The turn to continue doesn't exist.
     NoTurn,
     /// Nothing was sent to a target, or none of them ran it.
-    Unavailable { cause: String, retry: Duration },
+    Unavailable {
+        cause: String,
+        retry: Duration,
+    },
     /// A target may have run the request, and its answer is lost.
     Lost(String),
     /// The caller's time is up; a target may have run the request.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -48,19 +48,31 @@
     }
 
     /// Logs how the request ended.
-    pub fn log_end(&self, peer: &str, outcome: &str, events: u64) {
+    pub fn log_end(&self, peer: &str, outcome: &str, turn: Option<Timing>) {
         let customer = self.customer.as_ref().map_or("", |c| c.name.as_str());
         let program = self.call.program.as_ref().map_or("", |p| p.as_str());
+        let turn = turn.unwrap_or_default();
         log::info!(
             step = "answer", peer = peer, request = self.call.request.as_str(),
             program = program, customer = customer, route = self.route.name.as_str(),
-            version = self.version.0, events = events,
+            version = self.version.0, events = turn.events, sent_ms = turn.sent_ms,
+            first_event_ms = turn.first_event_ms.unwrap_or(0),
             took_ms = self.received.elapsed().as_millis() as u64;
             "{outcome}"
         );
     }
 }
 
+/// When the parts of a turn happened, since its request came.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Timing {
+    pub events: u64,
+    /// When it was first sent to an engine, in milliseconds.
+    pub sent_ms: u64,
+    /// When its first event came, in milliseconds.
+    pub first_event_ms: Option<u64>,
+}
+
 /// When a caller that was turned away should come back; spread, so that not all come at once.
 pub fn retry_pause() -> Duration {
     Duration::from_millis(rand::random_range(RETRY_PAUSE_MS))
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -140,12 +140,7 @@
 }
 
 /// Whether an answer is one to this request, and what it says of having run.
-fn check(
-    status: &StatusCode,
-    headers: &HeaderMap,
-    reply: &Reply,
-    job: &Job,
-) -> Result<(), Error> {
+fn check(status: &StatusCode, headers: &HeaderMap, reply: &Reply, job: &Job) -> Result<(), Error> {
     let promise = matches!(
         *status,
         StatusCode::REQUEST_TIMEOUT
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,7 @@
 use crate::news::Answer;
 use crate::news::Question;
 use crate::pool::Pool;
+use crate::prefix::Prefixes;
 use crate::program::Programs;
 use crate::quota::Quotas;
 use crate::refusal::Refusal;
@@ -67,6 +68,7 @@
     pub pool: Arc<Pool>,
     pub chains: Mutex<chain::Cache>,
     pub programs: Mutex<Programs>,
+    pub prefixes: Mutex<Prefixes>,
     started: Instant,
     snapshot: RwLock<Option<Arc<Snapshot>>>,
     directory: Mutex<Directory>,
@@ -98,6 +100,7 @@
             pool: Arc::default(),
             chains: Mutex::new(chain::Cache::new(CHAIN_BYTES)),
             programs: Mutex::default(),
+            prefixes: Mutex::default(),
             started: Instant::now(),
             snapshot: RwLock::default(),
             directory: Mutex::default(),
@@ -202,6 +205,11 @@
         let silent = peers.hear(address, report, now);
         let (fleet, running) = (peers.fleet(now), peers.running(now));
         drop(peers);
+        let mut prefixes = self.prefixes.lock();
+        for (prefix, target) in &report.read {
+            prefixes.note(*prefix, *target, now);
+        }
+        drop(prefixes);
         let peer = (crate::balance::key(&[&report.host]), report.incarnation);
         self.quotas
             .lock()
@@ -232,6 +240,7 @@
             leaving: self.is_draining(),
             totals: self.quotas.lock().totals(gossip::repeat_since(now)),
             running: running.collect(),
+            read: self.prefixes.lock().recent(now),
         };
         (report, self.peers.lock().addresses())
     }
@@ -403,5 +412,6 @@
         drop(directory);
         self.pool.expire();
         self.peers.lock().expire(self.time());
+        self.prefixes.lock().expire(self.time());
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -26,6 +26,7 @@
 use crate::event::Whole;
 use crate::pool::Lease;
 use crate::refusal::Refusal;
+use crate::request::Timing;
 use crate::send;
 use crate::send::Answer;
 use crate::state::State;
@@ -74,6 +75,8 @@
     output: Vec<u8>,
     last_id: Option<String>,
     events: u64,
+    /// When the first event came.
+    first: Option<Instant>,
     expired: Pin<Box<Sleep>>,
 }
 
@@ -103,6 +106,7 @@
             output: Vec::new(),
             last_id: None,
             events: 0,
+            first: None,
             expired: Box::pin(expired),
         }
     }
@@ -166,6 +170,9 @@
         let Whole { bytes, count } =
             pushed.map_err(|event::TooLong| Broken("an event is too long".to_owned()))?;
         self.events += count;
+        if count > 0 && self.first.is_none() {
+            self.first = Some(Instant::now());
+        }
         if let Some(running) = &mut self.running {
             if let Some(reserved) = &mut running.reserved {
                 reserved.used += count * running.tokens_per_event;
@@ -173,7 +180,9 @@
             if running.stream.kept {
                 event::append_data(&bytes, &mut self.output);
             }
-            if running.stream.resumable && let Some(id) = event::last_id(&bytes) {
+            if running.stream.resumable
+                && let Some(id) = event::last_id(&bytes)
+            {
                 self.last_id = Some(String::from_utf8_lossy(id).into_owned());
             }
         }
@@ -226,7 +235,7 @@
         let Some(mut running) = self.running.take() else {
             return;
         };
-        running.job.log_end(&running.job.service, "answered", self.events);
+        self.log_end(&running, "answered");
         if !running.stream.kept {
             return;
         }
@@ -266,10 +275,22 @@
         }
     }
 
+    fn log_end(&self, running: &Running, outcome: &str) {
+        let since_received = |at: Instant| (at - running.job.received).as_millis() as u64;
+        let turn = Timing {
+            events: self.events,
+            sent_ms: since_received(running.sent),
+            first_event_ms: self.first.map(since_received),
+        };
+        running
+            .job
+            .log_end(&running.job.service, outcome, Some(turn));
+    }
+
     fn fail(&mut self, cause: String) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         self.phase = Phase::Ended;
         if let Some(running) = self.running.take() {
-            running.job.log_end(&running.job.service, &cause, self.events);
+            self.log_end(&running, &cause);
         }
         Poll::Ready(Some(Err(Broken(cause))))
     }
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -98,6 +98,8 @@
     pub tokens_per_event: u64,
     /// What an engine may have read of the prompt.
     pub prompt: Prompt,
+    /// When the turn was first sent to an engine.
+    pub sent: Instant,
 }
 
 /// Runs a turn; its stream is relayed while it runs.
@@ -119,6 +121,7 @@
     let mut running = Running {
         tokens_per_event: state.tokens_per_event(&job.service),
         prompt: prompt(&job, seen.or(elsewhere)),
+        sent: Instant::now(),
         urgency: Some(urgency(&job)),
         job,
         body,
@@ -163,28 +166,32 @@
 fn next(state: &State, running: &mut Running) -> Result<Entry, Refusal> {
     let entry = running
         .tries
-        .next(state, &running.job, running.prompt, None)?;
+        .next(state, &running.job, Some(running.prompt), None)?;
     if let Some(program) = &running.job.call.program {
         let target = balance::hash(&entry.target.id);
         state.programs.lock().set_target(program, target);
     }
+    if let Some(prefix) = running.prompt.shared {
+        let target = balance::hash(&entry.target.id);
+        state.prefixes.lock().note(prefix, target, state.time());
+    }
     Ok(entry)
 }
 
 /// What an engine may have read of a turn's prompt, if the program's newest turn ran there.
 fn prompt(job: &Job, target: Option<u32>) -> Prompt {
-    match target {
-        Some(target) => Prompt::Known {
-            target,
-            tokens: job.call.context_tokens,
-        },
-        None => Prompt::New,
+    let shared = job.call.shared_prefix;
+    Prompt {
+        shared: shared.map(|part| part.id as u32),
+        shared_tokens: shared.map_or(0, |part| part.tokens),
+        target,
+        own_tokens: job.call.own_tokens,
     }
 }
 
 /// Hash of the target that will run a turn, as far as can be told before its budget is known.
 fn likely_target(state: &State, job: &Job, prompt: Prompt) -> u32 {
-    let entry = Tries::default().next(state, job, prompt, None);
+    let entry = Tries::default().next(state, job, Some(prompt), None);
     entry.map_or(0, |entry| balance::hash(&entry.target.id))
 }
 
@@ -242,11 +249,7 @@
         used: 0,
         settled: false,
     };
-    match state
-        .history
-        .reserve(&reserved.reservation, deadline)
-        .await
-    {
+    match state.history.reserve(&reserved.reservation, deadline).await {
         Ok(Grant::Granted { first, target }) => {
             if let Some(customer) = &job.customer {
                 state.admit(customer, first)?;
--- a/crates/history/src/index.rs
+++ b/crates/history/src/index.rs
@@ -127,7 +127,8 @@
             }
         };
         if changed {
-            self.order.push_back(Key::Charge(charge.account, charge.turn));
+            self.order
+                .push_back(Key::Charge(charge.account, charge.turn));
         }
         changed
     }
@@ -218,7 +219,11 @@
         });
         self.bytes -= freed;
         self.budgets.retain(|_, budget| !ended(budget.expires));
-        while self.order.front().is_some_and(|key| self.find(key).is_none()) {
+        while self
+            .order
+            .front()
+            .is_some_and(|key| self.find(key).is_none())
+        {
             self.order.pop_front();
             self.first += 1;
         }
--- a/crates/history/src/join.rs
+++ b/crates/history/src/join.rs
@@ -122,7 +122,10 @@
         None => Ok((Membership::default(), None)),
         Some(object) => {
             let membership = serde_json::from_value(object.spec);
-            Ok((membership.wrap_err("reading the membership")?, Some(object.revision)))
+            Ok((
+                membership.wrap_err("reading the membership")?,
+                Some(object.revision),
+            ))
         }
     }
 }
@@ -156,7 +159,10 @@
 
 /// Copies from all others; `needed` of them must have shown all that they hold.
 async fn copy(server: &Server, others: &Membership, needed: usize) -> eyre::Result<()> {
-    let copies = others.members.iter().map(|member| copy_from(server, member));
+    let copies = others
+        .members
+        .iter()
+        .map(|member| copy_from(server, member));
     let results = join_all(copies).await;
     let copied = results.iter().filter(|result| result.is_ok()).count();
     match results.into_iter().find_map(Result::err) {
--- a/crates/history/src/membership.rs
+++ b/crates/history/src/membership.rs
@@ -94,8 +94,7 @@
     /// The next membership, in which `me` counts and `replaced` no longer does.
     pub fn with(&self, me: Member, replaced: Option<Disk>) -> Membership {
         let mut next = self.without(me.disk);
-        next.members
-            .retain(|member| Some(member.disk) != replaced);
+        next.members.retain(|member| Some(member.disk) != replaced);
         next.members.push(me);
         next
     }
--- a/crates/history/src/quorum.rs
+++ b/crates/history/src/quorum.rs
@@ -107,7 +107,12 @@
     let mut waiting = order.iter().filter_map(|disk| {
         let link = view.links.get(disk)?;
         let head = Head { disk: *disk, epoch };
-        Some(call(*disk, link.clone(), message::frame(head, &body), deadline))
+        Some(call(
+            *disk,
+            link.clone(),
+            message::frame(head, &body),
+            deadline,
+        ))
     });
     let mut asked = FuturesUnordered::new();
     asked.extend(waiting.by_ref().take(first));
--- a/crates/history/src/record.rs
+++ b/crates/history/src/record.rs
@@ -93,9 +93,7 @@
 }
 
 /// Name of a disk's content: drawn anew for each empty disk.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Disk(pub u64);
 
 impl std::fmt::Display for Disk {
--- a/crates/history/src/segment.rs
+++ b/crates/history/src/segment.rs
@@ -97,10 +97,7 @@
     /// Errors: the file can't be created.
     pub fn create(&self, number: Number) -> io::Result<Segment> {
         let path = file_path(&self.path, number);
-        let file = OpenOptions::new()
-            .write(true)
-            .create_new(true)
-            .open(path)?;
+        let file = OpenOptions::new().write(true).create_new(true).open(path)?;
         Ok(Segment { file, size: 0 })
     }
 
