--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -17,7 +17,7 @@
 use crate::time::Time;
 
 /// Time without a report after which an entry is taken to use its share.
-pub const SILENCE: Millis = Millis(800);
+pub const SILENCE: Millis = Millis(450);
 
 /// Fewest requests that a bucket holds, so that small customers aren't turned away by rounding.
 const SMALLEST_BURST: f64 = 4.0;
--- a/crates/history/src/index.rs
+++ b/crates/history/src/index.rs
@@ -33,6 +33,8 @@
     previous: Option<Request>,
     content: Bytes,
     expires: Wall,
+    /// Until when all turns before this one are kept at least.
+    chain_expires: Wall,
     file: Number,
 }
 
@@ -89,7 +91,7 @@
             return false;
         }
         self.keep_file(file, turn.expires);
-        self.extend(turn.previous.clone(), turn.expires);
+        let chain_expires = self.extend(turn.previous.clone(), turn.expires);
         self.bytes += turn.content.len();
         self.order.push_back(Key::Turn(turn.id.clone()));
         let kept = Kept {
@@ -98,6 +100,7 @@
             // A slice would keep the whole buffer that it was read into.
             content: Bytes::copy_from_slice(&turn.content),
             expires: turn.expires,
+            chain_expires,
             file,
         };
         self.turns.insert(turn.id, kept);
@@ -133,20 +136,23 @@
         changed
     }
 
-    /// Keeps a turn and those before it until a time.
-    fn extend(&mut self, mut turn: Option<Request>, expires: Wall) {
+    /// Keeps a turn and those before it until a time, or nearly; returns until when.
+    fn extend(&mut self, mut turn: Option<Request>, expires: Wall) -> Wall {
         while let Some(id) = turn {
             let Some(kept) = self.turns.get_mut(&id) else {
-                return;
+                return expires;
             };
-            if kept.expires.after(EXTENSION_STEP) >= expires {
-                return;
+            let certain = kept.chain_expires.min(kept.expires);
+            if certain.after(EXTENSION_STEP) >= expires {
+                return certain;
             }
-            kept.expires = expires;
+            kept.expires = kept.expires.max(expires);
+            kept.chain_expires = expires;
             let file = kept.file;
             turn = kept.previous.clone();
             self.keep_file(file, expires);
         }
+        expires
     }
 
     fn keep_file(&mut self, file: Number, expires: Wall) {
--- /dev/null
+++ b/crates/history/tests/index.rs
@@ -0,0 +1,145 @@
+//! A disk's records in memory.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use history::index::Index;
+use history::message::Position;
+use history::record::Account;
+use history::record::Charge;
+use history::record::Record;
+use history::record::State;
+use history::record::Turn;
+use history::segment::Number;
+use history::time::CLOCK_SLACK;
+use history::time::Wall;
+use rstest::rstest;
+
+const FILE: Number = Number(1);
+
+fn name<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().ok().expect("name")
+}
+
+fn turn(id: &str, previous: Option<&str>, expires: u64) -> Record {
+    Record::Turn(Turn {
+        id: name(id),
+        customer: name("c"),
+        previous: previous.map(name),
+        content: Bytes::from(id.to_owned()),
+        expires: Wall(expires),
+    })
+}
+
+fn charge(turn: &str, state: State) -> Record {
+    Record::Charge(Charge {
+        account: account(),
+        turn: name(turn),
+        state,
+        target: 0,
+        expires: Wall(60_000),
+    })
+}
+
+fn account() -> Account {
+    Account {
+        customer: name("c"),
+        program: name("p"),
+    }
+}
+
+#[rstest]
+fn a_chain_is_shown_from_its_last_turn_backwards() {
+    let mut index = Index::default();
+    index.insert(turn("a", None, 60_000), FILE);
+    index.insert(turn("b", Some("a"), 60_000), FILE);
+    index.insert(turn("other", Some("a"), 60_000), FILE);
+    let ids: Vec<String> = index
+        .chain(&name("b"))
+        .iter()
+        .map(|turn| turn.id.to_string())
+        .collect();
+    assert_eq!(ids, ["b", "a"]);
+}
+
+#[rstest]
+fn a_turn_is_kept_as_long_as_the_newest_that_continues_it() {
+    let mut index = Index::default();
+    index.insert(turn("a", None, 60_000), FILE);
+    index.insert(turn("b", Some("a"), 100_000), FILE);
+    let now = Wall(90_000).after(CLOCK_SLACK);
+    assert_eq!(index.expire(now, Number(2)), Vec::new());
+    assert_eq!(index.chain(&name("b")).len(), 2);
+}
+
+#[rstest]
+fn what_has_expired_is_forgotten_and_its_file_is_named() {
+    let mut index = Index::default();
+    index.insert(turn("a", None, 60_000), FILE);
+    index.insert(charge("a", State::Settled(5)), FILE);
+    let now = Wall(60_001).after(CLOCK_SLACK);
+    assert_eq!(index.expire(now, Number(2)), vec![FILE]);
+    assert!(index.is_empty());
+    assert_eq!(index.bytes, 0);
+    assert_eq!(index.page(Position::default()), (vec![], Position(2), true));
+}
+
+#[rstest]
+fn the_file_that_is_being_written_is_never_named() {
+    let mut index = Index::default();
+    index.insert(turn("a", None, 60_000), FILE);
+    let now = Wall(60_001).after(CLOCK_SLACK);
+    assert_eq!(index.expire(now, FILE), Vec::new());
+}
+
+#[rstest]
+#[case(State::Reserved(100), State::Settled(40))]
+#[case(State::Settled(40), State::Reserved(100))]
+fn a_settled_charge_stays_settled_in_any_order(#[case] first: State, #[case] second: State) {
+    let mut index = Index::default();
+    index.insert(charge("a", first), FILE);
+    index.insert(charge("a", second), FILE);
+    let charges = index.charges(&account());
+    assert_eq!(charges.len(), 1);
+    assert_eq!(charges[0].state, State::Settled(40));
+}
+
+#[rstest]
+fn pages_show_every_record_once_it_came_or_changed() {
+    let mut index = Index::default();
+    index.insert(turn("a", None, 60_000), FILE);
+    index.insert(charge("a", State::Reserved(100)), FILE);
+    let (records, next, end) = index.page(Position::default());
+    assert_eq!((records.len(), end), (2, true));
+    index.insert(charge("a", State::Settled(40)), FILE);
+    let (records, _, end) = index.page(next);
+    assert!(end);
+    assert_eq!(records, vec![charge("a", State::Settled(40))]);
+}
+
+#[rstest]
+fn the_same_record_again_changes_nothing() {
+    let mut index = Index::default();
+    assert!(index.insert(turn("a", None, 60_000), FILE));
+    assert!(!index.insert(turn("a", None, 90_000), FILE));
+    assert!(index.insert(charge("a", State::Reserved(1)), FILE));
+    assert!(!index.insert(charge("a", State::Reserved(1)), FILE));
+}
+
+#[rstest]
+fn a_long_chain_is_extended_to_its_first_turn() {
+    let mut index = Index::default();
+    for number in 0..50u64 {
+        let previous = number.checked_sub(1).map(|last| format!("t{last}"));
+        let expires = Wall(60_000).after(Duration::from_secs(number));
+        index.insert(
+            turn(&format!("t{number}"), previous.as_deref(), expires.0),
+            FILE,
+        );
+    }
+    let now = Wall(60_000)
+        .after(Duration::from_secs(43))
+        .after(CLOCK_SLACK);
+    index.expire(now, Number(2));
+    assert_eq!(index.chain(&name("t49")).len(), 50);
+}
