Log to standard output without blocking; add metrics, reload and tests

Settings are now read again on SIGHUP and when they change silently. Log lines go through a bounded buffer with a budget a second; what is left out is counted.

--- a/crates/entry/src/role.rs
+++ b/crates/entry/src/role.rs
@@ -1,6 +1,7 @@
 //! The roles that run on the users' platform.
 
 use std::env;
+use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
 
@@ -20,7 +21,7 @@
     };
     match role.check {
         true => command::check::<Settings>(&file),
-        false => command::serve(&file, run_front).await,
+        false => command::serve(&file, |settings| run_front(settings, &file)).await,
     }
 }
 
@@ -31,20 +32,20 @@
     };
     match role.check {
         true => command::check::<Settings>(&file),
-        false => command::serve(&file, run_history).await,
+        false => command::serve(&file, |settings| run_history(settings, &file)).await,
     }
 }
 
-async fn run_front(settings: Settings) -> eyre::Result<()> {
+async fn run_front(settings: Settings, file: &Path) -> eyre::Result<()> {
     node::log::start(&settings.host, settings.log_level)?;
     let objects = Client::new(settings.object_store);
-    gateway::controller::entry(settings, objects, Arc::new(Platform)).await
+    gateway::controller::entry(settings, file, objects, Arc::new(Platform)).await
 }
 
-async fn run_history(settings: Settings) -> eyre::Result<()> {
+async fn run_history(settings: Settings, file: &Path) -> eyre::Result<()> {
     node::log::start(&settings.host, settings.log_level)?;
     let objects = Client::new(settings.object_store);
-    gateway::controller::history(settings, objects).await
+    gateway::controller::history(settings, file, objects).await
 }
 
 /// The settings file: as named, or else by the platform's variable.
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -61,6 +61,7 @@
         status = refusal.status().as_u16(), took_ms = received.elapsed().as_millis() as u64;
         "{refusal}"
     );
+    state.instruments.refused(refusal);
     let mut response = refusal.response();
     if let Some(request) = request {
         state.dialect.name_request(response.headers_mut(), request);
@@ -112,7 +113,8 @@
                 state.admit(customer, false)?;
             }
             let response = plain::answer(state, &job, body).await?;
-            job.log_end(&job.service, "answered", None);
+            state.instruments.answered(job.received.elapsed(), None);
+            job.log_end("answered", None);
             Ok(response)
         }
     }
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -1,5 +1,7 @@
 //! The whole run of an entry and of a history host.
 
+use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +12,7 @@
 use history::server::Server;
 use history::time::Wall;
 use node::link;
+use node::metrics::Metrics;
 use node::object::Change;
 use node::object::Kind;
 use node::object::Object;
@@ -22,7 +25,10 @@
 use crate::follow::News;
 use crate::gossip;
 use crate::listener;
+use crate::metrics;
 use crate::news;
+use crate::operators;
+use crate::reload;
 use crate::settings::Settings;
 use crate::state::State;
 
@@ -53,6 +59,7 @@
 /// Errors: an address can't be bound.
 pub async fn entry<O: Objects>(
     settings: Settings,
+    file: &Path,
     objects: O,
     dialect: Arc<dyn Dialect>,
 ) -> eyre::Result<()> {
@@ -63,7 +70,9 @@
     let stop_time = Duration::from_secs_f64(settings.stop_s);
     let callers = listener::bind(callers).await?;
     let ready = listener::bind(ready).await?;
-    let state = State::new(settings, dialect);
+    let metrics = Metrics::new()?;
+    let state = State::new(settings, dialect, &metrics.meter());
+    metrics::observe_entry(&metrics.meter(), &state);
     let objects = Arc::new(objects);
     log::info!(step = "start", peer = "self"; "entry starts");
     tokio::spawn(listener::serve_ready(ready, Arc::clone(&state)));
@@ -80,10 +89,29 @@
     tokio::spawn(link::serve(peers, Arc::clone(&state)));
     tokio::spawn(news::follow(Arc::clone(&state)));
     tokio::spawn(watch_history(Arc::clone(&state)));
+    if let Some(address) = state.settings.listen.admin {
+        let view = operators::View {
+            process: operators::Process::Entry(Arc::clone(&state)),
+            metrics,
+            operators: state.settings.operators.clone(),
+        };
+        operators::serve(address, view);
+    }
+    let reloads = {
+        let state = Arc::clone(&state);
+        let port = state.settings.peer_ports.0;
+        reload::follow(file, state.settings.clone(), move |settings| {
+            let seeds = settings.seeds.iter();
+            seeds.for_each(|seed| state.meet(SocketAddr::new(seed.ip(), port)));
+        })
+    };
     let stop = watch::Sender::new(false);
     let server = listener::serve(callers, Arc::clone(&state), stop.subscribe());
     let server = tokio::spawn(server);
-    shutdown::requested().await?;
+    tokio::select! {
+        requested = shutdown::requested() => requested?,
+        reloads = reloads => reloads?,
+    }
     log::info!(step = "stop", peer = "self"; "planned stop begins");
     state.drain();
     tokio::time::sleep(LINGER).await;
@@ -147,7 +175,7 @@
 /// Runs a history host until a planned stop.
 ///
 /// Errors: no disk, or it can't be read; an address can't be bound.
-pub async fn history<O: Objects>(settings: Settings, objects: O) -> eyre::Result<()> {
+pub async fn history<O: Objects>(settings: Settings, file: &Path, objects: O) -> eyre::Result<()> {
     let folder = settings.data_folder.clone();
     let folder = folder.ok_or_else(|| eyre!("data_folder is missing"))?;
     let capacity = settings.resources.disk_mb as f64 * DISK_SHARE * 1e6;
@@ -167,7 +195,20 @@
     let objects = Arc::new(objects);
     tokio::spawn(expire(Arc::clone(&server)));
     tokio::spawn(take_part(Arc::clone(&server), objects, plan));
-    shutdown::requested().await?;
+    if let Some(address) = settings.listen.admin {
+        let metrics = Metrics::new()?;
+        metrics::observe_history(&metrics.meter(), &server);
+        let view = operators::View {
+            process: operators::Process::History(Arc::clone(&server)),
+            metrics,
+            operators: settings.operators.clone(),
+        };
+        operators::serve(address, view);
+    }
+    tokio::select! {
+        requested = shutdown::requested() => requested?,
+        reloads = reload::follow(file, settings.clone(), |_| {}) => reloads?,
+    }
     log::info!(step = "stop", peer = "self"; "history host stops");
     log::logger().flush();
     Ok(())
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,209 @@
+//! Counters and histograms of an entry and of a history host; names and units stand in
+//! `docs/OPERATIONS.md`.
+
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+
+use history::server::Server;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+
+use crate::error::Error;
+use crate::refusal::Refusal;
+use crate::request::Timing;
+use crate::state::State;
+
+/// Upper bounds of time histograms, in seconds: from a round trip in a data centre to a deadline.
+const SECONDS: [f64; 14] = [
+    0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0,
+];
+
+/// Instruments of requests.
+#[derive(Debug)]
+pub struct Instruments {
+    answers: Counter<u64>,
+    refusals: Counter<u64>,
+    failures: Counter<u64>,
+    breaks: Counter<u64>,
+    events: Counter<u64>,
+    took: Histogram<f64>,
+    sent: Histogram<f64>,
+    first_event: Histogram<f64>,
+    history: Histogram<f64>,
+}
+
+/// A call to the history.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Round {
+    Reserve,
+    Keep,
+    Chain,
+}
+
+impl Instruments {
+    /// Makes the instruments.
+    pub fn new(meter: &Meter) -> Instruments {
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let seconds = |name: &'static str, text: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_description(text)
+                .with_unit("s")
+                .with_boundaries(SECONDS.to_vec())
+                .build()
+        };
+        Instruments {
+            answers: counter("teasellever_answers", "Targets' answers given to callers"),
+            refusals: counter(
+                "teasellever_refusals",
+                "Answers of the entry's own, by cause",
+            ),
+            failures: counter("teasellever_attempt_failures", "Failed attempts at targets"),
+            breaks: counter(
+                "teasellever_stream_breaks",
+                "Streams that targets broke off",
+            ),
+            events: counter("teasellever_events", "Events relayed"),
+            took: seconds(
+                "teasellever_request_seconds",
+                "Time from request to last byte",
+            ),
+            sent: seconds(
+                "teasellever_sent_seconds",
+                "Time until a turn is sent to an engine",
+            ),
+            first_event: seconds(
+                "teasellever_first_event_seconds",
+                "Time to a turn's first event",
+            ),
+            history: seconds(
+                "teasellever_history_seconds",
+                "Time of a call to the history",
+            ),
+        }
+    }
+
+    /// Notes a request that a target answered.
+    pub fn answered(&self, took: Duration, turn: Option<Timing>) {
+        self.answers.add(1, &[]);
+        let kind = if turn.is_some() { "turn" } else { "plain" };
+        self.took
+            .record(took.as_secs_f64(), &[KeyValue::new("kind", kind)]);
+        let Some(turn) = turn else {
+            return;
+        };
+        self.events.add(turn.events, &[]);
+        self.sent.record(turn.sent_ms as f64 / 1000.0, &[]);
+        if let Some(first) = turn.first_event_ms {
+            self.first_event.record(first as f64 / 1000.0, &[]);
+        }
+    }
+
+    /// Notes an answer of the entry's own.
+    pub fn refused(&self, refusal: &Refusal) {
+        let cause = KeyValue::new("cause", refusal.label());
+        self.refusals.add(1, &[cause]);
+    }
+
+    /// Notes a failed attempt at a target.
+    pub fn failed(&self, error: &Error) {
+        let ran = match error {
+            Error::NotRun(_) => "no",
+            Error::MaybeRun(_) | Error::Timeout => "maybe",
+        };
+        self.failures.add(1, &[KeyValue::new("ran", ran)]);
+    }
+
+    /// Notes a stream that its target broke off.
+    pub fn broke(&self) {
+        self.breaks.add(1, &[]);
+    }
+
+    /// Notes a call to the history.
+    pub fn asked(&self, round: Round, took: Duration) {
+        let call = match round {
+            Round::Reserve => "reserve",
+            Round::Keep => "keep",
+            Round::Chain => "chain",
+        };
+        self.history
+            .record(took.as_secs_f64(), &[KeyValue::new("call", call)]);
+    }
+}
+
+/// Shows present values of an entry.
+pub fn observe_entry(meter: &Meter, state: &Arc<State>) {
+    let gauge = |name: &'static str, text: &'static str, value: fn(&State) -> u64| {
+        let state = Arc::downgrade(state);
+        meter
+            .u64_observable_gauge(name)
+            .with_description(text)
+            .with_callback(move |observer| {
+                if let Some(state) = Weak::upgrade(&state) {
+                    observer.observe(value(&state), &[]);
+                }
+            })
+            .build();
+    };
+    gauge(
+        "teasellever_config_version",
+        "Configuration in force",
+        |state| state.version().0,
+    );
+    gauge(
+        "teasellever_connections",
+        "Connections to targets",
+        |state| u64::from(state.pool.open()),
+    );
+    gauge("teasellever_entries", "Entries known", |state| {
+        state.entries() as u64
+    });
+    gauge(
+        "teasellever_object_store_lost",
+        "Whether the object store doesn't answer",
+        |state| u64::from(state.is_lost()),
+    );
+}
+
+/// Shows present values of a history host.
+pub fn observe_history(meter: &Meter, server: &Arc<Server>) {
+    let gauge = |name: &'static str, text: &'static str, value: fn(&Server) -> u64| {
+        let server = Arc::downgrade(server);
+        meter
+            .u64_observable_gauge(name)
+            .with_description(text)
+            .with_callback(move |observer| {
+                if let Some(server) = Weak::upgrade(&server) {
+                    observer.observe(value(&server), &[]);
+                }
+            })
+            .build();
+    };
+    gauge("teasellever_turns", "Turns kept", |server| {
+        server.size().0 as u64
+    });
+    gauge("teasellever_accounts", "Programs' budgets kept", |server| {
+        server.size().1 as u64
+    });
+    gauge(
+        "teasellever_turn_bytes",
+        "Bytes of the turns kept",
+        |server| server.size().2 as u64,
+    );
+    gauge("teasellever_syncs", "Syncs since the start", |server| {
+        server.syncs().0
+    });
+    gauge(
+        "teasellever_sync_micros",
+        "Time of all syncs, in microseconds",
+        |server| server.syncs().1,
+    );
+    gauge("teasellever_epoch", "Epoch of the membership", |server| {
+        server.membership().epoch.0
+    });
+}
--- /dev/null
+++ b/crates/gateway/src/operators.rs
@@ -0,0 +1,79 @@
+//! What operators see of a process: a dump of its state, its metrics and whether it serves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use history::server::Server;
+use node::admin;
+use node::admin::Page;
+use node::admin::Source;
+use node::metrics::Metrics;
+use node::operator::Operator;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::state::State;
+
+/// A process that operators look at.
+#[derive(Debug)]
+pub enum Process {
+    Entry(Arc<State>),
+    History(Arc<Server>),
+}
+
+/// The operators' view of a process.
+#[derive(Debug)]
+pub struct View {
+    pub process: Process,
+    pub metrics: Metrics,
+    pub operators: Vec<Operator>,
+}
+
+impl Source for View {
+    fn dump(&self, page: &Page) -> Value {
+        match &self.process {
+            Process::Entry(state) => state.dump(page),
+            Process::History(server) => dump_history(server),
+        }
+    }
+
+    fn healthy(&self) -> bool {
+        match &self.process {
+            Process::Entry(state) => state.is_ready(),
+            Process::History(server) => !server.joining(),
+        }
+    }
+
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    fn operators(&self) -> &[Operator] {
+        &self.operators
+    }
+}
+
+fn dump_history(server: &Server) -> Value {
+    let (turns, accounts, bytes) = server.size();
+    json!({
+        "disk": server.disk().to_string(),
+        "membership": server.membership(),
+        "joining": server.joining(),
+        "turns": turns,
+        "accounts": accounts,
+        "turn_bytes": bytes,
+    })
+}
+
+/// Serves operators for as long as the process runs. A process whose address is taken serves
+/// callers all the same.
+pub fn serve(address: SocketAddr, view: View) {
+    match admin::serve(address, admin::describe::<View>(), view) {
+        Ok(server) => {
+            tokio::spawn(server);
+        }
+        Err(error) => {
+            log::error!(step = "serve operators", peer:% = address; "{error:#}");
+        }
+    }
+}
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -33,6 +33,8 @@
     quota: Quota,
     limits: (f64, u32),
     changed: Time,
+    /// Until when the rate is promised to programs that were told to come back.
+    promised: Time,
 }
 
 /// Buckets of all customers.
@@ -70,22 +72,20 @@
             true => Use::Start(self.program_requests),
             false => Use::Follow,
         };
-        let taken = match self.entry(limits, fleet, now) {
-            None => Take::Granted,
-            Some(entry) => {
-                let taken = entry.quota.take(usage, fleet, now);
-                if taken == Take::Granted {
-                    entry.changed = now;
-                }
-                taken
-            }
+        let Some(entry) = self.entry(limits, fleet, now) else {
+            self.count(first);
+            return Ok(());
         };
-        match taken {
-            Take::Granted => {
+        match (entry.quota.take(usage, fleet, now), usage) {
+            (Take::Granted, _) => {
+                entry.changed = now;
                 self.count(first);
                 Ok(())
             }
-            Take::Wait(wait) => Err(Refusal::OverRate(pause(wait))),
+            (Take::Wait(wait), Use::Follow) => Err(Refusal::OverRate(pause(wait))),
+            (Take::Wait(wait), Use::Start(cost)) => {
+                Err(Refusal::OverRate(entry.promise(wait, cost, now)))
+            }
         }
     }
 
@@ -98,13 +98,10 @@
         fleet: Fleet,
         now: Time,
     ) -> Result<(), Refusal> {
-        let per_request = limits.rate.map_or(0.0, |rate| 1.0 / rate.per_second());
+        let per_request = limits.rate.map_or(0.0, |rate| 1000.0 / rate.per_second());
         let entry = self.entry(limits, fleet, now);
         match entry.is_some_and(|entry| entry.quota.is_empty(fleet, now)) {
-            true => {
-                let wait = Duration::try_from_secs_f64(per_request).unwrap_or(LONGEST_WAIT);
-                Err(Refusal::OverRate(wait.min(LONGEST_WAIT)))
-            }
+            true => Err(Refusal::OverRate(pause(Millis(per_request as u64)))),
             false => Ok(()),
         }
     }
@@ -145,6 +142,7 @@
             quota: Quota::new(rate, limits.burst, fleet, now),
             limits: key,
             changed: now,
+            promised: now,
         });
         if entry.limits != key {
             entry.limits = key;
@@ -165,6 +163,20 @@
     }
 }
 
+impl Entry {
+    /// When a program that was turned away should come back: behind those that were told before.
+    fn promise(&mut self, wait: Millis, cost: f64, now: Time) -> Duration {
+        let (rate, _) = self.limits;
+        let each = Millis((cost / rate.max(f64::MIN_POSITIVE) * 1000.0) as u64);
+        let earliest = now + wait;
+        let behind = self.promised + each;
+        let latest = now + Millis(LONGEST_WAIT.as_millis() as u64);
+        let slot = earliest.max(behind).min(latest);
+        self.promised = slot;
+        pause(slot.since(now))
+    }
+}
+
 fn pause(wait: Millis) -> Duration {
     Duration::from_millis(wait.0).min(LONGEST_WAIT)
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -54,6 +54,23 @@
         }
     }
 
+    /// One word for metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Refusal::Malformed(_) => "malformed",
+            Refusal::TooLong => "too_long",
+            Refusal::NotConfigured => "not_configured",
+            Refusal::NoRoute => "no_route",
+            Refusal::NoKey => "no_key",
+            Refusal::OverRate(_) => "over_rate",
+            Refusal::BudgetSpent => "budget_spent",
+            Refusal::NoTurn => "no_turn",
+            Refusal::Unavailable { .. } => "unavailable",
+            Refusal::Lost(_) => "lost",
+            Refusal::Timeout => "timeout",
+        }
+    }
+
     /// When to come back.
     pub fn retry(&self) -> Option<Duration> {
         const SOON: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -48,12 +48,12 @@
     }
 
     /// Logs how the request ended.
-    pub fn log_end(&self, peer: &str, outcome: &str, turn: Option<Timing>) {
+    pub fn log_end(&self, outcome: &str, turn: Option<Timing>) {
         let customer = self.customer.as_ref().map_or("", |c| c.name.as_str());
         let program = self.call.program.as_ref().map_or("", |p| p.as_str());
         let turn = turn.unwrap_or_default();
         log::info!(
-            step = "answer", peer = peer, request = self.call.request.as_str(),
+            step = "answer", peer = self.service.as_str(), request = self.call.request.as_str(),
             program = program, customer = customer, route = self.route.name.as_str(),
             version = self.version.0, events = turn.events, sent_ms = turn.sent_ms,
             first_event_ms = turn.first_event_ms.unwrap_or(0),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -68,6 +68,7 @@
         Err(Error::Timeout) => {}
         Err(error) => {
             pool::failed(&entry.load, state.now_ms());
+            state.instruments.failed(error);
             log::info!(
                 step = "send", peer = entry.target.id.as_str(),
                 request = attempt.job.call.request.as_str(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,13 +7,14 @@
 use compact_str::CompactString;
 use coord::id::DataCentre;
 use node::log::Level;
+use node::operator::Operator;
 use node::settings::Check;
 use node::settings::Invalid;
 use serde::Deserialize;
 use serde::Deserializer;
 
 /// Settings of one process.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the host.
@@ -40,10 +41,13 @@
     pub stop_s: f64,
     #[serde(default)]
     pub log_level: Level,
+    /// Who may see a dump of the state.
+    #[serde(default)]
+    pub operators: Vec<Operator>,
 }
 
 /// Where an entry listens.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// For callers.
@@ -58,7 +62,7 @@
 }
 
 /// What the process may use.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Resources {
     /// Share of a processor's core.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,12 +9,16 @@
 
 use coord::quota::Fleet;
 use coord::time::Time;
+use node::admin::Page;
 use node::object::Change;
 use node::object::Kind;
 use node::object::Object;
 use node::object::Revision;
+use opentelemetry::metrics::Meter;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
+use serde_json::Value;
+use serde_json::json;
 use tokio::time::Instant;
 
 use crate::chain;
@@ -29,6 +33,7 @@
 use crate::gossip;
 use crate::gossip::Peers;
 use crate::gossip::Report;
+use crate::metrics::Instruments;
 use crate::news;
 use crate::news::Answer;
 use crate::news::Question;
@@ -66,6 +71,7 @@
     pub dialect: Arc<dyn Dialect>,
     pub history: history::client::Client,
     pub pool: Arc<Pool>,
+    pub instruments: Instruments,
     pub chains: Mutex<chain::Cache>,
     pub programs: Mutex<Programs>,
     pub prefixes: Mutex<Prefixes>,
@@ -91,13 +97,14 @@
 
 impl State {
     /// The state of an entry that knows nothing yet.
-    pub fn new(settings: Settings, dialect: Arc<dyn Dialect>) -> Arc<State> {
+    pub fn new(settings: Settings, dialect: Arc<dyn Dialect>, meter: &Meter) -> Arc<State> {
         let losses = settings.tolerated_losses;
         Arc::new(State {
             settings,
             dialect,
             history: history::client::Client::new(losses),
             pool: Arc::default(),
+            instruments: Instruments::new(meter),
             chains: Mutex::new(chain::Cache::new(CHAIN_BYTES)),
             programs: Mutex::default(),
             prefixes: Mutex::default(),
@@ -119,6 +126,47 @@
         self.snapshot.read().clone()
     }
 
+    /// Number of the configuration in force, 0 before the first.
+    pub fn version(&self) -> Version {
+        let snapshot = self.snapshot();
+        snapshot.map_or(Version(0), |snapshot| snapshot.table.config.version)
+    }
+
+    /// Entries known, this one included.
+    pub fn entries(&self) -> usize {
+        self.fleet().entries
+    }
+
+    /// What operators see; keys and prompts are left out.
+    pub fn dump(&self, page: &Page) -> Value {
+        let services = self.services();
+        let targets = services.values().flatten().skip(page.skip).take(page.limit);
+        let targets: Vec<Value> = targets
+            .map(|entry| {
+                json!({
+                    "id": entry.target.id.as_str(),
+                    "service": entry.target.service.as_str(),
+                    "address": entry.target.address,
+                    "running_here": entry.load.running.load(Ordering::Relaxed),
+                    "running_elsewhere": entry.load.elsewhere.load(Ordering::Relaxed),
+                    "failures_in_a_row": entry.load.failures.load(Ordering::Relaxed),
+                })
+            })
+            .collect();
+        json!({
+            "host": self.settings.host.as_str(),
+            "version": self.version().0,
+            "ready": self.is_ready(),
+            "draining": self.is_draining(),
+            "object_store_lost": self.is_lost(),
+            "history": self.history.membership(),
+            "entries": self.entries(),
+            "entries_silent": self.fleet().silent,
+            "connections": self.pool.open(),
+            "targets": targets,
+        })
+    }
+
     /// Targets that take new work.
     pub fn services(&self) -> Arc<Services> {
         Arc::clone(&self.services.read())
@@ -229,12 +277,10 @@
             let running = entry.load.running.load(Ordering::Relaxed);
             (running > 0).then(|| (crate::balance::hash(&entry.target.id), running))
         });
-        let snapshot = self.snapshot();
-        let version = snapshot.map_or(Version(0), |snapshot| snapshot.table.config.version);
         let report = Report {
             host: self.settings.host.clone(),
             incarnation: self.incarnation,
-            version: version.0,
+            version: self.version().0,
             current: !self.is_lost(),
             history: self.history_answers.load(Ordering::Relaxed),
             leaving: self.is_draining(),
@@ -257,10 +303,8 @@
 
     /// What this entry knows, to ask others for more.
     pub fn question(&self) -> Question {
-        let snapshot = self.snapshot();
-        let version = snapshot.map_or(Version(0), |snapshot| snapshot.table.config.version);
         Question {
-            version: version.0,
+            version: self.version().0,
             revision: self.directory.lock().revision.0,
         }
     }
@@ -325,7 +369,7 @@
         let mut snapshot = self.snapshot.write();
         let current = snapshot
             .as_ref()
-            .map_or(Version(0), |snapshot| snapshot.table.config.version);
+            .map_or(Version(0), |known| known.table.config.version);
         if config.version <= current {
             return;
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -24,6 +24,7 @@
 use crate::event;
 use crate::event::Scanner;
 use crate::event::Whole;
+use crate::metrics::Round;
 use crate::pool::Lease;
 use crate::refusal::Refusal;
 use crate::request::Timing;
@@ -201,6 +202,7 @@
             resumable = running.stream.resumable;
             "stream broke: {cause}"
         );
+        self.state.instruments.broke();
         self.scanner = Scanner::default();
         let last = self.last_id.clone();
         let state = Arc::clone(&self.state);
@@ -235,7 +237,7 @@
         let Some(mut running) = self.running.take() else {
             return;
         };
-        self.log_end(&running, "answered");
+        self.log_end(&running, "answered", true);
         if !running.stream.kept {
             return;
         }
@@ -252,7 +254,10 @@
                 },
             };
             let deadline = Instant::now() + KEEP_TIMEOUT;
-            match state.history.keep(records, &near, deadline).await {
+            let started = Instant::now();
+            let kept = state.history.keep(records, &near, deadline).await;
+            state.instruments.asked(Round::Keep, started.elapsed());
+            match kept {
                 Ok(()) => {
                     state.chains.lock().insert(turn);
                     Ok(())
@@ -275,22 +280,24 @@
         }
     }
 
-    fn log_end(&self, running: &Running, outcome: &str) {
+    fn log_end(&self, running: &Running, outcome: &str, whole: bool) {
         let since_received = |at: Instant| (at - running.job.received).as_millis() as u64;
         let turn = Timing {
             events: self.events,
             sent_ms: since_received(running.sent),
             first_event_ms: self.first.map(since_received),
         };
-        running
-            .job
-            .log_end(&running.job.service, outcome, Some(turn));
+        if whole {
+            let took = running.job.received.elapsed();
+            self.state.instruments.answered(took, Some(turn));
+        }
+        running.job.log_end(outcome, Some(turn));
     }
 
     fn fail(&mut self, cause: String) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         self.phase = Phase::Ended;
         if let Some(running) = self.running.take() {
-            self.log_end(&running, &cause);
+            self.log_end(&running, &cause, false);
         }
         Poll::Ready(Some(Err(Broken(cause))))
     }
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -23,6 +23,7 @@
 use crate::config::Stream;
 use crate::directory::Entry;
 use crate::header::strip_hop_by_hop;
+use crate::metrics::Round;
 use crate::plain;
 use crate::plain::Tries;
 use crate::refusal::Refusal;
@@ -308,7 +309,9 @@
         customer: customer.clone(),
         program: program_name(job),
     };
+    let started = Instant::now();
     let chain = state.history.chain(&missing, &near, deadline).await;
+    state.instruments.asked(Round::Chain, started.elapsed());
     let chain: Vec<Turn> = match chain {
         Ok(Some(chain)) if chain.iter().all(|turn| turn.customer == *customer) => chain,
         Ok(_) => return Err(Refusal::NoTurn),
--- /dev/null
+++ b/crates/gateway/tests/directory.rs
@@ -0,0 +1,151 @@
+//! Targets that come, leave, lapse and return.
+
+use std::time::Duration;
+
+use gateway::config::Config;
+use gateway::directory::Directory;
+use gateway::directory::RETURN_TIME;
+use gateway::edge::Call;
+use gateway::edge::Dialect;
+use gateway::edge::Dispatch;
+use gateway::edge::Malformed;
+use gateway::edge::Reply;
+use gateway::edge::Stage;
+use gateway::edge::Target;
+use http::HeaderMap;
+use node::object::Change;
+use node::object::Object;
+use node::object::Revision;
+use rstest::rstest;
+use serde_json::json;
+use tokio::time::Instant;
+
+/// Reads a target's service and stage from `spec`.
+struct Plain;
+
+impl Dialect for Plain {
+    fn ready_path(&self) -> &str {
+        "/"
+    }
+
+    fn config(&self, _: &Object) -> Result<Config, Malformed> {
+        Err(Malformed("no configuration".to_owned()))
+    }
+
+    fn target(&self, object: &Object) -> Result<Target, Malformed> {
+        let stage = match object.spec["stage"].as_str() {
+            Some("ready") => Stage::Ready,
+            Some("leaving") => Stage::Leaving,
+            _ => return Err(Malformed("stage".to_owned())),
+        };
+        Ok(Target {
+            id: object.name.as_str().into(),
+            service: "s".into(),
+            address: ([127, 0, 0, 1], 80).into(),
+            data_centre: "a".parse().expect("name"),
+            stage,
+            slots: 6,
+            born: object.spec["born"].as_u64(),
+        })
+    }
+
+    fn call(&self, _: &HeaderMap) -> Result<Call, Malformed> {
+        Err(Malformed("no call".to_owned()))
+    }
+
+    fn dispatch(&self, _: &mut HeaderMap, _: &Dispatch<'_>) {}
+
+    fn reply(&self, _: &HeaderMap) -> Reply {
+        Reply::default()
+    }
+
+    fn name_request(&self, _: &mut HeaderMap, _: &str) {}
+}
+
+fn object(name: &str, stage: &str) -> Object {
+    Object {
+        name: name.to_owned(),
+        revision: Revision(1),
+        spec: json!({ "stage": stage, "born": 1 }),
+        status: json!(null),
+    }
+}
+
+fn ready(directory: &Directory) -> Vec<String> {
+    let services = directory.services();
+    let entries = services.get("s").map_or(&[][..], Vec::as_slice);
+    entries
+        .iter()
+        .map(|entry| entry.target.id.to_string())
+        .collect()
+}
+
+#[rstest]
+fn a_target_that_leaves_gets_no_new_work() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.list(&[object("a", "ready"), object("b", "ready")], &Plain, now);
+    directory.change(&Change::Put(object("a", "leaving")), &Plain, now);
+    assert_eq!(ready(&directory), ["b"]);
+}
+
+#[rstest]
+fn a_registration_that_goes_while_the_store_answers_names_a_target_that_is_gone() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.list(&[object("a", "ready"), object("b", "ready")], &Plain, now);
+    directory.change(&Change::Deleted("a".to_owned()), &Plain, now);
+    assert_eq!(ready(&directory), ["b"]);
+}
+
+#[rstest]
+fn registrations_that_lapsed_during_an_outage_have_time_to_come_back() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.list(&[object("a", "ready"), object("b", "ready")], &Plain, now);
+    let back = now + Duration::from_secs(10);
+    directory.regained(back);
+    directory.list(&[], &Plain, back);
+    assert_eq!(ready(&directory), ["a", "b"]);
+    let soon = back + Duration::from_millis(500);
+    directory.change(&Change::Put(object("a", "ready")), &Plain, soon);
+    assert!(directory.expire(soon).is_some());
+    directory.expire(back + RETURN_TIME);
+    assert_eq!(ready(&directory), ["a"]);
+}
+
+#[rstest]
+fn an_unreadable_registration_names_no_target_and_spares_the_others() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.list(&[object("a", "ready"), object("b", "odd")], &Plain, now);
+    assert_eq!(ready(&directory), ["a"]);
+    directory.change(&Change::Put(object("a", "odd")), &Plain, now);
+    assert!(ready(&directory).is_empty());
+}
+
+#[rstest]
+fn a_target_that_started_again_under_its_name_has_a_load_of_its_own() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.list(&[object("a", "ready")], &Plain, now);
+    let before = directory.services()["s"][0].load.clone();
+    let mut again = object("a", "ready");
+    again.spec["born"] = json!(2);
+    directory.change(&Change::Put(again), &Plain, now);
+    let after = directory.services()["s"][0].load.clone();
+    assert!(!std::sync::Arc::ptr_eq(&before, &after));
+}
+
+#[rstest]
+fn what_another_entry_knows_is_taken_only_if_it_is_newer() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.list(&[object("a", "ready")], &Plain, now);
+    directory.revision = Revision(10);
+    directory.adopt(Revision(9), Vec::new(), now);
+    assert_eq!(ready(&directory), ["a"]);
+    let target = Plain.target(&object("c", "ready")).expect("target");
+    directory.adopt(Revision(11), vec![target], now);
+    assert_eq!(ready(&directory), ["c"]);
+}
--- /dev/null
+++ b/crates/gateway/tests/gossip.rs
@@ -0,0 +1,86 @@
+//! What entries know of each other.
+
+use std::net::SocketAddr;
+
+use coord::quota::SILENCE;
+use coord::time::Millis;
+use coord::time::Time;
+use gateway::gossip::Peers;
+use gateway::gossip::Report;
+use rstest::rstest;
+
+fn address(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 7_780).into()
+}
+
+fn report(host: &str) -> Report {
+    Report {
+        host: host.into(),
+        incarnation: 1,
+        version: 1,
+        current: true,
+        history: true,
+        leaving: false,
+        totals: Vec::new(),
+        running: vec![(7, 3)],
+        read: Vec::new(),
+    }
+}
+
+#[rstest]
+fn an_entry_that_falls_silent_still_counts_but_its_load_does_not() {
+    let mut peers = Peers::default();
+    peers.hear(address(1), &report("a"), Time(1_000));
+    assert_eq!(peers.running(Time(1_100)).get(&7), Some(&3));
+    let later = Time(1_000 + SILENCE.0 + 1);
+    assert_eq!(peers.running(later).get(&7), None);
+    let fleet = peers.fleet(later);
+    assert_eq!((fleet.entries, fleet.silent), (2, 1));
+}
+
+#[rstest]
+fn an_entry_that_is_about_to_stop_no_longer_counts() {
+    let mut peers = Peers::default();
+    peers.hear(address(1), &report("a"), Time(1_000));
+    let mut last = report("a");
+    last.leaving = true;
+    peers.hear(address(1), &last, Time(1_050));
+    assert_eq!(peers.fleet(Time(1_060)).entries, 1);
+}
+
+#[rstest]
+fn an_entry_that_was_never_heard_counts_as_silent_and_is_forgotten_at_last() {
+    let mut peers = Peers::default();
+    peers.add(address(1), Time(0));
+    let fleet = peers.fleet(Time(10_000));
+    assert_eq!((fleet.entries, fleet.silent), (2, 1));
+    peers.expire(Time(60_000));
+    assert_eq!(peers.fleet(Time(60_000)).entries, 1);
+}
+
+#[rstest]
+fn the_time_of_silence_is_told_when_a_report_comes() {
+    let mut peers = Peers::default();
+    peers.hear(address(1), &report("a"), Time(0));
+    let silent = peers.hear(address(1), &report("a"), Time(SILENCE.0 + 700));
+    assert_eq!(silent, Millis(700));
+    let silent = peers.hear(address(1), &report("a"), Time(SILENCE.0 + 800));
+    assert_eq!(silent, Millis(0));
+}
+
+#[rstest]
+fn news_come_from_the_entry_with_the_newest_configuration_that_is_in_touch() {
+    let mut peers = Peers::default();
+    let mut old = report("a");
+    old.version = 3;
+    let mut cut = report("b");
+    cut.version = 9;
+    cut.current = false;
+    let mut newest = report("c");
+    newest.version = 5;
+    for (number, report) in [(1, &old), (2, &cut), (3, &newest)] {
+        peers.hear(address(number), report, Time(100));
+    }
+    assert_eq!(peers.informed(Time(150)), Some(address(3)));
+    assert_eq!(peers.informed(Time(5_000)), None);
+}
--- /dev/null
+++ b/crates/gateway/tests/quotas.rs
@@ -0,0 +1,76 @@
+//! Rates of customers on one entry.
+
+use std::time::Duration;
+
+use coord::id::Burst;
+use coord::id::Rate;
+use coord::quota::Fleet;
+use coord::time::Time;
+use gateway::config::CustomerLimits;
+use gateway::quota::Quotas;
+use gateway::refusal::Refusal;
+use rstest::rstest;
+
+const ALONE: Fleet = Fleet {
+    entries: 1,
+    silent: 0,
+};
+
+fn customer(rate: f64, burst: u32) -> CustomerLimits {
+    CustomerLimits {
+        name: "c".parse().expect("name"),
+        keys: Vec::new(),
+        priority: None,
+        rate: (rate > 0.0).then(|| Rate::try_from(rate).expect("rate")),
+        burst: Burst(burst),
+    }
+}
+
+fn wait(result: Result<(), Refusal>) -> Option<Duration> {
+    match result {
+        Err(Refusal::OverRate(wait)) => Some(wait),
+        _ => None,
+    }
+}
+
+#[rstest]
+fn a_customer_without_a_rate_is_never_turned_away() {
+    let mut quotas = Quotas::default();
+    let customer = customer(0.0, 0);
+    for _ in 0..10_000 {
+        assert_eq!(quotas.take(&customer, true, ALONE, Time(0)), Ok(()));
+    }
+}
+
+#[rstest]
+fn programs_that_are_turned_away_together_come_back_one_after_the_other() {
+    let mut quotas = Quotas::default();
+    let customer = customer(90.0, 90);
+    let mut waits = Vec::new();
+    for _ in 0..20 {
+        waits.extend(wait(quotas.take(&customer, true, ALONE, Time(0))));
+    }
+    assert!(waits.len() >= 8, "{waits:?}");
+    assert!(waits.windows(2).all(|pair| pair[0] < pair[1]), "{waits:?}");
+    let spread = waits[waits.len() - 1] - waits[0];
+    assert!(spread > Duration::from_millis(500), "{waits:?}");
+}
+
+#[rstest]
+fn programs_under_way_go_on_while_new_ones_are_turned_away() {
+    let mut quotas = Quotas::default();
+    let customer = customer(90.0, 90);
+    while quotas.take(&customer, true, ALONE, Time(0)).is_ok() {}
+    for _ in 0..40 {
+        assert_eq!(quotas.take(&customer, false, ALONE, Time(0)), Ok(()));
+    }
+}
+
+#[rstest]
+fn an_empty_bucket_is_noticed_before_any_work() {
+    let mut quotas = Quotas::default();
+    let customer = customer(10.0, 10);
+    while quotas.take(&customer, false, ALONE, Time(0)).is_ok() {}
+    assert!(wait(quotas.check(&customer, ALONE, Time(0))).is_some());
+    assert_eq!(quotas.check(&customer, ALONE, Time(2_000)), Ok(()));
+}
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -1,6 +1,10 @@
-//! Logs: one JSON object a line on standard error.
+//! Logs: one JSON object a line on standard output.
+//!
+//! Lines are written by a thread of their own, so that a reader that has stopped never blocks the
+//! process; see [`output`].
+
+pub mod output;
 
-use std::collections::BTreeMap;
 use std::str::FromStr;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -14,6 +18,11 @@
 use serde::Serialize;
 use slog::Drain;
 
+use self::output::Output;
+
+/// Room for a usual line, in bytes.
+const LINE_SIZE: usize = 512;
+
 /// Least severe level that is written.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -50,22 +59,23 @@
     }
 }
 
-#[derive(Debug, Default)]
-struct Fields(BTreeMap<String, String>);
+/// Appends a record's fields to a JSON object that is being written.
+struct Fields<'a>(&'a mut String);
 
-impl<'kvs> VisitSource<'kvs> for Fields {
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        self.0.insert(key.to_string(), value.to_string());
+        push(self.0, key.as_str(), &value);
         Ok(())
     }
 }
 
 /// Starts logging for this process; `process` is named on each line.
 ///
-/// Errors: a logger is already set.
-pub fn start(process: &str, level: Level) -> Result<(), log::SetLoggerError> {
+/// Errors: a logger is already set, or no thread can be started.
+pub fn start(process: &str, level: Level) -> eyre::Result<()> {
     let process = process.to_owned();
     let library = LevelFilter::from(level).min(LevelFilter::Warn);
+    let output: Box<dyn std::io::Write + Send> = Box::new(Output::start(std::io::stdout())?);
     fern::Dispatch::new()
         .level(library)
         .level_for("entry", level.into())
@@ -75,33 +85,46 @@
         .level_for("history", level.into())
         .level_for("platform", level.into())
         .format(move |out, message, record| {
-            let line = line(&process, &message.to_string(), record);
-            out.finish(format_args!("{line}"));
+            out.finish(format_args!("{}", line(&process, message, record)));
         })
-        .chain(std::io::stderr())
-        .apply()
+        .chain(output)
+        .apply()?;
+    Ok(())
 }
 
-fn line(process: &str, message: &str, record: &log::Record<'_>) -> serde_json::Value {
-    let mut fields = Fields::default();
-    let _ = record.key_values().visit(&mut fields);
+fn line(process: &str, message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    let mut line = serde_json::json!({
-        "at_ms": since.as_millis() as u64,
-        "level": record.level().as_str(),
-        "process": process,
-        "module": record.target(),
-        "message": message,
-    });
-    fields
-        .0
-        .into_iter()
-        .for_each(|(key, value)| line[key] = value.into());
+    let mut line = String::with_capacity(LINE_SIZE);
+    line.push_str("{\"at_ms\":");
+    line.push_str(&since.as_millis().to_string());
+    push(&mut line, "level", record.level().as_str());
+    push(&mut line, "process", process);
+    push(&mut line, "module", record.target());
+    push(&mut line, "message", message);
+    if record.key_values().visit(&mut Fields(&mut line)).is_err() {
+        push(&mut line, "fields", "unreadable");
+    }
+    line.push('}');
     line
 }
 
+/// Appends a field to a JSON object that is being written.
+fn push(line: &mut String, key: &str, value: impl std::fmt::Display) {
+    line.push(',');
+    push_text(line, key);
+    line.push(':');
+    push_text(line, &value.to_string());
+}
+
+fn push_text(line: &mut String, text: &str) {
+    match serde_json::to_string(text) {
+        Ok(quoted) => line.push_str(&quoted),
+        Err(error) => unreachable!("a text is JSON: {error}"),
+    }
+}
+
 /// A logger for libraries that write by `slog`.
 pub fn slog() -> slog::Logger {
     slog::Logger::root(slog_stdlog::StdLog.fuse(), slog::o!())
--- /dev/null
+++ b/crates/node/tests/log.rs
@@ -0,0 +1,86 @@
+//! Log lines when nobody reads them, and when there are too many.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use node::log::output::BUDGET_PER_S;
+use node::log::output::Output;
+use rstest::rstest;
+
+#[derive(Debug, Clone, Default)]
+struct Sink {
+    state: Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>,
+}
+
+impl Sink {
+    fn set_open(&self, open: bool) {
+        self.state.0.lock().expect("lock").0 = open;
+        self.state.1.notify_all();
+    }
+
+    fn text(&self) -> String {
+        let state = self.state.0.lock().expect("lock");
+        String::from_utf8(state.1.clone()).expect("text")
+    }
+}
+
+impl Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut state = self.state.0.lock().expect("lock");
+        while !state.0 {
+            state = self.state.1.wait(state).expect("lock");
+        }
+        state.1.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[rstest]
+fn a_reader_that_has_stopped_blocks_nobody() {
+    let sink = Sink::default();
+    let mut output = Output::start(sink).expect("thread");
+    let started = Instant::now();
+    for _ in 0..20_000 {
+        output.write_all(&[b'x'; 100]).expect("never fails");
+    }
+    assert!(started.elapsed() < Duration::from_secs(2));
+    assert!(output.omitted() > 0);
+}
+
+#[rstest]
+fn lines_are_written_in_order_and_a_flush_waits_for_them() {
+    let sink = Sink::default();
+    sink.set_open(true);
+    let mut output = Output::start(sink.clone()).expect("thread");
+    for number in 0..100 {
+        writeln!(output, "{number}").expect("never fails");
+    }
+    output.flush().expect("written");
+    let expected: String = (0..100).map(|number| format!("{number}\n")).collect();
+    assert_eq!(sink.text(), expected);
+}
+
+#[rstest]
+fn lines_beyond_the_budget_are_counted_in_a_line() {
+    let sink = Sink::default();
+    sink.set_open(true);
+    let mut output = Output::start(sink.clone()).expect("thread");
+    let line = vec![b'x'; 1_000];
+    for _ in 0..BUDGET_PER_S / 1_000 + 50 {
+        output.write_all(&line).expect("never fails");
+    }
+    std::thread::sleep(Duration::from_millis(1_100));
+    output.write_all(b"last\n").expect("never fails");
+    output.flush().expect("written");
+    assert!(sink.text().contains("log lines are left out"));
+    assert!(sink.text().ends_with("last\n"));
+}
