--- a/crates/coord/tests/quota.rs
+++ b/crates/coord/tests/quota.rs
@@ -103,7 +103,7 @@
     }
 
     fn exchange(&mut self, now: u64) {
-        if now % REPORT_MS == 0 {
+        if now.is_multiple_of(REPORT_MS) {
             for from in 0..self.entries.len() {
                 for to in 0..self.entries.len() {
                     self.send(from, to, now);
@@ -223,7 +223,7 @@
 fn no_window_passes_the_bound_while_entries_restart(#[values(1, 2, 3, 4)] seed: u64) {
     let mut world = World::new(4, 80.0, 80, seed);
     for now in steps(20) {
-        if now % 4_000 == 0 {
+        if now.is_multiple_of(4_000) {
             let at = world.random.random_range(0..4);
             world.restart(at, now);
         }
--- a/crates/node/tests/log.rs
+++ b/crates/node/tests/log.rs
@@ -12,9 +12,12 @@
 use node::log::output::Output;
 use rstest::rstest;
 
+/// Whether a sink takes bytes, and those it took.
+type Taken = (bool, Vec<u8>);
+
 #[derive(Debug, Clone, Default)]
 struct Sink {
-    state: Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>,
+    state: Arc<(Mutex<Taken>, Condvar)>,
 }
 
 impl Sink {
