Log without waiting for the thread that writes

Its log shows that every line of a process came 50 ms after the one before: the logger flushes after each line, and a flush waited for the thread that gathers lines for 50 ms. A flush does nothing now; the last lines are drained at the stop.

--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -74,5 +74,6 @@
     log::info!("stopping as planned");
     service.stop(limit).await;
     let _ = tokio::time::timeout(CLOSE_TIMEOUT, admin.close()).await;
+    node::log::drain();
     Ok(())
 }
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -121,7 +121,7 @@
         Ok(_) => log::info!(step = "stop", peer = "self"; "all answers are finished"),
         Err(_) => log::warn!(step = "stop", peer = "self"; "answers are cut: time is up"),
     }
-    log::logger().flush();
+    node::log::drain();
     Ok(())
 }
 
@@ -210,7 +210,7 @@
         reloads = reload::follow(file, settings.clone(), |_| {}) => reloads?,
     }
     log::info!(step = "stop", peer = "self"; "history host stops");
-    log::logger().flush();
+    node::log::drain();
     Ok(())
 }
 
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -5,7 +5,9 @@
 
 pub mod output;
 
+use std::io::Write;
 use std::str::FromStr;
+use std::sync::OnceLock;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -69,13 +71,32 @@
     }
 }
 
+/// Where this process's lines go, once logging has started.
+static OUTPUT: OnceLock<Output> = OnceLock::new();
+
 /// Starts logging for this process; `process` is named on each line.
 ///
 /// Errors: a logger is already set, or no thread can be started.
 pub fn start(process: &str, level: Level) -> eyre::Result<()> {
+    let output = Output::start(std::io::stdout())?;
+    dispatch(process, level, output.clone()).apply()?;
+    // The first start has set it; a second one has failed above.
+    let _ = OUTPUT.set(output);
+    Ok(())
+}
+
+/// Waits a little until this process's last lines are written.
+pub fn drain() {
+    if let Some(output) = OUTPUT.get() {
+        output.drain();
+    }
+}
+
+/// Formats lines for an output.
+pub fn dispatch(process: &str, level: Level, output: Output) -> fern::Dispatch {
     let process = process.to_owned();
     let library = LevelFilter::from(level).min(LevelFilter::Warn);
-    let output: Box<dyn std::io::Write + Send> = Box::new(Output::start(std::io::stdout())?);
+    let output: Box<dyn Write + Send> = Box::new(output);
     fern::Dispatch::new()
         .level(library)
         .level_for("entry", level.into())
@@ -88,8 +109,6 @@
             out.finish(format_args!("{}", line(&process, message, record)));
         })
         .chain(output)
-        .apply()?;
-    Ok(())
 }
 
 fn line(process: &str, message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
--- a/crates/node/src/log/output.rs
+++ b/crates/node/src/log/output.rs
@@ -21,8 +21,8 @@
 /// Time in which lines gather before they are written together.
 const GATHER: Duration = Duration::from_millis(50);
 
-/// Time that a flush waits for a reader.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for the last lines of a process.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
 
 #[derive(Debug)]
 struct Waiting {
@@ -110,21 +110,24 @@
         Ok(line.len())
     }
 
-    /// Waits a little until all lines are written.
+    /// Does nothing: loggers flush after each line, and no line may wait for a reader.
     fn flush(&mut self) -> io::Result<()> {
-        let until = Instant::now() + FLUSH_TIMEOUT;
+        Ok(())
+    }
+}
+
+impl Output {
+    /// Waits a little until all lines are written; false if the reader took too long.
+    pub fn drain(&self) -> bool {
+        let until = Instant::now() + DRAIN_TIMEOUT;
         let mut waiting = self.shared.waiting.lock();
         while !waiting.bytes.is_empty() || waiting.writing {
-            if self
-                .shared
-                .changed
-                .wait_until(&mut waiting, until)
-                .timed_out()
-            {
-                return Err(io::ErrorKind::TimedOut.into());
+            let waited = self.shared.changed.wait_until(&mut waiting, until);
+            if waited.timed_out() {
+                return false;
             }
         }
-        Ok(())
+        true
     }
 }
 
