--- a/crates/sidecar/src/controller.rs
+++ b/crates/sidecar/src/controller.rs
@@ -37,5 +37,7 @@
     node::log::start("teasellever-sidecar", settings.log_level)?;
     let daemon = Daemon::start(settings).await?;
     shutdown::requested().await?;
-    daemon.drain().await
+    let drained = daemon.drain().await;
+    node::log::drain();
+    drained
 }
