--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -18,6 +18,7 @@
 use crate::config::Route;
 use crate::config::Service;
 use crate::config::Work;
+use crate::crash;
 use crate::edge::Call;
 use crate::plain;
 use crate::refusal::Refusal;
@@ -26,6 +27,9 @@
 use crate::state::State;
 use crate::turn;
 
+/// When a request that crashes its targets may come back.
+const SUSPECT_RETRY: Duration = Duration::from_secs(60);
+
 /// Answers one request.
 ///
 /// Errors: never.
@@ -102,17 +106,19 @@
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
+        body,
         received,
         deadline,
         route,
     };
+    refuse_suspect(state, &job)?;
     match job.route.work {
-        Work::Stream(stream) => turn::answer(state, job, stream, body).await,
+        Work::Stream(stream) => turn::answer(state, job, stream).await,
         Work::Idempotent | Work::NonIdempotent => {
             if let Some(customer) = &job.customer {
                 state.admit(customer, false)?;
             }
-            let response = plain::answer(state, &job, body).await?;
+            let response = plain::answer(state, &job).await?;
             state.instruments.answered(job.received.elapsed(), None);
             job.log_end("answered", None);
             Ok(response)
@@ -145,6 +151,18 @@
     }
 }
 
+/// Refuses a request that crashes its targets.
+fn refuse_suspect(state: &State, job: &Job) -> Result<(), Refusal> {
+    let suspects = state.suspects.lock();
+    if suspects.is_empty() || !suspects.is_refused(crash::name(job), state.time()) {
+        return Ok(());
+    }
+    Err(Refusal::Unavailable {
+        cause: "this request crashed each target that ran it".to_owned(),
+        retry: SUSPECT_RETRY,
+    })
+}
+
 async fn read(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
     let mut bytes = BytesMut::new();
     let mut first = None;
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -32,6 +32,8 @@
     pub running: AtomicU32,
     /// Requests that other entries have at the target.
     pub elsewhere: AtomicU32,
+    /// When it last answered, in milliseconds since the process started.
+    pub answered_ms: AtomicU64,
     /// Failures in a row.
     pub failures: AtomicU32,
     /// Until when it is spared, in milliseconds since the process started.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -64,6 +64,8 @@
     pub running: Vec<(u32, u32)>,
     /// Shared parts of prompts that targets have read of late; both by hash.
     pub read: Vec<(u32, u32)>,
+    /// Requests that were in flight when a target crashed, and the crash; both by name.
+    pub crashes: Vec<(u64, u64)>,
 }
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod chain;
 pub mod config;
 pub mod controller;
+pub mod crash;
 pub mod directory;
 pub mod edge;
 pub mod error;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use bytes::BytesMut;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http::Response;
 use http_body_util::BodyExt;
 use tokio::time::Instant;
@@ -25,28 +26,52 @@
 /// Targets that may turn one request away before it is refused.
 const TURNED_AWAY_LIMIT: usize = 4;
 
+/// Part of a route's objective after which an idempotent request is sent to a second target too.
+const HEDGE_SHARE: f64 = 0.7;
+
 /// Runs a request at a target, and at others while that does no harm.
-pub async fn answer(state: &Arc<State>, job: &Job, body: Bytes) -> Result<Response<Body>, Refusal> {
-    let attempt = Attempt {
-        job,
-        body,
-        urgency: None,
-        last_event: None,
-    };
+///
+/// Errors: no target answered it.
+pub async fn answer(state: &Arc<State>, job: &Job) -> Result<Response<Body>, Refusal> {
     let mut tries = Tries::default();
+    let mut running = FuturesUnordered::new();
+    let hedge = tokio::time::sleep(job.route.objective.mul_f64(HEDGE_SHARE));
+    tokio::pin!(hedge);
+    let mut hedged = !job.idempotent() || job.route.attempts < 2;
     loop {
-        let entry = tries.next(state, job, None, affinity(job))?;
-        let answered = match send::send(state, &entry, &attempt).await {
-            Ok(answer) => collect(answer, job).await,
-            Err(error) => Err(error),
+        if running.is_empty() {
+            let entry = tries.next(state, job, None, affinity(job))?;
+            running.push(attempt(state, job, entry));
+        }
+        let ended = tokio::select! {
+            ended = running.next() => ended,
+            () = &mut hedge, if !hedged => {
+                hedged = true;
+                if let Some(entry) = tries.another(state, job, running.len()) {
+                    running.push(attempt(state, job, entry));
+                }
+                None
+            }
         };
-        match answered {
-            Ok(response) => return Ok(response),
-            Err(error) => tries.failed(&entry, error, job)?,
+        match ended {
+            Some(Ok(response)) => return Ok(response),
+            Some(Err(error)) => tries.failed(error, job)?,
+            None => {}
         }
     }
 }
 
+async fn attempt(state: &Arc<State>, job: &Job, entry: Entry) -> Result<Response<Body>, Error> {
+    let attempt = Attempt {
+        job,
+        body: job.body.clone(),
+        urgency: None,
+        last_event: None,
+    };
+    let answer = send::send(state, &entry, &attempt).await?;
+    collect(answer, job).await
+}
+
 fn affinity(job: &Job) -> Option<u64> {
     let object = job.call.affinity.as_ref().filter(|_| job.route.sticky)?;
     Some(balance::key(&[&job.route.name, object]))
@@ -88,17 +113,28 @@
             data_centre: state.settings.data_centre.as_str(),
             now_ms: state.now_ms(),
         };
-        match balance::choose(entries, &tried, wish, rand::random()) {
-            Some(entry) => Ok(entry.clone()),
+        let chosen = balance::choose(entries, &tried, wish, rand::random()).cloned();
+        match chosen {
+            Some(entry) => {
+                self.tried.push(entry.target.id.clone());
+                Ok(entry)
+            }
             None => Err(self.give_up(job)),
         }
     }
 
+    /// A further target for a request that others still run, if there is one and it may run there.
+    fn another(&mut self, state: &State, job: &Job, running: usize) -> Option<Entry> {
+        if self.runs as usize + running >= job.route.attempts as usize {
+            return None;
+        }
+        self.next(state, job, None, None).ok()
+    }
+
     /// Takes a failed attempt.
     ///
     /// Errors: the request may not be tried again.
-    pub fn failed(&mut self, entry: &Entry, error: Error, job: &Job) -> Result<(), Refusal> {
-        self.tried.push(entry.target.id.clone());
+    pub fn failed(&mut self, error: Error, job: &Job) -> Result<(), Refusal> {
         self.last = Some(error.to_string());
         match error {
             Error::NotRun(_) => self.turned_away += 1,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -232,8 +232,9 @@
     }
 
     /// Notes that the target answers.
-    pub fn succeeded(&self) {
+    pub fn succeeded(&self, now_ms: u64) {
         self.load.failures.store(0, Ordering::Relaxed);
+        self.load.answered_ms.store(now_ms, Ordering::Relaxed);
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
@@ -30,6 +31,8 @@
     pub uri: Uri,
     /// The caller's headers.
     pub headers: HeaderMap,
+    /// The caller's body.
+    pub body: Bytes,
     pub received: Instant,
     /// The caller's deadline or the route's timeout, whichever is first.
     pub deadline: Instant,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::crash;
 use crate::directory::Entry;
 use crate::edge::Dispatch;
 use crate::edge::Reply;
@@ -62,11 +63,22 @@
     entry: &Entry,
     attempt: &Attempt<'_>,
 ) -> Result<Answer, Error> {
+    let sent_ms = state.now_ms();
     let result = exchange(state, entry, attempt).await;
     match &result {
-        Ok(answer) => answer.lease.succeeded(),
-        Err(Error::Timeout) => {}
+        Ok(answer) => {
+            answer.lease.succeeded(state.now_ms());
+            let mut suspects = state.suspects.lock();
+            if !suspects.is_empty() {
+                suspects.answered(crash::name(attempt.job));
+            }
+        }
+        // A target that answered others meanwhile is only slow with this one.
+        Err(Error::Timeout) if entry.load.answered_ms.load(Ordering::Relaxed) > sent_ms => {}
         Err(error) => {
+            if matches!(error, Error::MaybeRun(_)) {
+                crash::suspect(state, &entry.target, attempt.job);
+            }
             pool::failed(&entry.load, state.now_ms());
             state.instruments.failed(error);
             log::info!(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use opentelemetry::metrics::Meter;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
+use sched::suspect::Suspects;
 use serde_json::Value;
 use serde_json::json;
 use tokio::time::Instant;
@@ -75,6 +76,7 @@
     pub chains: Mutex<chain::Cache>,
     pub programs: Mutex<Programs>,
     pub prefixes: Mutex<Prefixes>,
+    pub suspects: Mutex<Suspects>,
     started: Instant,
     snapshot: RwLock<Option<Arc<Snapshot>>>,
     directory: Mutex<Directory>,
@@ -108,6 +110,7 @@
             chains: Mutex::new(chain::Cache::new(CHAIN_BYTES)),
             programs: Mutex::default(),
             prefixes: Mutex::default(),
+            suspects: Mutex::default(),
             started: Instant::now(),
             snapshot: RwLock::default(),
             directory: Mutex::default(),
@@ -258,6 +261,11 @@
             prefixes.note(*prefix, *target, now);
         }
         drop(prefixes);
+        let mut suspects = self.suspects.lock();
+        for (request, crash) in &report.crashes {
+            suspects.crashed(*request, *crash, now);
+        }
+        drop(suspects);
         let peer = (crate::balance::key(&[&report.host]), report.incarnation);
         self.quotas
             .lock()
@@ -287,6 +295,7 @@
             totals: self.quotas.lock().totals(gossip::repeat_since(now)),
             running: running.collect(),
             read: self.prefixes.lock().recent(now),
+            crashes: self.suspects.lock().recent(now),
         };
         (report, self.peers.lock().addresses())
     }
@@ -457,5 +466,6 @@
         self.pool.expire();
         self.peers.lock().expire(self.time());
         self.prefixes.lock().expire(self.time());
+        self.suspects.lock().expire(self.time());
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use crate::crash;
 use crate::event;
 use crate::event::Scanner;
 use crate::event::Whole;
@@ -203,6 +204,9 @@
             "stream broke: {cause}"
         );
         self.state.instruments.broke();
+        if let Some(target) = &running.target {
+            crash::suspect(&self.state, target, &running.job);
+        }
         self.scanner = Scanner::default();
         let last = self.last_id.clone();
         let state = Arc::clone(&self.state);
@@ -268,8 +272,8 @@
     }
 
     fn turn(&mut self, running: &Running) -> Turn {
-        let mut content = Vec::with_capacity(running.input.len() + self.output.len());
-        content.extend_from_slice(&running.input);
+        let mut content = Vec::with_capacity(running.job.body.len() + self.output.len());
+        content.extend_from_slice(&running.job.body);
         content.append(&mut self.output);
         Turn {
             id: running.job.call.request.clone(),
--- a/crates/gateway/src/turn.rs
+++ b/crates/gateway/src/turn.rs
@@ -22,6 +22,7 @@
 use crate::chain::Found;
 use crate::config::Stream;
 use crate::directory::Entry;
+use crate::edge::Target;
 use crate::header::strip_hop_by_hop;
 use crate::metrics::Round;
 use crate::plain;
@@ -90,8 +91,8 @@
     pub job: Job,
     /// The whole input, as sent to the engine.
     pub body: Bytes,
-    /// What the turn adds to its chain.
-    pub input: Bytes,
+    /// The engine that runs it.
+    pub target: Option<Target>,
     pub stream: Stream,
     pub reserved: Option<Reserved>,
     pub urgency: Option<u8>,
@@ -108,7 +109,6 @@
     state: &Arc<State>,
     job: Job,
     stream: Stream,
-    input: Bytes,
 ) -> Result<Response<Body>, Refusal> {
     let deadline = job.deadline.min(Instant::now() + HISTORY_TIMEOUT);
     let seen = job.call.program.as_ref();
@@ -116,7 +116,7 @@
     let likely = likely_target(state, &job, prompt(&job, seen));
     let (reserved, body) = tokio::join!(
         reserve(state, &job, stream, likely, deadline),
-        build(state, &job, stream, &input, deadline)
+        build(state, &job, stream, deadline)
     );
     let ((reserved, elsewhere), body) = (reserved?, body?);
     let mut running = Running {
@@ -126,7 +126,7 @@
         urgency: Some(urgency(&job)),
         job,
         body,
-        input,
+        target: None,
         stream,
         reserved,
         tries: Tries::default(),
@@ -159,7 +159,7 @@
         };
         match send::send(state, &entry, &attempt).await {
             Ok(answer) => return Ok(answer),
-            Err(error) => running.tries.failed(&entry, error, &running.job)?,
+            Err(error) => running.tries.failed(error, &running.job)?,
         }
     }
 }
@@ -172,6 +172,7 @@
         let target = balance::hash(&entry.target.id);
         state.programs.lock().set_target(program, target);
     }
+    running.target = Some(entry.target.clone());
     if let Some(prefix) = running.prompt.shared {
         let target = balance::hash(&entry.target.id);
         state.prefixes.lock().note(prefix, target, state.time());
@@ -274,9 +275,9 @@
     state: &Arc<State>,
     job: &Job,
     stream: Stream,
-    input: &Bytes,
     deadline: Instant,
 ) -> Result<Bytes, Refusal> {
+    let input = &job.body;
     let previous = match &job.call.previous {
         Some(previous) if stream.kept => previous,
         _ => return Ok(input.clone()),
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/gossip.rs
@@ -24,6 +24,7 @@
         totals: Vec::new(),
         running: vec![(7, 3)],
         read: Vec::new(),
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod queue;
 pub mod retry;
 pub mod route;
+pub mod suspect;
 
 /// Hash map with a fast hasher.
 pub type Map<K, V> = rustc_hash::FxHashMap<K, V>;
--- /dev/null
+++ b/tests/tests/soak/main.rs
@@ -0,0 +1,83 @@
+//! Randomized soak of the platform's processes under faults from outside.
+//!
+//! Real processes on loopback: two entries and three history hosts; the metadata store, targets and
+//! callers are in this process. A seed draws a series of faults that overlap: processes are killed,
+//! stopped, paused and restarted, disks are wiped, connections are delayed, reset, silenced or cut
+//! one way, the store turns calls away or loses answers, targets misbehave. What callers and
+//! targets see is checked all the while.
+//!
+//! By hand: `SOAK_SEEDS=1..50 SOAK_SECONDS=20 cargo test -p holds --test soak -- --nocapture`.
+
+mod audit;
+mod caller;
+#[path = "../../../platform/tests/common/mod.rs"]
+mod common;
+mod proxy;
+mod schedule;
+mod world;
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use rstest::rstest;
+
+use crate::world::World;
+
+/// Seeds that CI plays, and for how long; those that once failed are among them.
+const SEEDS: RangeInclusive<u64> = 1..=3;
+const SECONDS: u64 = 6;
+
+/// Programs that run at the same time.
+const CALLERS: usize = 10;
+
+/// Time for all to go on after the last fault.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+fn seeds() -> RangeInclusive<u64> {
+    let Ok(text) = std::env::var("SOAK_SEEDS") else {
+        return SEEDS;
+    };
+    let (first, last) = text.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
+    first.parse().expect("number")..=last.parse().expect("number")
+}
+
+fn seconds() -> u64 {
+    std::env::var("SOAK_SECONDS").map_or(SECONDS, |text| text.parse().expect("number"))
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_under_overlapping_faults() {
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let found = play(seed).await;
+        eprintln!("seed {seed}: {} findings", found.len());
+        found.iter().for_each(|finding| eprintln!("  {finding}"));
+        if !found.is_empty() {
+            failed.push((seed, found));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Plays one seed; returns what was found wrong.
+async fn play(seed: u64) -> Vec<String> {
+    let mut world = World::start(seed).await;
+    let audit = world.audit.clone();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| tokio::spawn(caller::run(world.callers(), audit.clone(), seed, number)))
+        .collect();
+    schedule::run(&mut world, seed, Duration::from_secs(seconds())).await;
+    world.heal().await;
+    let recovered = caller::recover(&world.callers(), &audit, RECOVERY).await;
+    audit.check(recovered, || {
+        "turns aren't continued after the faults".to_owned()
+    });
+    callers.iter().for_each(tokio::task::JoinHandle::abort);
+    world.inspect_targets();
+    let findings = audit.findings();
+    if !findings.is_empty() {
+        eprintln!("logs of seed {seed} are in {}", world.keep_logs());
+    }
+    findings
+}
