Copy each record once between history hosts

Ruled out: losing records (no answer was wrong, all were 503). Change: hosts show fingerprints; only what the other side lacks is sent, the second copy goes on where the first one ended, and emptying a host sends only what others lack.

--- a/crates/history/src/index.rs
+++ b/crates/history/src/index.rs
@@ -5,17 +5,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compact_str::CompactString;
 use coord::id::Customer;
 use coord::id::Request;
+use coord::id::fingerprint;
 
 use crate::Map;
+use crate::Set;
 use crate::membership::Membership;
 use crate::message::Position;
 use crate::record::Account;
 use crate::record::Charge;
 use crate::record::Entry;
 use crate::record::Record;
+use crate::record::State;
 use crate::record::Turn;
 use crate::segment::Number;
 use crate::time::CLOCK_SLACK;
@@ -24,8 +26,8 @@
 /// Turns before one are kept as long as it, to within this; less often is cheaper.
 const EXTENSION_STEP: Duration = Duration::from_secs(5);
 
-/// Bytes of records in one page of a scan.
-const PAGE_BYTES: usize = 512 * 1024;
+/// Fingerprints in one page of a digest.
+const PAGE: usize = 20_000;
 
 #[derive(Debug)]
 struct Kept {
@@ -56,7 +58,8 @@
 pub struct Index {
     turns: Map<Request, Kept>,
     budgets: Map<Account, Budget>,
-    order: VecDeque<Key>,
+    /// Keys and fingerprints of records, in the order in which they came.
+    order: VecDeque<(u64, Key)>,
     /// Position of the first key in `order`.
     first: u64,
     /// End of retention of what each file holds.
@@ -93,7 +96,8 @@
         self.keep_file(file, turn.expires);
         let chain_expires = self.extend(turn.previous.clone(), turn.expires);
         self.bytes += turn.content.len();
-        self.order.push_back(Key::Turn(turn.id.clone()));
+        let name = turn_fingerprint(&turn.id);
+        self.order.push_back((name, Key::Turn(turn.id.clone())));
         let kept = Kept {
             customer: turn.customer,
             previous: turn.previous,
@@ -130,8 +134,9 @@
             }
         };
         if changed {
+            let name = charge_fingerprint(&charge.account, &charge.turn, charge.state);
             self.order
-                .push_back(Key::Charge(charge.account, charge.turn));
+                .push_back((name, Key::Charge(charge.account, charge.turn)));
         }
         changed
     }
@@ -177,24 +182,35 @@
         chain
     }
 
-    /// Records from a position on, the position after them, and whether these were all.
-    pub fn page(&self, from: Position) -> (Vec<Record>, Position, bool) {
-        let mut records = Vec::new();
-        let mut bytes = 0;
+    /// Fingerprints of records from a position on, the position after them, and whether these were
+    /// all.
+    pub fn digest(&self, from: Position) -> (Vec<u64>, Position, bool) {
         let start = from.0.max(self.first);
-        let mut position = start;
         let skip = (start - self.first) as usize;
-        for key in self.order.iter().skip(skip) {
-            if bytes >= PAGE_BYTES {
-                return (records, Position(position), false);
-            }
-            position += 1;
-            if let Some(record) = self.find(key) {
-                bytes += size(&record);
-                records.push(record);
-            }
+        let rest = self.order.iter().skip(skip).take(PAGE);
+        // What was pruned before the first position is told as missing, so that places match.
+        let pruned = (start - from.0).min(PAGE as u64) as usize;
+        let mut fingerprints = vec![0; if from.0 < self.first { pruned } else { 0 }];
+        if fingerprints.len() == PAGE {
+            return (fingerprints, Position(from.0 + PAGE as u64), false);
         }
-        (records, Position(position), true)
+        let known = rest.map(|(name, _)| *name);
+        fingerprints.extend(known);
+        let next = from.0 + fingerprints.len() as u64;
+        let end = next >= self.first + self.order.len() as u64;
+        (fingerprints, Position(next), end)
+    }
+
+    /// The record at a position, if it is still there.
+    pub fn at(&self, position: Position) -> Option<Record> {
+        let place = position.0.checked_sub(self.first)?;
+        let (_, key) = self.order.get(place as usize)?;
+        self.find(key)
+    }
+
+    /// Fingerprints of all records.
+    pub fn fingerprints(&self) -> Set<u64> {
+        self.order.iter().map(|(name, _)| *name).collect()
     }
 
     fn find(&self, key: &Key) -> Option<Record> {
@@ -228,7 +244,7 @@
         while self
             .order
             .front()
-            .is_some_and(|key| self.find(key).is_none())
+            .is_some_and(|(_, key)| self.find(key).is_none())
         {
             self.order.pop_front();
             self.first += 1;
@@ -267,11 +283,21 @@
     }
 }
 
-/// Rough size of a record, in bytes.
-fn size(record: &Record) -> usize {
-    const SMALL: usize = 64;
-    match record {
-        Record::Turn(turn) => SMALL + turn.content.len(),
-        _ => SMALL + size_of::<CompactString>(),
-    }
+fn turn_fingerprint(id: &Request) -> u64 {
+    fingerprint(&[b"turn", id.as_str().as_bytes()]).max(1)
+}
+
+fn charge_fingerprint(account: &Account, turn: &Request, state: State) -> u64 {
+    let kind: &[u8] = match state {
+        State::Reserved(_) => b"reserved",
+        State::Settled(_) => b"settled",
+    };
+    let parts = [
+        kind,
+        account.customer.as_str().as_bytes(),
+        account.program.as_str().as_bytes(),
+        turn.as_str().as_bytes(),
+        &state.tokens().to_be_bytes(),
+    ];
+    fingerprint(&parts).max(1)
 }
--- a/crates/history/src/join.rs
+++ b/crates/history/src/join.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use eyre::WrapErr;
 use eyre::bail;
 use eyre::eyre;
@@ -13,14 +12,13 @@
 use node::object::Objects;
 use node::object::Revision;
 
+use crate::copy;
+use crate::copy::Copier;
 use crate::membership::Member;
 use crate::membership::Membership;
 use crate::membership::Step;
-use crate::message;
 use crate::message::Answer;
 use crate::message::Call;
-use crate::message::Head;
-use crate::message::Position;
 use crate::record::Disk;
 use crate::record::Record;
 use crate::server::Server;
@@ -28,14 +26,7 @@
 /// Name of the membership's object.
 pub const OBJECT: &str = "history";
 
-/// Time for a host's answer to a call; a page of records takes some 10 ms.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Times that a host is asked before it counts as unreachable.
-const TRIES: usize = 6;
-
-/// Pause between tries, and before joining is tried again: hosts that start together need no more
-/// than this to listen.
+/// Pause before joining is tried again.
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// What a joining disk knows of itself and the system.
@@ -65,12 +56,12 @@
     let me = &plan.me;
     let (current, revision) = read(objects).await?;
     if current.find(me.disk).is_some() && server.joining() {
-        return finish(server, current, plan).await;
+        return finish(server, &mut Copier::new(server), current, plan).await;
     }
     let known = current.members.iter().any(|member| member.host == me.host);
     let unreachable = match plan.first_start || known {
         true => Vec::new(),
-        false => unreachable(&current, me.disk).await,
+        false => copy::unreachable(&current, me.disk).await,
     };
     match current.step(me, &unreachable, plan.first_start) {
         Step::Member => {
@@ -89,7 +80,8 @@
         Step::Replace(old) => {
             let others = current.without(old).without(me.disk);
             let needed = current.members.len().saturating_sub(plan.losses);
-            copy(server, &others, needed).await?;
+            let mut copier = Copier::new(server);
+            copy(server, &mut copier, &others, needed).await?;
             let next = current.with(me.clone(), Some(old));
             keep(server, Record::Joining(true)).await?;
             write(objects, &next, revision).await?;
@@ -97,13 +89,18 @@
                 step = "join", peer = "history", epoch:% = next.epoch, replaces:% = old;
                 "disk takes the place of another"
             );
-            finish(server, next, plan).await
+            finish(server, &mut copier, next, plan).await
         }
     }
 }
 
 /// Copies what was written until the others knew of this disk; from then on it answers for all.
-async fn finish(server: &Server, membership: Membership, plan: &Plan) -> eyre::Result<()> {
+async fn finish(
+    server: &Server,
+    copier: &mut Copier,
+    membership: Membership,
+    plan: &Plan,
+) -> eyre::Result<()> {
     let disk = plan.me.disk;
     let others = membership.without(disk);
     let needed = membership.members.len().saturating_sub(plan.losses);
@@ -112,7 +109,7 @@
     if informed < needed {
         bail!("{informed} of {needed} history hosts know of this disk");
     }
-    copy(server, &others, needed).await?;
+    copy(server, copier, &others, needed).await?;
     keep(server, Record::Joining(false)).await?;
     log::info!(step = "join", peer = "history", epoch:% = membership.epoch; "disk holds all records");
     Ok(())
@@ -160,40 +157,16 @@
 }
 
 /// Copies from all others; `needed` of them must have shown all that they hold.
-async fn copy(server: &Server, others: &Membership, needed: usize) -> eyre::Result<()> {
-    let copies = others
-        .members
-        .iter()
-        .map(|member| copy_from(server, member));
-    let results = join_all(copies).await;
-    let copied = results.iter().filter(|result| result.is_ok()).count();
-    match results.into_iter().find_map(Result::err) {
-        Some(error) if copied < needed => {
-            Err(error.wrap_err(format!("{copied} of {needed} history hosts copied")))
-        }
-        _ if copied < needed => bail!("{copied} of {needed} history hosts copied"),
-        _ => Ok(()),
-    }
-}
-
-async fn copy_from(server: &Server, member: &Member) -> eyre::Result<()> {
-    let link = Link::new(member.address);
-    let mut position = Position::default();
-    let mut count = 0;
-    loop {
-        let answer = call(&link, member.disk, &Call::Scan(position)).await?;
-        let Answer::Page { records, next, end } = answer else {
-            bail!("{} answers {answer:?}", member.host);
-        };
-        count += records.len();
-        if !records.is_empty() && !server.keep(records).await {
-            bail!("own disk fails");
-        }
-        if end {
-            log::info!(step = "copy", peer:% = member.host, records = count; "records are copied");
-            return Ok(());
-        }
-        position = next;
+async fn copy(
+    server: &Server,
+    copier: &mut Copier,
+    others: &Membership,
+    needed: usize,
+) -> eyre::Result<()> {
+    let copied = copier.copy(server, others, needed).await;
+    match copied < needed {
+        true => bail!("{copied} of {needed} history hosts copied"),
+        false => Ok(()),
     }
 }
 
@@ -203,44 +176,15 @@
     let told = others.map(|member| async {
         let link = Link::new(member.address);
         let news = Call::Inform(membership.clone());
-        matches!(call(&link, member.disk, &news).await, Ok(Answer::Informed))
+        matches!(
+            copy::call(&link, member.disk, &news).await,
+            Ok(Answer::Informed)
+        )
     });
     let told = join_all(told).await;
     told.into_iter().filter(|told| *told).count()
 }
 
-async fn unreachable(membership: &Membership, me: Disk) -> Vec<Disk> {
-    let others = membership.members.iter().filter(|other| other.disk != me);
-    let asked = others.map(|member| async {
-        let link = Link::new(member.address);
-        let end = Call::Scan(Position(u64::MAX));
-        match call(&link, member.disk, &end).await {
-            Ok(Answer::Page { .. }) => None,
-            _ => Some(member.disk),
-        }
-    });
-    join_all(asked).await.into_iter().flatten().collect()
-}
-
-/// Calls a host a few times.
-pub async fn call(link: &Link, disk: Disk, call: &Call) -> eyre::Result<Answer> {
-    let head = Head {
-        disk,
-        epoch: crate::membership::Epoch(u64::MAX),
-    };
-    let frame: Bytes = message::frame(head, &message::encode(call));
-    let mut last = None;
-    for _ in 0..TRIES {
-        match link.call(frame.clone(), ANSWER_TIMEOUT).await {
-            Ok(answer) => return Ok(message::read_answer(&answer)?),
-            Err(error) => last = Some(error),
-        }
-        tokio::time::sleep(PAUSE).await;
-    }
-    let error = last.map_or_else(|| eyre!("never asked"), eyre::Report::from);
-    Err(error.wrap_err(format!("calling {}", link.address())))
-}
-
 /// A pause of half to one and a half times this length.
 pub fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::random_range(0.5..1.5))
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod account;
 pub mod client;
 pub mod commit;
+pub mod copy;
 pub mod error;
 pub mod index;
 pub mod join;
@@ -22,3 +23,6 @@
 
 /// Hash map with a fast hasher.
 pub type Map<K, V> = rustc_hash::FxHashMap<K, V>;
+
+/// Hash set with a fast hasher.
+pub type Set<K> = rustc_hash::FxHashSet<K>;
--- a/crates/history/src/message.rs
+++ b/crates/history/src/message.rs
@@ -41,8 +41,10 @@
     Show(Account),
     /// Show a turn and those before it, as far as they are here.
     Chain(Request),
-    /// Show records from a position on, in the order in which they came.
-    Scan(Position),
+    /// Show the fingerprints of records from a position on, in the order in which they came.
+    Digest(Position),
+    /// Show the records at these positions.
+    Fetch(Vec<Position>),
     /// There is a newer membership.
     Inform(Membership),
 }
@@ -62,12 +64,17 @@
         /// Whether a turn that isn't shown is known not to be on this disk.
         complete: bool,
     },
-    Page {
-        records: Vec<Record>,
+    Digest {
+        /// Drawn at each start of the process; positions hold for one start.
+        incarnation: u64,
+        /// Of the records from the position asked for on; 0 where there is none any more.
+        fingerprints: Vec<u64>,
         next: Position,
         /// Whether there was nothing more.
         end: bool,
     },
+    /// Records at the positions asked for, as far as they are still there.
+    Records(Vec<Record>),
     Informed,
     /// The call's membership is too old; this is the newest one known here.
     Stale(Membership),
--- a/crates/history/src/retire.rs
+++ b/crates/history/src/retire.rs
@@ -10,19 +10,14 @@
 use eyre::bail;
 use eyre::eyre;
 use futures::future::join_all;
-use node::link::Link;
 use node::object::Kind;
 use node::object::Objects;
 use serde_json::json;
 
+use crate::copy;
 use crate::join;
 use crate::join::Plan;
-use crate::membership::Member;
 use crate::membership::Membership;
-use crate::message::Answer;
-use crate::message::Call;
-use crate::message::Position;
-use crate::record::Record;
 use crate::server::Server;
 
 /// Pause before emptying is tried again.
@@ -73,7 +68,10 @@
 /// Gives all records to the others, to enough of them that each record counts without this host.
 async fn hand_over(server: &Server, others: &Membership, losses: usize) -> eyre::Result<()> {
     let needed = others.write_quorum(losses).min(others.members.len());
-    let given = others.members.iter().map(|member| give(server, member));
+    let given = others
+        .members
+        .iter()
+        .map(|member| copy::give(server, member));
     let results = join_all(given).await;
     let count = results.iter().filter(|result| result.is_ok()).count();
     match count < needed {
@@ -82,28 +80,6 @@
     }
 }
 
-async fn give(server: &Server, member: &Member) -> eyre::Result<()> {
-    let link = Link::new(member.address);
-    let mut position = Position::default();
-    loop {
-        let (records, next, end) = server.page(position);
-        if !records.is_empty() {
-            append(&link, member, records).await?;
-        }
-        if end {
-            return Ok(());
-        }
-        position = next;
-    }
-}
-
-async fn append(link: &Link, member: &Member, records: Vec<Record>) -> eyre::Result<()> {
-    match join::call(link, member.disk, &Call::Append(records)).await? {
-        Answer::Appended => Ok(()),
-        answer => bail!("{} answers {answer:?}", member.host),
-    }
-}
-
 /// Writes the order's state; false if that failed.
 async fn report<O: Objects>(objects: &O, plan: &Plan, state: State) -> bool {
     let state = match state {
--- a/crates/history/src/server.rs
+++ b/crates/history/src/server.rs
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
+use crate::Set;
 use crate::commit::Committer;
 use crate::index::Index;
 use crate::membership::Epoch;
@@ -19,6 +20,7 @@
 use crate::message::Answer;
 use crate::message::Call;
 use crate::message::Head;
+use crate::message::Position;
 use crate::record::Disk;
 use crate::record::Record;
 use crate::segment;
@@ -43,6 +45,8 @@
     state: Mutex<State>,
     /// Part of the disk that the log may fill, in bytes.
     capacity: u64,
+    /// Drawn at each start; positions hold for one start.
+    incarnation: u64,
 }
 
 impl Server {
@@ -86,6 +90,7 @@
             committer,
             state: Mutex::new(state),
             capacity,
+            incarnation: rand::random(),
         }))
     }
 
@@ -121,9 +126,21 @@
         self.state.lock().closed = true;
     }
 
-    /// All records from a position on; see [`Index::page`].
-    pub fn page(&self, from: message::Position) -> (Vec<Record>, message::Position, bool) {
-        self.state.lock().index.page(from)
+    /// Fingerprints of all records.
+    pub fn fingerprints(&self) -> Set<u64> {
+        self.state.lock().index.fingerprints()
+    }
+
+    /// Fingerprints of records from a position on; see [`Index::digest`].
+    pub fn digest(&self, from: Position) -> (Vec<u64>, Position, bool) {
+        self.state.lock().index.digest(from)
+    }
+
+    /// Records at these positions, as far as they are still there.
+    pub fn records(&self, positions: &[Position]) -> Vec<Record> {
+        let state = self.state.lock();
+        let found = positions.iter().map(|position| state.index.at(*position));
+        found.flatten().collect()
     }
 
     /// Keeps records; false if the disk fails.
@@ -195,7 +212,7 @@
 /// Why a call isn't handled as it stands.
 fn reject(head: Head, disk: Disk, state: &State, call: &Call) -> Option<Answer> {
     let known = &state.index.membership;
-    let any_epoch = matches!(call, Call::Scan(_) | Call::Inform(_));
+    let any_epoch = matches!(call, Call::Digest(_) | Call::Fetch(_) | Call::Inform(_));
     match () {
         () if head.disk != disk => Some(Answer::OtherDisk),
         () if !any_epoch && head.epoch < known.epoch => Some(Answer::Stale(known.clone())),
@@ -246,10 +263,22 @@
                 drop(state);
                 responder.send(message::encode(&Answer::Chain { turns, complete }));
             }
-            Call::Scan(position) => {
-                let (records, next, end) = state.index.page(position);
+            Call::Digest(position) => {
+                let (fingerprints, next, end) = state.index.digest(position);
+                drop(state);
+                let incarnation = self.incarnation;
+                responder.send(message::encode(&Answer::Digest {
+                    incarnation,
+                    fingerprints,
+                    next,
+                    end,
+                }));
+            }
+            Call::Fetch(positions) => {
+                let found = positions.iter().map(|position| state.index.at(*position));
+                let records = found.flatten().collect();
                 drop(state);
-                responder.send(message::encode(&Answer::Page { records, next, end }));
+                responder.send(message::encode(&Answer::Records(records)));
             }
             Call::Inform(membership) => {
                 let epoch = membership.epoch;
--- a/crates/history/tests/index.rs
+++ b/crates/history/tests/index.rs
@@ -81,7 +81,7 @@
     assert_eq!(index.expire(now, Number(2)), vec![FILE]);
     assert!(index.is_empty());
     assert_eq!(index.bytes, 0);
-    assert_eq!(index.page(Position::default()), (vec![], Position(2), true));
+    assert!(index.digest(Position(2)).0.is_empty());
 }
 
 #[rstest]
@@ -105,16 +105,44 @@
 }
 
 #[rstest]
-fn pages_show_every_record_once_it_came_or_changed() {
+fn a_digest_shows_every_record_once_it_came_or_changed() {
     let mut index = Index::default();
     index.insert(turn("a", None, 60_000), FILE);
     index.insert(charge("a", State::Reserved(100)), FILE);
-    let (records, next, end) = index.page(Position::default());
-    assert_eq!((records.len(), end), (2, true));
+    let (before, next, end) = index.digest(Position::default());
+    assert_eq!((before.len(), end), (2, true));
     index.insert(charge("a", State::Settled(40)), FILE);
-    let (records, _, end) = index.page(next);
-    assert!(end);
-    assert_eq!(records, vec![charge("a", State::Settled(40))]);
+    let (after, last, end) = index.digest(next);
+    assert_eq!((after.len(), end, last), (1, true, Position(3)));
+    assert!(!before.contains(&after[0]));
+    assert_eq!(index.at(next), Some(charge("a", State::Settled(40))));
+}
+
+#[rstest]
+fn two_disks_show_the_same_fingerprints_for_the_same_records() {
+    let records = [turn("a", None, 60_000), charge("a", State::Reserved(100))];
+    let mut one = Index::default();
+    let mut two = Index::default();
+    records
+        .iter()
+        .for_each(|r| assert!(one.insert(r.clone(), FILE)));
+    records
+        .iter()
+        .rev()
+        .for_each(|r| assert!(two.insert(r.clone(), FILE)));
+    assert_eq!(one.fingerprints(), two.fingerprints());
+}
+
+#[rstest]
+fn places_of_a_digest_match_after_the_first_records_were_forgotten() {
+    let mut index = Index::default();
+    index.insert(turn("a", None, 60_000), FILE);
+    index.insert(turn("b", None, 90_000), FILE);
+    index.expire(Wall(70_000).after(CLOCK_SLACK), Number(2));
+    let (names, next, _) = index.digest(Position::default());
+    assert_eq!((names[0], names.len(), next), (0, 2, Position(2)));
+    assert_eq!(index.at(Position(0)), None);
+    assert_eq!(index.at(Position(1)), Some(turn("b", None, 90_000)));
 }
 
 #[rstest]
--- a/crates/history/tests/interleavings.rs
+++ b/crates/history/tests/interleavings.rs
@@ -326,10 +326,12 @@
             let Some(other) = self.host(member.disk) else {
                 continue;
             };
-            let (records, _, end) = self.hosts[other].index.page(Position::default());
+            let (names, _, end) = self.hosts[other].index.digest(Position::default());
             assert!(end);
-            for record in records {
-                self.hosts[at].index.insert(record, FILE);
+            for place in 0..names.len() as u64 {
+                if let Some(record) = self.hosts[other].index.at(Position(place)) {
+                    self.hosts[at].index.insert(record, FILE);
+                }
             }
             copied += 1;
         }
