--- a/crates/entry/src/controller.rs
+++ b/crates/entry/src/controller.rs
@@ -50,6 +50,7 @@
         },
         Command::Front(role) => crate::role::front(&role).await,
         Command::History(role) => crate::role::history(&role).await,
+        Command::Explain(what) => crate::explain::explain(&what.request, &what.files),
         Command::Dump(dump) => {
             command::dump(&dump.admin, &dump.key_file, dump.skip, dump.limit).await
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod dispatch;
 pub mod dump;
 pub mod duty;
+pub mod explain;
 pub mod fence;
 pub mod flight;
 pub mod gate;
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -31,6 +31,8 @@
     Front(Role),
     #[options(help = "keep turns and budgets on the users' platform")]
     History(Role),
+    #[options(help = "print what logs say of one request")]
+    Explain(Explain),
     #[options(help = "print the state of a running process")]
     Dump(Dump),
     #[options(help = "put or show a change ticket")]
@@ -50,6 +52,17 @@
     pub settings: Option<PathBuf>,
 }
 
+/// A request and the logs to search.
+#[derive(Debug, Gumdrop)]
+pub struct Explain {
+    #[options(help = "show this help")]
+    pub help: bool,
+    #[options(free, required, help = "the request's id")]
+    pub request: String,
+    #[options(free, help = "log files")]
+    pub files: Vec<PathBuf>,
+}
+
 /// Ticket commands.
 #[derive(Debug, Gumdrop)]
 pub struct Ticketing {
