--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,6 +15,16 @@
 /// How long the object store holds a watch: each one is paid for, but a dead one isn't noticed.
 const WATCH_TIME: Duration = Duration::from_secs(8);
 
+/// How long it holds a watch for what is rare and can wait.
+const LONG_WATCH_TIME: Duration = Duration::from_secs(20);
+
+/// Pause after a change of targets, in which further changes gather: many come at once when a
+/// service starts, and a leaving target may get work for two seconds.
+const TARGETS_PAUSE: Duration = Duration::from_millis(350);
+
+/// Pause after a change of the configuration, which must be in force within two seconds.
+const CONFIG_PAUSE: Duration = Duration::from_millis(60);
+
 /// First and longest pause before a failed call is made again.
 const PAUSE_MS: (u64, u64) = (150, 1200);
 
@@ -51,6 +61,9 @@
                 }
                 hear(kind, &news);
                 since = Some(revision);
+                if matches!(news, News::Changed(changes, _) if !changes.is_empty()) {
+                    tokio::time::sleep(pause_after_change(kind)).await;
+                }
             }
             Err(Error::Expired) => {
                 log::info!(step = "follow", peer = "platform", kind:% = kind; "changes were missed: lists again");
@@ -74,6 +87,20 @@
     }
 }
 
+fn pause_after_change(kind: Kind) -> Duration {
+    match kind {
+        Kind::Targets => TARGETS_PAUSE,
+        Kind::Config | Kind::Retirements | Kind::Members | Kind::Entries => CONFIG_PAUSE,
+    }
+}
+
+fn watch_time(kind: Kind) -> Duration {
+    match kind {
+        Kind::Config | Kind::Targets => WATCH_TIME,
+        Kind::Retirements | Kind::Members | Kind::Entries => LONG_WATCH_TIME,
+    }
+}
+
 fn new_delay() -> Delay {
     let (first, longest) = PAUSE_MS;
     Delay::new(coord::time::Millis(first), coord::time::Millis(longest))
@@ -91,7 +118,7 @@
             Ok((News::Listed(listing.objects, revision), revision))
         }
         Some(since) => {
-            let changes = objects.watch(kind, since, WATCH_TIME).await?;
+            let changes = objects.watch(kind, since, watch_time(kind)).await?;
             let revision = changes.revision;
             Ok((News::Changed(changes.changes, revision), revision))
         }
--- a/crates/history/src/quorum.rs
+++ b/crates/history/src/quorum.rs
@@ -24,7 +24,7 @@
 /// Pause before a host that wasn't reached is asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
-/// Time after which hosts that were spared at first are asked too; some syncs long.
+/// Time after which one more of the hosts that were spared at first is asked; some syncs long.
 const HEDGE_DELAY: Duration = Duration::from_millis(40);
 
 /// The disks that count and how they are reached.
@@ -116,15 +116,13 @@
     });
     let mut asked = FuturesUnordered::new();
     asked.extend(waiting.by_ref().take(first));
-    let hedge = tokio::time::sleep(HEDGE_DELAY);
-    tokio::pin!(hedge);
-    let mut hedged = false;
+    let mut hedge = Instant::now() + HEDGE_DELAY;
     loop {
         let answer = tokio::select! {
             answer = asked.next() => answer,
-            () = &mut hedge, if !hedged => {
-                hedged = true;
-                asked.extend(waiting.by_ref());
+            () = tokio::time::sleep_until(hedge) => {
+                hedge += HEDGE_DELAY;
+                asked.extend(waiting.by_ref().take(1));
                 continue;
             }
         };
