Arrange the gateway in folders without circles; one way to ask disks

Quotas now have an error of their own, reports and peers stand apart from the exchange, gauges from instruments; folders fleet, target and serve. The history client asked disks in three copies of one loop; now in one. Entries name others that they have heard, so that one that starts while the object store is away knows how many share a rate. Silence of an entry grows with the pause between reports.

--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -21,14 +21,14 @@
 use tokio::sync::watch;
 
 use crate::edge::Dialect;
+use crate::fleet::gossip;
+use crate::fleet::news;
 use crate::follow;
 use crate::follow::News;
-use crate::gossip;
-use crate::listener;
-use crate::metrics;
-use crate::news;
+use crate::gauges;
 use crate::operators;
 use crate::reload;
+use crate::serve::listener;
 use crate::settings::Settings;
 use crate::state::State;
 
@@ -72,7 +72,7 @@
     let ready = listener::bind(ready).await?;
     let metrics = Metrics::new()?;
     let state = State::new(settings, dialect, &metrics.meter());
-    metrics::observe_entry(&metrics.meter(), &state);
+    gauges::observe_entry(&metrics.meter(), &state);
     let objects = Arc::new(objects);
     log::info!(step = "start", peer = "self"; "entry starts");
     tokio::spawn(listener::serve_ready(ready, Arc::clone(&state)));
@@ -197,7 +197,7 @@
     tokio::spawn(take_part(Arc::clone(&server), objects, plan));
     if let Some(address) = settings.listen.admin {
         let metrics = Metrics::new()?;
-        metrics::observe_history(&metrics.meter(), &server);
+        gauges::observe_history(&metrics.meter(), &server);
         let view = operators::View {
             process: operators::Process::History(Arc::clone(&server)),
             metrics,
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,6 @@
+//! What entries tell each other.
+
+pub mod exchange;
+pub mod gossip;
+pub mod news;
+pub mod peers;
--- /dev/null
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -0,0 +1,128 @@
+//! What an entry tells the others, and what it learns from them.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+
+use node::object::Revision;
+use tokio::time::Instant;
+
+use crate::edge::Target;
+use crate::fleet::gossip;
+use crate::fleet::news;
+use crate::fleet::news::Answer;
+use crate::fleet::news::Question;
+use crate::fleet::peers::Report;
+use crate::state::State;
+use crate::target::balance;
+
+impl State {
+    /// Another entry may be at this address.
+    pub fn meet(&self, address: SocketAddr) {
+        if address != self.settings.peer_address() {
+            self.peers.lock().add(address, self.time());
+        }
+    }
+
+    /// Takes another entry's report.
+    pub fn hear_entry(&self, address: SocketAddr, report: &Report) {
+        let now = self.time();
+        report.entries.iter().for_each(|entry| self.meet(*entry));
+        let mut peers = self.peers.lock();
+        let silent = peers.hear(address, report, now);
+        let (fleet, running) = (peers.fleet(now), peers.running(now));
+        drop(peers);
+        let mut prefixes = self.prefixes.lock();
+        for (prefix, target) in &report.read {
+            prefixes.note(*prefix, *target, now);
+        }
+        drop(prefixes);
+        let mut suspects = self.suspects.lock();
+        for (request, crash) in &report.crashes {
+            suspects.crashed(*request, *crash, now);
+        }
+        drop(suspects);
+        let peer = (balance::key(&[&report.host]), report.incarnation);
+        self.quotas
+            .lock()
+            .report(peer, &report.totals, silent, fleet, now);
+        for entry in self.services().values().flatten() {
+            let hash = balance::hash(&entry.target.id);
+            let elsewhere = running.get(&hash).copied().unwrap_or(0);
+            entry.load.elsewhere.store(elsewhere, Ordering::Relaxed);
+        }
+    }
+
+    /// This entry's report and where it goes.
+    pub fn report(&self) -> (Report, Vec<SocketAddr>) {
+        let now = self.time();
+        let services = self.services();
+        let running = services.values().flatten().filter_map(|entry| {
+            let running = entry.load.running.load(Ordering::Relaxed);
+            (running > 0).then(|| (balance::hash(&entry.target.id), running))
+        });
+        let report = Report {
+            host: self.settings.host.clone(),
+            incarnation: self.incarnation,
+            version: self.version().0,
+            current: !self.is_lost(),
+            history: self.history_answers.load(Ordering::Relaxed),
+            leaving: self.is_draining(),
+            totals: self.quotas.lock().totals(gossip::repeat_since(now)),
+            running: running.collect(),
+            read: self.prefixes.lock().recent(now),
+            crashes: self.suspects.lock().recent(now),
+            entries: self.peers.lock().heard(now),
+        };
+        (report, self.peers.lock().addresses())
+    }
+
+    /// An entry to ask for what the object store doesn't tell.
+    pub fn informed_entry(&self) -> Option<SocketAddr> {
+        let peers = self.peers.lock();
+        let now = self.time();
+        match self.snapshot().is_some() {
+            true => peers.informed(now),
+            false => peers.informed(now).or_else(|| peers.any(now)),
+        }
+    }
+
+    /// What this entry knows, to ask others for more.
+    pub fn question(&self) -> Question {
+        Question {
+            version: self.version().0,
+            revision: self.directory.lock().revision.0,
+        }
+    }
+
+    /// What this entry knows beyond another.
+    pub fn news(&self, question: Question) -> Answer {
+        let snapshot = self.snapshot();
+        let newer = snapshot.filter(|known| known.table.config.version.0 > question.version);
+        let directory = self.directory.lock();
+        let targets = (directory.revision.0 > question.revision).then(|| {
+            let targets: Vec<Target> = directory.targets().cloned().collect();
+            (directory.revision.0, targets)
+        });
+        Answer {
+            config: newer.map(|snapshot| snapshot.object.clone()),
+            targets,
+            membership: self.history.membership(),
+        }
+    }
+
+    /// Takes what another entry knows.
+    pub fn take_news(&self, answer: Answer, peer: &str) {
+        if let Some(text) = answer.config {
+            match news::read_object(&text) {
+                Ok(object) => self.read_config(&object),
+                Err(error) => log::warn!(step = "read news", peer = peer; "{error}"),
+            }
+        }
+        if let Some((revision, targets)) = answer.targets {
+            let mut directory = self.directory.lock();
+            directory.adopt(Revision(revision), targets, Instant::now());
+            self.publish(&directory);
+        }
+        self.history.learn(answer.membership);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/fleet/gossip.rs
@@ -0,0 +1,129 @@
+//! What entries tell each other, a few times a second, by datagrams.
+//!
+//! Each report holds what its sender has admitted for customers and what it has at targets, as
+//! totals and present values, so that a lost one does no harm. Entries find each other through the
+//! objects that they register, through the seeds of their settings, and by hearing of each other.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::time::Millis;
+use coord::time::Time;
+use node::object::Error;
+use node::object::Kind;
+use node::object::Objects;
+use serde_json::json;
+use tokio::net::UdpSocket;
+
+use crate::fleet::peers;
+use crate::fleet::peers::Report;
+use crate::state::State;
+
+/// How long a customer's totals are repeated after they changed.
+const REPEAT: Millis = Millis(1500);
+
+/// Largest datagram, in bytes.
+const DATAGRAM_LIMIT: usize = 16 * 1024;
+
+/// Pause before registration is tried again.
+const REGISTER_PAUSE: Duration = Duration::from_millis(700);
+
+/// Exchanges reports until the task is dropped.
+///
+/// Errors: the port can't be bound.
+pub async fn run(state: Arc<State>) -> std::io::Result<()> {
+    let socket = UdpSocket::bind(state.settings.peer_address()).await?;
+    let port = state.settings.peer_ports.0;
+    for seed in &state.settings.seeds {
+        state.meet(SocketAddr::new(seed.ip(), port));
+    }
+    let mut buffer = vec![0; DATAGRAM_LIMIT];
+    let mut next = tokio::time::Instant::now();
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((size, from)) => hear(&state, &buffer[..size], from.ip(), port),
+                Err(error) => log::debug!(step = "receive report", peer = "entries"; "{error}"),
+            },
+            () = tokio::time::sleep_until(next) => {
+                next = tokio::time::Instant::now() + tell(&state, &socket).await;
+            }
+        }
+    }
+}
+
+fn hear(state: &State, datagram: &[u8], from: IpAddr, port: u16) {
+    match postcard::from_bytes::<Report>(datagram) {
+        Ok(report) if report.host == state.settings.host => {}
+        Ok(report) => state.hear_entry(SocketAddr::new(from, port), &report),
+        Err(error) => log::debug!(step = "read report", peer:% = from; "{error}"),
+    }
+}
+
+/// Tells all others; returns the pause until the next time.
+async fn tell(state: &State, socket: &UdpSocket) -> Duration {
+    let (report, addresses) = state.report();
+    let entries = addresses.len() + 1;
+    match postcard::to_stdvec(&report) {
+        Ok(datagram) => {
+            for address in addresses {
+                if let Err(error) = socket.send_to(&datagram, address).await {
+                    log::debug!(step = "send report", peer:% = address; "{error}");
+                }
+            }
+        }
+        Err(error) => log::error!(step = "encode report", peer = "entries"; "{error}"),
+    }
+    peers::interval(entries)
+}
+
+/// From when on changed totals are told at this time.
+pub fn repeat_since(now: Time) -> Time {
+    Time(now.0.saturating_sub(REPEAT.0))
+}
+
+/// Registers this entry, then learns of those that were registered before.
+pub async fn register<O: Objects>(objects: &O, state: &State) {
+    loop {
+        match try_register(objects, state).await {
+            Ok(()) => return,
+            Err(error) => log::debug!(step = "register", peer = "platform"; "{error}"),
+        }
+        tokio::time::sleep(history::join::jittered(REGISTER_PAUSE)).await;
+    }
+}
+
+async fn try_register<O: Objects>(objects: &O, state: &State) -> Result<(), Error> {
+    let host = &state.settings.host;
+    let address = state.settings.peer_address();
+    let spec = json!({ "address": address });
+    match objects.create(Kind::Entries, host, spec.clone()).await {
+        Ok(()) => {}
+        Err(Error::Conflict) => {
+            if let Some(object) = objects.get(Kind::Entries, host).await?
+                && object.spec != spec
+            {
+                let revision = object.revision;
+                objects.update(Kind::Entries, host, revision, spec).await?;
+            }
+        }
+        Err(error) => return Err(error),
+    }
+    let listing = objects.list(Kind::Entries).await?;
+    for object in listing
+        .objects
+        .iter()
+        .filter(|object| object.name != **host)
+    {
+        let address = object.spec.get("address").and_then(|value| value.as_str());
+        match address.map(str::parse) {
+            Some(Ok(address)) => state.meet(address),
+            _ => {
+                log::warn!(step = "read entry", peer = object.name.as_str(); "entry without an address")
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/fleet/news.rs
@@ -89,11 +89,6 @@
     }
 }
 
-/// A configuration's object as text.
-pub fn write_object(object: &Object) -> String {
-    object.spec.to_string()
-}
-
 /// A configuration's object from text.
 ///
 /// Errors: the text isn't JSON.
--- /dev/null
+++ b/crates/gateway/src/gauges.rs
@@ -0,0 +1,80 @@
+//! Present values of a process, shown whenever its metrics are read.
+
+use std::sync::Arc;
+
+use history::server::Server;
+use opentelemetry::metrics::Meter;
+
+use crate::state::State;
+
+/// Shows present values of an entry.
+pub fn observe_entry(meter: &Meter, state: &Arc<State>) {
+    let gauge = |name: &'static str, text: &'static str, value: fn(&State) -> u64| {
+        let state = Arc::downgrade(state);
+        meter
+            .u64_observable_gauge(name)
+            .with_description(text)
+            .with_callback(move |observer| {
+                if let Some(state) = state.upgrade() {
+                    observer.observe(value(&state), &[]);
+                }
+            })
+            .build();
+    };
+    gauge(
+        "teasellever_config_version",
+        "Configuration in force",
+        |state| state.version().0,
+    );
+    gauge(
+        "teasellever_connections",
+        "Connections to targets",
+        |state| u64::from(state.pool.open()),
+    );
+    gauge("teasellever_entries", "Entries known", |state| {
+        state.entries() as u64
+    });
+    gauge(
+        "teasellever_object_store_lost",
+        "Whether the object store doesn't answer",
+        |state| u64::from(state.is_lost()),
+    );
+}
+
+/// Shows present values of a history host.
+pub fn observe_history(meter: &Meter, server: &Arc<Server>) {
+    let gauge = |name: &'static str, text: &'static str, value: fn(&Server) -> u64| {
+        let server = Arc::downgrade(server);
+        meter
+            .u64_observable_gauge(name)
+            .with_description(text)
+            .with_callback(move |observer| {
+                if let Some(server) = server.upgrade() {
+                    observer.observe(value(&server), &[]);
+                }
+            })
+            .build();
+    };
+    gauge("teasellever_turns", "Turns kept", |server| {
+        server.size().0 as u64
+    });
+    gauge("teasellever_accounts", "Programs' budgets kept", |server| {
+        server.size().1 as u64
+    });
+    gauge(
+        "teasellever_turn_bytes",
+        "Bytes of the turns kept",
+        |server| server.size().2 as u64,
+    );
+    gauge("teasellever_syncs", "Syncs since the start", |server| {
+        server.syncs().0
+    });
+    gauge(
+        "teasellever_sync_micros",
+        "Time of all syncs, in microseconds",
+        |server| server.syncs().1,
+    );
+    gauge("teasellever_epoch", "Epoch of the membership", |server| {
+        server.membership().epoch.0
+    });
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,20 +1,14 @@
 //! Counters and histograms of an entry and of a history host; names and units stand in
 //! `docs/OPERATIONS.md`.
 
-use std::sync::Arc;
-use std::sync::Weak;
 use std::time::Duration;
 
-use history::server::Server;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
 
 use crate::error::Error;
-use crate::refusal::Refusal;
-use crate::request::Timing;
-use crate::state::State;
 
 /// Upper bounds of time histograms, in seconds: from a round trip in a data centre to a deadline.
 const SECONDS: [f64; 14] = [
@@ -35,6 +29,16 @@
     history: Histogram<f64>,
 }
 
+/// When the parts of a turn happened, since its request came.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Timing {
+    pub events: u64,
+    /// When it was first sent to an engine, in milliseconds.
+    pub sent_ms: u64,
+    /// When its first event came, in milliseconds.
+    pub first_event_ms: Option<u64>,
+}
+
 /// A call to the history.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Round {
@@ -105,8 +109,8 @@
     }
 
     /// Notes an answer of the entry's own.
-    pub fn refused(&self, refusal: &Refusal) {
-        let cause = KeyValue::new("cause", refusal.label());
+    pub fn refused(&self, cause: &'static str) {
+        let cause = KeyValue::new("cause", cause);
         self.refusals.add(1, &[cause]);
     }
 
@@ -135,75 +139,3 @@
             .record(took.as_secs_f64(), &[KeyValue::new("call", call)]);
     }
 }
-
-/// Shows present values of an entry.
-pub fn observe_entry(meter: &Meter, state: &Arc<State>) {
-    let gauge = |name: &'static str, text: &'static str, value: fn(&State) -> u64| {
-        let state = Arc::downgrade(state);
-        meter
-            .u64_observable_gauge(name)
-            .with_description(text)
-            .with_callback(move |observer| {
-                if let Some(state) = Weak::upgrade(&state) {
-                    observer.observe(value(&state), &[]);
-                }
-            })
-            .build();
-    };
-    gauge(
-        "teasellever_config_version",
-        "Configuration in force",
-        |state| state.version().0,
-    );
-    gauge(
-        "teasellever_connections",
-        "Connections to targets",
-        |state| u64::from(state.pool.open()),
-    );
-    gauge("teasellever_entries", "Entries known", |state| {
-        state.entries() as u64
-    });
-    gauge(
-        "teasellever_object_store_lost",
-        "Whether the object store doesn't answer",
-        |state| u64::from(state.is_lost()),
-    );
-}
-
-/// Shows present values of a history host.
-pub fn observe_history(meter: &Meter, server: &Arc<Server>) {
-    let gauge = |name: &'static str, text: &'static str, value: fn(&Server) -> u64| {
-        let server = Arc::downgrade(server);
-        meter
-            .u64_observable_gauge(name)
-            .with_description(text)
-            .with_callback(move |observer| {
-                if let Some(server) = Weak::upgrade(&server) {
-                    observer.observe(value(&server), &[]);
-                }
-            })
-            .build();
-    };
-    gauge("teasellever_turns", "Turns kept", |server| {
-        server.size().0 as u64
-    });
-    gauge("teasellever_accounts", "Programs' budgets kept", |server| {
-        server.size().1 as u64
-    });
-    gauge(
-        "teasellever_turn_bytes",
-        "Bytes of the turns kept",
-        |server| server.size().2 as u64,
-    );
-    gauge("teasellever_syncs", "Syncs since the start", |server| {
-        server.syncs().0
-    });
-    gauge(
-        "teasellever_sync_micros",
-        "Time of all syncs, in microseconds",
-        |server| server.syncs().1,
-    );
-    gauge("teasellever_epoch", "Epoch of the membership", |server| {
-        server.membership().epoch.0
-    });
-}
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use history::server::Server;
 use node::admin;
@@ -32,7 +33,7 @@
 impl Source for View {
     fn dump(&self, page: &Page) -> Value {
         match &self.process {
-            Process::Entry(state) => state.dump(page),
+            Process::Entry(state) => dump_entry(state, page),
             Process::History(server) => dump_history(server),
         }
     }
@@ -53,6 +54,36 @@
     }
 }
 
+/// Keys and prompts are left out.
+fn dump_entry(state: &State, page: &Page) -> Value {
+    let services = state.services();
+    let targets = services.values().flatten().skip(page.skip).take(page.limit);
+    let targets: Vec<Value> = targets
+        .map(|entry| {
+            json!({
+                "id": entry.target.id.as_str(),
+                "service": entry.target.service.as_str(),
+                "address": entry.target.address,
+                "running_here": entry.load.running.load(Ordering::Relaxed),
+                "running_elsewhere": entry.load.elsewhere.load(Ordering::Relaxed),
+                "failures_in_a_row": entry.load.failures.load(Ordering::Relaxed),
+            })
+        })
+        .collect();
+    json!({
+        "host": state.settings.host.as_str(),
+        "version": state.version().0,
+        "ready": state.is_ready(),
+        "draining": state.is_draining(),
+        "object_store_lost": state.is_lost(),
+        "history": state.history.membership(),
+        "entries": state.entries(),
+        "entries_silent": state.fleet().silent,
+        "connections": state.pool.open(),
+        "targets": targets,
+    })
+}
+
 fn dump_history(server: &Server) -> Value {
     let (turns, accounts, bytes) = server.size();
     json!({
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -13,7 +13,6 @@
 
 use crate::Map;
 use crate::config::CustomerLimits;
-use crate::refusal::Refusal;
 
 /// Longest time to come back that is told.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
@@ -27,6 +26,10 @@
 /// Fewest and most requests that a program is taken to need.
 const PROGRAM_RANGE: (f64, f64) = (1.0, 60.0);
 
+/// A customer is over its rate; this is when to come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Exceeded(pub Duration);
+
 /// A customer's bucket, and when it last admitted something.
 #[derive(Debug)]
 struct Entry {
@@ -67,7 +70,7 @@
         first: bool,
         fleet: Fleet,
         now: Time,
-    ) -> Result<(), Refusal> {
+    ) -> Result<(), Exceeded> {
         let usage = match first {
             true => Use::Start(self.program_requests),
             false => Use::Follow,
@@ -82,10 +85,8 @@
                 self.count(first);
                 Ok(())
             }
-            (Take::Wait(wait), Use::Follow) => Err(Refusal::OverRate(pause(wait))),
-            (Take::Wait(wait), Use::Start(cost)) => {
-                Err(Refusal::OverRate(entry.promise(wait, cost, now)))
-            }
+            (Take::Wait(wait), Use::Follow) => Err(Exceeded(pause(wait))),
+            (Take::Wait(wait), Use::Start(cost)) => Err(Exceeded(entry.promise(wait, cost, now))),
         }
     }
 
@@ -97,11 +98,11 @@
         limits: &CustomerLimits,
         fleet: Fleet,
         now: Time,
-    ) -> Result<(), Refusal> {
+    ) -> Result<(), Exceeded> {
         let per_request = limits.rate.map_or(0.0, |rate| 1000.0 / rate.per_second());
         let entry = self.entry(limits, fleet, now);
         match entry.is_some_and(|entry| entry.quota.is_empty(fleet, now)) {
-            true => Err(Refusal::OverRate(pause(Millis(per_request as u64)))),
+            true => Err(Exceeded(pause(Millis(per_request as u64)))),
             false => Ok(()),
         }
     }
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -13,19 +13,19 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use crate::body::Body;
 use crate::config::CustomerLimits;
 use crate::config::Route;
 use crate::config::Service;
 use crate::config::Work;
-use crate::crash;
 use crate::edge::Call;
-use crate::plain;
-use crate::refusal::Refusal;
-use crate::request::Job;
+use crate::serve::body::Body;
+use crate::serve::plain;
+use crate::serve::refusal::Refusal;
+use crate::serve::request::Job;
+use crate::serve::turn;
 use crate::state::Snapshot;
 use crate::state::State;
-use crate::turn;
+use crate::target::crash;
 
 /// When a request that crashes its targets may come back.
 const SUSPECT_RETRY: Duration = Duration::from_secs(60);
@@ -65,7 +65,7 @@
         status = refusal.status().as_u16(), took_ms = received.elapsed().as_millis() as u64;
         "{refusal}"
     );
-    state.instruments.refused(refusal);
+    state.instruments.refused(refusal.label());
     let mut response = refusal.response();
     if let Some(request) = request {
         state.dialect.name_request(response.headers_mut(), request);
@@ -199,7 +199,7 @@
     };
     let mut point = match sum {
         0 => 0,
-        sum => (crate::balance::key(&[name]) >> 16) as u32 % sum,
+        sum => (crate::target::balance::key(&[name]) >> 16) as u32 % sum,
     };
     for share in &route.shares {
         if point < share.weight {
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/serve/body.rs
@@ -10,8 +10,8 @@
 use http_body::SizeHint;
 use http_body_util::Full;
 
-use crate::stream::Broken;
-use crate::stream::Relay;
+use crate::serve::stream::Broken;
+use crate::serve::stream::Relay;
 
 /// Body of an answer.
 #[derive(Debug)]
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/serve/listener.rs
@@ -19,8 +19,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use crate::answer;
-use crate::body::Body;
+use crate::serve::answer;
+use crate::serve::body::Body;
 use crate::state::State;
 
 /// Pause after a connection couldn't be accepted.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -9,19 +9,19 @@
 use http_body_util::BodyExt;
 use tokio::time::Instant;
 
-use crate::balance;
-use crate::balance::Prompt;
-use crate::balance::Wish;
-use crate::body::Body;
-use crate::directory::Entry;
 use crate::error::Error;
-use crate::header::strip_hop_by_hop;
-use crate::refusal::Refusal;
-use crate::request::Job;
-use crate::send;
-use crate::send::Answer;
-use crate::send::Attempt;
+use crate::serve::body::Body;
+use crate::serve::header::strip_hop_by_hop;
+use crate::serve::refusal::Refusal;
+use crate::serve::request::Job;
 use crate::state::State;
+use crate::target::balance;
+use crate::target::balance::Prompt;
+use crate::target::balance::Wish;
+use crate::target::directory::Entry;
+use crate::target::send;
+use crate::target::send::Answer;
+use crate::target::send::Attempt;
 
 /// Targets that may turn one request away before it is refused.
 const TURNED_AWAY_LIMIT: usize = 4;
@@ -168,7 +168,7 @@
         match self.runs {
             0 => Refusal::Unavailable {
                 cause,
-                retry: crate::request::retry_pause(),
+                retry: crate::serve::request::retry_pause(),
             },
             _ => Refusal::Lost(cause),
         }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -8,7 +8,8 @@
 use http::StatusCode;
 use http::header;
 
-use crate::body::Body;
+use crate::quota::Exceeded;
+use crate::serve::body::Body;
 
 /// Why a request gets no target's answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -101,6 +102,12 @@
     }
 }
 
+impl From<Exceeded> for Refusal {
+    fn from(Exceeded(wait): Exceeded) -> Refusal {
+        Refusal::OverRate(wait)
+    }
+}
+
 impl fmt::Display for Refusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -15,6 +15,7 @@
 use crate::config::Version;
 use crate::config::Work;
 use crate::edge::Call;
+use crate::metrics::Timing;
 
 /// Shortest and longest time after which a caller comes back to another entry.
 const RETRY_PAUSE_MS: std::ops::Range<u64> = 150..450;
@@ -66,16 +67,6 @@
     }
 }
 
-/// When the parts of a turn happened, since its request came.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Timing {
-    pub events: u64,
-    /// When it was first sent to an engine, in milliseconds.
-    pub sent_ms: u64,
-    /// When its first event came, in milliseconds.
-    pub first_event_ms: Option<u64>,
-}
-
 /// When a caller that was turned away should come back; spread, so that not all come at once.
 pub fn retry_pause() -> Duration {
     Duration::from_millis(rand::random_range(RETRY_PAUSE_MS))
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -21,19 +21,19 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
-use crate::crash;
-use crate::event;
-use crate::event::Scanner;
-use crate::event::Whole;
 use crate::metrics::Round;
-use crate::pool::Lease;
-use crate::refusal::Refusal;
-use crate::request::Timing;
-use crate::send;
-use crate::send::Answer;
+use crate::metrics::Timing;
+use crate::serve::event;
+use crate::serve::event::Scanner;
+use crate::serve::event::Whole;
+use crate::serve::refusal::Refusal;
+use crate::serve::turn;
+use crate::serve::turn::Running;
 use crate::state::State;
-use crate::turn;
-use crate::turn::Running;
+use crate::target::crash;
+use crate::target::pool::Lease;
+use crate::target::send;
+use crate::target::send::Answer;
 
 /// Time for keeping a turn before its end goes out.
 const KEEP_TIMEOUT: Duration = Duration::from_millis(1500);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,5 @@
 //! What all requests of an entry share.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -9,42 +8,32 @@
 
 use coord::quota::Fleet;
 use coord::time::Time;
-use node::admin::Page;
 use node::object::Change;
 use node::object::Kind;
 use node::object::Object;
-use node::object::Revision;
 use opentelemetry::metrics::Meter;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use sched::suspect::Suspects;
-use serde_json::Value;
-use serde_json::json;
 use tokio::time::Instant;
 
-use crate::chain;
 use crate::config::Config;
 use crate::config::CustomerLimits;
 use crate::config::Version;
-use crate::directory::Directory;
-use crate::directory::Services;
 use crate::edge::Dialect;
-use crate::edge::Target;
+use crate::fleet::peers::Peers;
 use crate::follow::News;
-use crate::gossip;
-use crate::gossip::Peers;
-use crate::gossip::Report;
 use crate::metrics::Instruments;
-use crate::news;
-use crate::news::Answer;
-use crate::news::Question;
-use crate::pool::Pool;
-use crate::prefix::Prefixes;
-use crate::program::Programs;
+use crate::quota::Exceeded;
 use crate::quota::Quotas;
-use crate::refusal::Refusal;
+use crate::serve::chain;
 use crate::settings::Settings;
 use crate::table::Table;
+use crate::target::directory::Directory;
+use crate::target::directory::Services;
+use crate::target::pool::Pool;
+use crate::target::prefix::Prefixes;
+use crate::target::program::Programs;
 
 /// Content of recent turns that an entry keeps, in bytes: some hundred programs under way.
 const CHAIN_BYTES: usize = 12 * 1024 * 1024;
@@ -63,7 +52,7 @@
 pub struct Snapshot {
     pub table: Table,
     /// The object that it was read from, as text for other entries.
-    object: String,
+    pub(crate) object: String,
 }
 
 /// What all requests share.
@@ -78,17 +67,17 @@
     pub prefixes: Mutex<Prefixes>,
     pub suspects: Mutex<Suspects>,
     started: Instant,
-    snapshot: RwLock<Option<Arc<Snapshot>>>,
-    directory: Mutex<Directory>,
+    pub(crate) snapshot: RwLock<Option<Arc<Snapshot>>>,
+    pub(crate) directory: Mutex<Directory>,
     services: RwLock<Arc<Services>>,
     draining: AtomicBool,
     /// Milliseconds since the start at which the object store began to be silent; 0: it isn't.
     silent_since_ms: AtomicU64,
     /// Whether enough history hosts answer.
-    history_answers: AtomicBool,
-    incarnation: u64,
-    quotas: Mutex<Quotas>,
-    peers: Mutex<Peers>,
+    pub(crate) history_answers: AtomicBool,
+    pub(crate) incarnation: u64,
+    pub(crate) quotas: Mutex<Quotas>,
+    pub(crate) peers: Mutex<Peers>,
 }
 
 impl std::fmt::Debug for State {
@@ -140,36 +129,6 @@
         self.fleet().entries
     }
 
-    /// What operators see; keys and prompts are left out.
-    pub fn dump(&self, page: &Page) -> Value {
-        let services = self.services();
-        let targets = services.values().flatten().skip(page.skip).take(page.limit);
-        let targets: Vec<Value> = targets
-            .map(|entry| {
-                json!({
-                    "id": entry.target.id.as_str(),
-                    "service": entry.target.service.as_str(),
-                    "address": entry.target.address,
-                    "running_here": entry.load.running.load(Ordering::Relaxed),
-                    "running_elsewhere": entry.load.elsewhere.load(Ordering::Relaxed),
-                    "failures_in_a_row": entry.load.failures.load(Ordering::Relaxed),
-                })
-            })
-            .collect();
-        json!({
-            "host": self.settings.host.as_str(),
-            "version": self.version().0,
-            "ready": self.is_ready(),
-            "draining": self.is_draining(),
-            "object_store_lost": self.is_lost(),
-            "history": self.history.membership(),
-            "entries": self.entries(),
-            "entries_silent": self.fleet().silent,
-            "connections": self.pool.open(),
-            "targets": targets,
-        })
-    }
-
     /// Targets that take new work.
     pub fn services(&self) -> Arc<Services> {
         Arc::clone(&self.services.read())
@@ -225,7 +184,7 @@
     /// Takes a request from its customer's rate.
     ///
     /// Errors: the rate doesn't hold it.
-    pub fn admit(&self, customer: &CustomerLimits, first: bool) -> Result<(), Refusal> {
+    pub fn admit(&self, customer: &CustomerLimits, first: bool) -> Result<(), Exceeded> {
         let (fleet, now) = (self.fleet(), self.time());
         self.quotas.lock().take(customer, first, fleet, now)
     }
@@ -233,123 +192,15 @@
     /// Refuses a request that its customer's rate surely doesn't hold.
     ///
     /// Errors: the rate is used up.
-    pub fn check_rate(&self, customer: &CustomerLimits) -> Result<(), Refusal> {
+    pub fn check_rate(&self, customer: &CustomerLimits) -> Result<(), Exceeded> {
         let (fleet, now) = (self.fleet(), self.time());
         self.quotas.lock().check(customer, fleet, now)
     }
 
-    fn fleet(&self) -> Fleet {
+    pub(crate) fn fleet(&self) -> Fleet {
         self.peers.lock().fleet(self.time())
     }
 
-    /// Another entry may be at this address.
-    pub fn meet(&self, address: SocketAddr) {
-        if address != self.settings.peer_address() {
-            self.peers.lock().add(address, self.time());
-        }
-    }
-
-    /// Takes another entry's report.
-    pub fn hear_entry(&self, address: SocketAddr, report: &Report) {
-        let now = self.time();
-        let mut peers = self.peers.lock();
-        let silent = peers.hear(address, report, now);
-        let (fleet, running) = (peers.fleet(now), peers.running(now));
-        drop(peers);
-        let mut prefixes = self.prefixes.lock();
-        for (prefix, target) in &report.read {
-            prefixes.note(*prefix, *target, now);
-        }
-        drop(prefixes);
-        let mut suspects = self.suspects.lock();
-        for (request, crash) in &report.crashes {
-            suspects.crashed(*request, *crash, now);
-        }
-        drop(suspects);
-        let peer = (crate::balance::key(&[&report.host]), report.incarnation);
-        self.quotas
-            .lock()
-            .report(peer, &report.totals, silent, fleet, now);
-        for entry in self.services().values().flatten() {
-            let hash = crate::balance::hash(&entry.target.id);
-            let elsewhere = running.get(&hash).copied().unwrap_or(0);
-            entry.load.elsewhere.store(elsewhere, Ordering::Relaxed);
-        }
-    }
-
-    /// This entry's report and where it goes.
-    pub fn report(&self) -> (Report, Vec<SocketAddr>) {
-        let now = self.time();
-        let services = self.services();
-        let running = services.values().flatten().filter_map(|entry| {
-            let running = entry.load.running.load(Ordering::Relaxed);
-            (running > 0).then(|| (crate::balance::hash(&entry.target.id), running))
-        });
-        let report = Report {
-            host: self.settings.host.clone(),
-            incarnation: self.incarnation,
-            version: self.version().0,
-            current: !self.is_lost(),
-            history: self.history_answers.load(Ordering::Relaxed),
-            leaving: self.is_draining(),
-            totals: self.quotas.lock().totals(gossip::repeat_since(now)),
-            running: running.collect(),
-            read: self.prefixes.lock().recent(now),
-            crashes: self.suspects.lock().recent(now),
-        };
-        (report, self.peers.lock().addresses())
-    }
-
-    /// An entry to ask for what the object store doesn't tell.
-    pub fn informed_entry(&self) -> Option<SocketAddr> {
-        let peers = self.peers.lock();
-        let now = self.time();
-        match self.snapshot().is_some() {
-            true => peers.informed(now),
-            false => peers.informed(now).or_else(|| peers.any(now)),
-        }
-    }
-
-    /// What this entry knows, to ask others for more.
-    pub fn question(&self) -> Question {
-        Question {
-            version: self.version().0,
-            revision: self.directory.lock().revision.0,
-        }
-    }
-
-    /// What this entry knows beyond another.
-    pub fn news(&self, question: Question) -> Answer {
-        let snapshot = self.snapshot();
-        let newer = snapshot.filter(|known| known.table.config.version.0 > question.version);
-        let directory = self.directory.lock();
-        let targets = (directory.revision.0 > question.revision).then(|| {
-            let targets: Vec<Target> = directory.targets().cloned().collect();
-            (directory.revision.0, targets)
-        });
-        Answer {
-            config: newer.map(|snapshot| snapshot.object.clone()),
-            targets,
-            membership: self.history.membership(),
-        }
-    }
-
-    /// Takes what another entry knows.
-    pub fn take_news(&self, answer: Answer, peer: &str) {
-        if let Some(text) = answer.config {
-            match news::read_object(&text) {
-                Ok(object) => self.read_config(&object),
-                Err(error) => log::warn!(step = "read news", peer = peer; "{error}"),
-            }
-        }
-        if let Some((revision, targets)) = answer.targets {
-            let mut directory = self.directory.lock();
-            directory.adopt(Revision(revision), targets, Instant::now());
-            self.publish(&directory);
-        }
-        self.history.learn(answer.membership);
-    }
-
     /// Connections that this entry may have to a target.
     pub fn connection_limit(&self, service: &str) -> u32 {
         let snapshot = self.snapshot();
@@ -441,9 +292,9 @@
         }
     }
 
-    fn read_config(&self, object: &Object) {
+    pub(crate) fn read_config(&self, object: &Object) {
         match self.dialect.config(object) {
-            Ok(config) => self.configure(config, news::write_object(object)),
+            Ok(config) => self.configure(config, object.spec.to_string()),
             Err(error) => {
                 log::error!(
                     step = "read configuration", peer = object.name.as_str();
@@ -453,7 +304,7 @@
         }
     }
 
-    fn publish(&self, directory: &Directory) {
+    pub(crate) fn publish(&self, directory: &Directory) {
         *self.services.write() = Arc::new(directory.services());
     }
 
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/target/balance.rs
@@ -8,7 +8,7 @@
 
 use std::hash::Hasher;
 
-use crate::directory::Entry;
+use crate::target::directory::Entry;
 
 /// Tokens to read that hold up an engine as much as one more request in its batch does: at ten
 /// requests, the engines of both sites lose some 19 ms to either.
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/target/crash.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpStream;
 
 use crate::edge::Target;
-use crate::request::Job;
+use crate::serve::request::Job;
 use crate::state::State;
 
 /// Time for a crashed target's host to close its port.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::Map;
+use crate::Set;
 use crate::config::Service;
 use crate::edge::Dialect;
 use crate::edge::Stage;
@@ -83,8 +84,7 @@
 
     /// Takes a complete list of registrations.
     pub fn list(&mut self, objects: &[Object], dialect: &dyn Dialect, now: Instant) {
-        let names: std::collections::HashSet<&str> =
-            objects.iter().map(|object| object.name.as_str()).collect();
+        let names: Set<&str> = objects.iter().map(|object| object.name.as_str()).collect();
         let missing: Vec<CompactString> = self
             .targets
             .keys()
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/target/pool.rs
@@ -21,9 +21,9 @@
 use tokio::time::Instant;
 
 use crate::Map;
-use crate::directory::Entry;
-use crate::directory::Load;
 use crate::error::Error;
+use crate::target::directory::Entry;
+use crate::target::directory::Load;
 
 /// Time to open a connection; the opening packet is sent again only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/target/send.rs
@@ -14,17 +14,17 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use crate::crash;
-use crate::directory::Entry;
 use crate::edge::Dispatch;
 use crate::edge::Reply;
 use crate::error::Error;
-use crate::header::strip_hop_by_hop;
-use crate::pool;
-use crate::pool::Lease;
-use crate::pool::Pick;
-use crate::request::Job;
+use crate::serve::header::strip_hop_by_hop;
+use crate::serve::request::Job;
 use crate::state::State;
+use crate::target::crash;
+use crate::target::directory::Entry;
+use crate::target::pool;
+use crate::target::pool::Lease;
+use crate::target::pool::Pick;
 
 /// Time after the deadline in which a target's own answer to it may still arrive.
 const LATE_ANSWER: Duration = Duration::from_millis(80);
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -7,13 +7,13 @@
 use std::collections::HashSet;
 use std::sync::atomic::Ordering;
 
-use gateway::balance;
-use gateway::balance::Prompt;
-use gateway::balance::Wish;
-use gateway::directory::Entry;
-use gateway::directory::Load;
 use gateway::edge::Stage;
 use gateway::edge::Target;
+use gateway::target::balance;
+use gateway::target::balance::Prompt;
+use gateway::target::balance::Wish;
+use gateway::target::directory::Entry;
+use gateway::target::directory::Load;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
--- a/crates/gateway/tests/chain.rs
+++ b/crates/gateway/tests/chain.rs
@@ -1,8 +1,8 @@
 //! Turns that an entry keeps in memory.
 
 use bytes::Bytes;
-use gateway::chain::Cache;
-use gateway::chain::Found;
+use gateway::serve::chain::Cache;
+use gateway::serve::chain::Found;
 use history::record::Turn;
 use history::time::Wall;
 use rstest::rstest;
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -3,8 +3,6 @@
 use std::time::Duration;
 
 use gateway::config::Config;
-use gateway::directory::Directory;
-use gateway::directory::RETURN_TIME;
 use gateway::edge::Call;
 use gateway::edge::Dialect;
 use gateway::edge::Dispatch;
@@ -12,6 +10,8 @@
 use gateway::edge::Reply;
 use gateway::edge::Stage;
 use gateway::edge::Target;
+use gateway::target::directory::Directory;
+use gateway::target::directory::RETURN_TIME;
 use http::HeaderMap;
 use node::object::Change;
 use node::object::Object;
--- a/crates/gateway/tests/event.rs
+++ b/crates/gateway/tests/event.rs
@@ -1,9 +1,9 @@
 //! Events found in the bytes of a stream.
 
 use bytes::Bytes;
-use gateway::event;
-use gateway::event::Scanner;
-use gateway::event::TooLong;
+use gateway::serve::event;
+use gateway::serve::event::Scanner;
+use gateway::serve::event::TooLong;
 use rstest::rstest;
 
 const STREAM: &[u8] = b"id: 1\ndata: one\n\nid: 2\ndata: two\ndata: lines\n\nid: 3\ndata:\n\n";
--- a/crates/gateway/tests/gossip.rs
+++ b/crates/gateway/tests/peers.rs
@@ -5,8 +5,8 @@
 use coord::quota::SILENCE;
 use coord::time::Millis;
 use coord::time::Time;
-use gateway::gossip::Peers;
-use gateway::gossip::Report;
+use gateway::fleet::peers::Peers;
+use gateway::fleet::peers::Report;
 use rstest::rstest;
 
 fn address(number: u8) -> SocketAddr {
@@ -25,6 +25,7 @@
         running: vec![(7, 3)],
         read: Vec::new(),
         crashes: Vec::new(),
+        entries: Vec::new(),
     }
 }
 
@@ -85,3 +86,22 @@
     assert_eq!(peers.informed(Time(150)), Some(address(3)));
     assert_eq!(peers.informed(Time(5_000)), None);
 }
+
+#[rstest]
+fn among_many_entries_reports_are_rarer_and_silence_is_noticed_later() {
+    let mut peers = Peers::default();
+    for number in 1..100 {
+        peers.hear(address(number), &report("a"), Time(0));
+    }
+    assert_eq!(peers.fleet(Time(3_000)).silent, 0);
+    assert_eq!(peers.fleet(Time(4_000)).silent, 99);
+}
+
+#[rstest]
+fn only_entries_that_were_heard_of_late_are_named_to_others() {
+    let mut peers = Peers::default();
+    peers.add(address(1), Time(0));
+    peers.hear(address(2), &report("b"), Time(0));
+    assert_eq!(peers.heard(Time(100)), [address(2)]);
+    assert!(peers.heard(Time(10_000)).is_empty());
+}
--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -7,8 +7,8 @@
 use coord::quota::Fleet;
 use coord::time::Time;
 use gateway::config::CustomerLimits;
+use gateway::quota::Exceeded;
 use gateway::quota::Quotas;
-use gateway::refusal::Refusal;
 use rstest::rstest;
 
 const ALONE: Fleet = Fleet {
@@ -26,11 +26,8 @@
     }
 }
 
-fn wait(result: Result<(), Refusal>) -> Option<Duration> {
-    match result {
-        Err(Refusal::OverRate(wait)) => Some(wait),
-        _ => None,
-    }
+fn wait(result: Result<(), Exceeded>) -> Option<Duration> {
+    result.err().map(|Exceeded(wait)| wait)
 }
 
 #[rstest]
--- a/crates/history/src/client.rs
+++ b/crates/history/src/client.rs
@@ -64,6 +64,27 @@
     pub expires: Wall,
 }
 
+/// What several disks are asked.
+struct Question<'a> {
+    body: Bytes,
+    /// Decides in which order disks are asked, alike at all entries; empty: any order.
+    key: &'a [u8],
+    /// Disks that are asked at once; others only if these are slow.
+    first: usize,
+    deadline: Instant,
+}
+
+/// What an answer means for the question.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Vote {
+    /// One of the answers that are needed.
+    Counts,
+    /// No answer to the question.
+    Skips,
+    /// The question needs no further answer.
+    Decides,
+}
+
 impl Client {
     /// A client that bears the loss of this many disks.
     pub fn new(losses: usize) -> Client {
@@ -131,45 +152,29 @@
         deadline: Instant,
     ) -> Result<(), Error> {
         let writes = matches!(call, Call::Reserve(_));
-        let body = message::encode(call);
-        for _ in 0..MEMBERSHIPS {
-            let view = self.views.get();
-            let write_quorum = match writes {
-                true => view.membership.write_quorum(self.losses),
-                false => 0,
-            };
-            let read_quorum = view.membership.read_quorum(self.losses);
-            let needed = write_quorum.max(read_quorum);
-            let order = order(&view, &[]);
-            let mut answered = 0;
-            let mut certain = 0;
-            let outcome = quorum::ask(
-                &self.views,
-                &view,
-                &order,
-                order.len(),
-                body.clone(),
-                deadline,
-                |_, answer| {
-                    if let Answer::Account { charges, complete } = answer {
-                        seen.merge(charges);
-                        answered += 1;
-                        certain += usize::from(complete);
-                    }
-                    match answered >= write_quorum && certain >= read_quorum {
-                        true => Progress::Done,
-                        false => Progress::Wait,
-                    }
-                },
-            )
-            .await;
-            match outcome {
-                Outcome::Done => return Ok(()),
-                Outcome::Stale => {}
-                Outcome::Incomplete => return Err(incomplete(&view, certain, needed)),
+        let question = Question {
+            body: message::encode(call),
+            key: &[],
+            first: usize::MAX,
+            deadline,
+        };
+        let needed = |membership: &Membership| match writes {
+            true => membership
+                .write_quorum(self.losses)
+                .max(membership.read_quorum(self.losses)),
+            false => membership.read_quorum(self.losses),
+        };
+        self.ask(&question, needed, |answer| match answer {
+            Answer::Account { charges, complete } => {
+                seen.merge(charges);
+                match complete {
+                    true => Vote::Counts,
+                    false => Vote::Skips,
+                }
             }
-        }
-        Err(Error::NoMembership)
+            _ => Vote::Skips,
+        })
+        .await
     }
 
     /// Keeps records on enough disks that they count.
@@ -181,22 +186,43 @@
         near: &Account,
         deadline: Instant,
     ) -> Result<(), Error> {
-        let body = message::encode(&Call::Append(records));
+        let question = Question {
+            body: message::encode(&Call::Append(records)),
+            key: near.program.as_str().as_bytes(),
+            first: self.losses + 1,
+            deadline,
+        };
+        let needed = |membership: &Membership| membership.write_quorum(self.losses);
+        self.ask(&question, needed, |answer| match answer {
+            Answer::Appended => Vote::Counts,
+            _ => Vote::Skips,
+        })
+        .await
+    }
+
+    /// Asks disks until enough answers count, under the newest membership that they know.
+    async fn ask(
+        &self,
+        question: &Question<'_>,
+        needed: impl Fn(&Membership) -> usize,
+        mut vote: impl FnMut(Answer) -> Vote,
+    ) -> Result<(), Error> {
         for _ in 0..MEMBERSHIPS {
             let view = self.views.get();
-            let needed = view.membership.write_quorum(self.losses);
-            let order = order(&view, near.program.as_str().as_bytes());
-            let mut kept = 0;
+            let needed = needed(&view.membership);
+            let order = order(&view, question.key);
+            let mut counted = 0;
             let outcome = quorum::ask(
                 &self.views,
                 &view,
                 &order,
-                needed,
-                body.clone(),
-                deadline,
+                question.first,
+                question.body.clone(),
+                question.deadline,
                 |_, answer| {
-                    kept += usize::from(answer == Answer::Appended);
-                    match kept >= needed {
+                    let vote = vote(answer);
+                    counted += usize::from(vote == Vote::Counts);
+                    match vote == Vote::Decides || counted >= needed {
                         true => Progress::Done,
                         false => Progress::Wait,
                     }
@@ -206,7 +232,7 @@
             match outcome {
                 Outcome::Done => return Ok(()),
                 Outcome::Stale => {}
-                Outcome::Incomplete => return Err(incomplete(&view, kept, needed)),
+                Outcome::Incomplete => return Err(incomplete(&view, counted, needed)),
             }
         }
         Err(Error::NoMembership)
@@ -260,43 +286,25 @@
         near: &Account,
         deadline: Instant,
     ) -> Result<bool, Error> {
-        let body = message::encode(&Call::Chain(turn.clone()));
-        for _ in 0..MEMBERSHIPS {
-            let view = self.views.get();
-            let needed = view.membership.read_quorum(self.losses);
-            let order = order(&view, near.program.as_str().as_bytes());
-            let mut absent = 0;
-            let mut present = false;
-            let outcome = quorum::ask(
-                &self.views,
-                &view,
-                &order,
-                1,
-                body.clone(),
-                deadline,
-                |_, answer| {
-                    match answer {
-                        Answer::Chain { turns, .. } if !turns.is_empty() => {
-                            found.extend(turns.into_iter().map(|turn| (turn.id.clone(), turn)));
-                            present = true;
-                        }
-                        Answer::Chain { complete: true, .. } => absent += 1,
-                        _ => {}
-                    }
-                    match present || absent >= needed {
-                        true => Progress::Done,
-                        false => Progress::Wait,
-                    }
-                },
-            )
-            .await;
-            match outcome {
-                Outcome::Done => return Ok(present),
-                Outcome::Stale => {}
-                Outcome::Incomplete => return Err(incomplete(&view, absent, needed)),
+        let question = Question {
+            body: message::encode(&Call::Chain(turn.clone())),
+            key: near.program.as_str().as_bytes(),
+            first: 1,
+            deadline,
+        };
+        let needed = |membership: &Membership| membership.read_quorum(self.losses);
+        let mut present = false;
+        self.ask(&question, needed, |answer| match answer {
+            Answer::Chain { turns, .. } if !turns.is_empty() => {
+                found.extend(turns.into_iter().map(|turn| (turn.id.clone(), turn)));
+                present = true;
+                Vote::Decides
             }
-        }
-        Err(Error::NoMembership)
+            Answer::Chain { complete: true, .. } => Vote::Counts,
+            _ => Vote::Skips,
+        })
+        .await?;
+        Ok(present)
     }
 
     /// Whether enough disks answer that turns can run.
