Take a lost disk's place sooner

Now three times. A member that is taken for lost by mistake joins again with its records, which the interleavings cover.

--- a/crates/history/src/copy.rs
+++ b/crates/history/src/copy.rs
@@ -26,9 +26,13 @@
 /// Time for a host's answer to a call; a page of records takes some 100 ms of a small host.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// Times that a host is asked before it counts as unreachable.
+/// Times that a host is asked before a call to it fails.
 const TRIES: usize = 6;
 
+/// Times that a host is asked before it counts as unreachable: a disk must take a lost one's place
+/// within a few seconds, and one that is taken for lost by mistake joins again.
+const REACH_TRIES: usize = 3;
+
 /// Pause between tries: hosts that start together need no more than this to listen.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -197,7 +201,8 @@
 /// A link to a member that answers and still holds its disk.
 async fn reach(member: &Member) -> Option<Link> {
     let link = Link::new(member.address);
-    match call(&link, member.disk, &Call::Digest(Position(u64::MAX))).await {
+    let question = Call::Digest(Position(u64::MAX));
+    match call_times(&link, member.disk, &question, REACH_TRIES).await {
         Ok(Answer::Digest { .. }) => Some(link),
         _ => None,
     }
@@ -222,13 +227,17 @@
 ///
 /// Errors: it doesn't answer.
 pub async fn call(link: &Link, disk: Disk, call: &Call) -> eyre::Result<Answer> {
+    call_times(link, disk, call, TRIES).await
+}
+
+async fn call_times(link: &Link, disk: Disk, call: &Call, tries: usize) -> eyre::Result<Answer> {
     let head = Head {
         disk,
         epoch: Epoch(u64::MAX),
     };
     let frame: Bytes = message::frame(head, &message::encode(call));
     let mut last = None;
-    for _ in 0..TRIES {
+    for _ in 0..tries {
         match link.call(frame.clone(), ANSWER_TIMEOUT).await {
             Ok(answer) => return Ok(message::read_answer(&answer)?),
             Err(error) => last = Some(error),
