--- a/crates/entry/src/role.rs
+++ b/crates/entry/src/role.rs
@@ -5,12 +5,14 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use gateway::reload;
 use gateway::settings::Settings;
 use node::command;
 use node::command::Exit;
 use node::command::fail;
 use platform::Platform;
 use platform::object::Client;
+use tokio::signal::unix::Signal;
 
 use crate::options::Role;
 
@@ -19,9 +21,12 @@
     let Some(file) = file(role) else {
         return fail(Exit::Usage, "which settings file?");
     };
-    match role.check {
-        true => command::check::<Settings>(&file),
-        false => command::serve(&file, |settings| run_front(settings, &file)).await,
+    if role.check {
+        return command::check::<Settings>(&file);
+    }
+    match reload::hangups() {
+        Ok(hangups) => command::serve(&file, |settings| run_front(settings, &file, hangups)).await,
+        Err(error) => fail(Exit::Failure, error),
     }
 }
 
@@ -30,22 +35,27 @@
     let Some(file) = file(role) else {
         return fail(Exit::Usage, "which settings file?");
     };
-    match role.check {
-        true => command::check::<Settings>(&file),
-        false => command::serve(&file, |settings| run_history(settings, &file)).await,
+    if role.check {
+        return command::check::<Settings>(&file);
+    }
+    match reload::hangups() {
+        Ok(hangups) => {
+            command::serve(&file, |settings| run_history(settings, &file, hangups)).await
+        }
+        Err(error) => fail(Exit::Failure, error),
     }
 }
 
-async fn run_front(settings: Settings, file: &Path) -> eyre::Result<()> {
+async fn run_front(settings: Settings, file: &Path, hangups: Signal) -> eyre::Result<()> {
     node::log::start(&settings.host, settings.log_level)?;
     let objects = Client::new(settings.object_store);
-    gateway::controller::entry(settings, file, objects, Arc::new(Platform)).await
+    gateway::controller::entry(settings, file, hangups, objects, Arc::new(Platform)).await
 }
 
-async fn run_history(settings: Settings, file: &Path) -> eyre::Result<()> {
+async fn run_history(settings: Settings, file: &Path, hangups: Signal) -> eyre::Result<()> {
     node::log::start(&settings.host, settings.log_level)?;
     let objects = Client::new(settings.object_store);
-    gateway::controller::history(settings, file, objects).await
+    gateway::controller::history(settings, file, hangups, objects).await
 }
 
 /// The settings file: as named, or else by the platform's variable.
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -18,6 +18,7 @@
 use node::object::Object;
 use node::object::Objects;
 use node::shutdown;
+use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
 use crate::edge::Dialect;
@@ -60,6 +61,7 @@
 pub async fn entry<O: Objects>(
     settings: Settings,
     file: &Path,
+    hangups: Signal,
     objects: O,
     dialect: Arc<dyn Dialect>,
 ) -> eyre::Result<()> {
@@ -100,7 +102,7 @@
     let reloads = {
         let state = Arc::clone(&state);
         let port = state.settings.peer_ports.0;
-        reload::follow(file, state.settings.clone(), move |settings| {
+        reload::follow(hangups, file, state.settings.clone(), move |settings| {
             let seeds = settings.seeds.iter();
             seeds.for_each(|seed| state.meet(SocketAddr::new(seed.ip(), port)));
         })
@@ -110,7 +112,7 @@
     let server = tokio::spawn(server);
     tokio::select! {
         requested = shutdown::requested() => requested?,
-        reloads = reloads => reloads?,
+        () = reloads => {}
     }
     log::info!(step = "stop", peer = "self"; "planned stop begins");
     state.drain();
@@ -175,7 +177,12 @@
 /// Runs a history host until a planned stop.
 ///
 /// Errors: no disk, or it can't be read; an address can't be bound.
-pub async fn history<O: Objects>(settings: Settings, file: &Path, objects: O) -> eyre::Result<()> {
+pub async fn history<O: Objects>(
+    settings: Settings,
+    file: &Path,
+    hangups: Signal,
+    objects: O,
+) -> eyre::Result<()> {
     let folder = settings.data_folder.clone();
     let folder = folder.ok_or_else(|| eyre!("data_folder is missing"))?;
     let capacity = settings.resources.disk_mb as f64 * DISK_SHARE * 1e6;
@@ -207,7 +214,7 @@
     }
     tokio::select! {
         requested = shutdown::requested() => requested?,
-        reloads = reload::follow(file, settings.clone(), |_| {}) => reloads?,
+        () = reload::follow(hangups, file, settings.clone(), |_| {}) => {}
     }
     log::info!(step = "stop", peer = "self"; "history host stops");
     node::log::drain();
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use node::settings;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -15,15 +16,15 @@
 /// Pause between looks at the file.
 const PAUSE: Duration = Duration::from_secs(3);
 
-/// Calls `take` with each new version of the settings, until the task is dropped.
+/// Handles SIGHUP from now on; before, it ends the process, so this comes first of all.
 ///
 /// Errors: no signal handler can be installed.
-pub async fn follow(
-    file: &Path,
-    current: Settings,
-    take: impl Fn(&Settings),
-) -> std::io::Result<()> {
-    let mut hangups = signal(SignalKind::hangup())?;
+pub fn hangups() -> std::io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
+
+/// Calls `take` with each new version of the settings, until the task is dropped.
+pub async fn follow(mut hangups: Signal, file: &Path, current: Settings, take: impl Fn(&Settings)) {
     let mut current = current;
     loop {
         tokio::select! {
