Don't count an entry that left because others still name it

Cause, found by reading: reports name the entries that their sender heard of late, so that one that said that it stops was met again and counted as silent for 40 s, which takes its share from every customer's rate. It is now left out for 15 s unless it reports anew. The new test fails without the change.

--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -27,6 +27,9 @@
 /// How long an entry counts without having been heard.
 const FORGET: Millis = Millis(40_000);
 
+/// How long an entry that is about to stop isn't counted though others name it.
+const LEAVE: Millis = Millis(15_000);
+
 /// One entry's report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -72,11 +75,17 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: Map<SocketAddr, Peer>,
+    /// When entries said that they are about to stop; others may still name them.
+    left: Map<SocketAddr, Time>,
 }
 
 impl Peers {
     /// Adds an entry that may be there.
     pub fn add(&mut self, address: SocketAddr, now: Time) {
+        let left = self.left.get(&address);
+        if left.is_some_and(|left| now.since(*left) < LEAVE) {
+            return;
+        }
         self.peers.entry(address).or_insert_with(|| Peer {
             known: now,
             heard: None,
@@ -88,8 +97,10 @@
     pub fn hear(&mut self, address: SocketAddr, report: &Report, now: Time) -> Millis {
         if report.leaving {
             self.peers.remove(&address);
+            self.left.insert(address, now);
             return Millis(0);
         }
+        self.left.remove(&address);
         self.add(address, now);
         let silence = self.silence();
         let Some(peer) = self.peers.get_mut(&address) else {
@@ -113,6 +124,7 @@
             let last = peer.heard.map_or(peer.known, |heard| heard.at);
             now.since(last) < FORGET
         });
+        self.left.retain(|_, left| now.since(*left) < LEAVE);
     }
 
     /// Entries that count for rates.
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -105,3 +105,16 @@
     assert_eq!(peers.heard(Time(100)), [address(2)]);
     assert!(peers.heard(Time(10_000)).is_empty());
 }
+
+#[rstest]
+fn an_entry_that_left_is_not_counted_though_others_still_name_it() {
+    let mut peers = Peers::default();
+    peers.hear(address(1), &report("a"), Time(0));
+    let mut last = report("a");
+    last.leaving = true;
+    peers.hear(address(1), &last, Time(100));
+    peers.add(address(1), Time(300));
+    assert_eq!(peers.fleet(Time(300)).entries, 1);
+    peers.hear(address(1), &report("a"), Time(2_000));
+    assert_eq!(peers.fleet(Time(2_000)).entries, 2);
+}
