Say what an object store that is away leaves open

Cause, found by reading: the comment of Error::Away promised that nothing was written, but the adapter also gives it for a connection that broke after a call was sent. All writers read the object again first (join, retire, register), so no behaviour depends on the promise. Comment only; telling the two cases apart is left, as it changes when an entry takes the store for lost.

--- a/crates/node/src/object.rs
+++ b/crates/node/src/object.rs
@@ -81,7 +81,8 @@
 /// Why a call failed.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Error {
-    /// Not reached, or turned away; nothing was written.
+    /// Not reached, turned away, or cut off. A write that was cut off may have taken effect, so
+    /// callers read the object again before they write anew.
     Away(String),
     /// Over the rate; nothing was written.
     Limited,
