Decide what may follow a failed attempt in a state machine of its own

Cause: what to do after a failed attempt was decided beside the code that sends. A request turned away five times while a second target still held it was answered with "not run" although it might run; and a second target that turned the request away could be replaced without a bound once hedging is left to the state machine. Ruled out: the same for requests that may not run twice; they never have two attempts under way. Conclusion: the rule stays in sched::attempt; serve::tries only asks it.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -10,4 +10,5 @@
 pub mod refusal;
 pub mod request;
 pub mod stream;
+pub mod tries;
 pub mod turn;
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use crate::error::Error;
 use crate::metrics::Round;
 use crate::metrics::Timing;
 use crate::serve::event;
@@ -211,15 +212,9 @@
         let last = self.last_id.clone();
         let state = Arc::clone(&self.state);
         self.phase = Phase::Resuming(Box::pin(async move {
-            let answer = match running.stream.resumable {
-                true => {
-                    let attempts = running.tries.broke(&running.job);
-                    match attempts {
-                        Ok(()) => turn::dispatch(&state, &mut running, last.as_deref()).await,
-                        Err(refusal) => Err(refusal),
-                    }
-                }
-                false => Err(Refusal::Lost(cause)),
+            let answer = match running.tries.failed(Error::MaybeRun(cause), &running.job) {
+                Ok(()) => turn::dispatch(&state, &mut running, last.as_deref()).await,
+                Err(refusal) => Err(refusal),
             };
             (running, answer)
         }));
--- /dev/null
+++ b/crates/gateway/src/serve/tries.rs
@@ -0,0 +1,111 @@
+//! Targets tried for one request.
+
+use compact_str::CompactString;
+use sched::attempt::Attempts;
+use sched::attempt::Failure;
+use sched::attempt::Fate;
+use sched::attempt::Step;
+use tokio::time::Instant;
+
+use crate::error::Error;
+use crate::serve::refusal::Refusal;
+use crate::serve::request::Job;
+use crate::serve::request::retry_pause;
+use crate::state::State;
+use crate::target::balance;
+use crate::target::balance::Prompt;
+use crate::target::balance::Wish;
+use crate::target::directory::Entry;
+
+/// Targets that were tried for one request, and what became of it there.
+#[derive(Debug)]
+pub struct Tries {
+    tried: Vec<CompactString>,
+    attempts: Attempts,
+    /// How the last attempt failed.
+    cause: Option<String>,
+}
+
+impl Tries {
+    /// A request that wasn't sent yet.
+    pub fn new(job: &Job) -> Tries {
+        Tries {
+            tried: Vec::new(),
+            attempts: Attempts::new(job.idempotent(), job.route.attempts),
+            cause: None,
+        }
+    }
+
+    /// The next target to try.
+    ///
+    /// Errors: there is none, or no time.
+    pub fn next(
+        &mut self,
+        state: &State,
+        job: &Job,
+        prompt: Option<Prompt>,
+        affinity: Option<u64>,
+    ) -> Result<Entry, Refusal> {
+        if Instant::now() >= job.deadline {
+            return Err(self.refusal(self.attempts.fate(), job));
+        }
+        let services = state.services();
+        let entries = services.get(&job.service).map_or(&[][..], Vec::as_slice);
+        let tried: Vec<&str> = self.tried.iter().map(|id| id.as_str()).collect();
+        let prefixes = state.prefixes.lock();
+        let read = |shared, target| prefixes.is_read(shared, target, state.time());
+        let wish = Wish {
+            prompt,
+            read: &read,
+            affinity,
+            data_centre: state.settings.data_centre.as_str(),
+            now_ms: state.now_ms(),
+        };
+        let chosen = balance::choose(entries, &tried, wish, rand::random()).cloned();
+        match chosen {
+            Some(entry) => {
+                self.tried.push(entry.target.id.clone());
+                self.attempts.begin();
+                Ok(entry)
+            }
+            None => Err(self.refusal(self.attempts.fate(), job)),
+        }
+    }
+
+    /// A further target for a request that others still run, if there is one and it may run there.
+    pub fn another(&mut self, state: &State, job: &Job) -> Option<Entry> {
+        match self.attempts.may_hedge() {
+            true => self.next(state, job, None, None).ok(),
+            false => None,
+        }
+    }
+
+    /// Takes a failed attempt; a stream that breaks is one too.
+    ///
+    /// Errors: the request may not be tried again.
+    pub fn failed(&mut self, error: Error, job: &Job) -> Result<(), Refusal> {
+        self.cause = Some(error.to_string());
+        let failure = match error {
+            Error::NotRun(_) => Failure::NotRun,
+            Error::MaybeRun(_) => Failure::MaybeRun,
+            Error::Timeout => Failure::Timeout,
+        };
+        match self.attempts.failed(failure) {
+            Step::Send | Step::Wait => Ok(()),
+            Step::GiveUp(fate) => Err(self.refusal(fate, job)),
+        }
+    }
+
+    fn refusal(&self, fate: Fate, job: &Job) -> Refusal {
+        let cause = self.cause.clone();
+        let cause = cause.unwrap_or_else(|| format!("no target of {}", job.service));
+        match fate {
+            Fate::NotRun => Refusal::Unavailable {
+                cause,
+                retry: retry_pause(),
+            },
+            Fate::Unknown => Refusal::Lost(cause),
+            Fate::Late => Refusal::Timeout,
+        }
+    }
+}
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -23,11 +23,11 @@
 use crate::serve::chain::Found;
 use crate::serve::header::strip_hop_by_hop;
 use crate::serve::plain;
-use crate::serve::plain::Tries;
 use crate::serve::refusal::Refusal;
 use crate::serve::request::Job;
 use crate::serve::request::retry_pause;
 use crate::serve::stream::Relay;
+use crate::serve::tries::Tries;
 use crate::state::State;
 use crate::target::balance;
 use crate::target::balance::Prompt;
@@ -124,12 +124,12 @@
         prompt: prompt(&job, seen.or(elsewhere)),
         sent: Instant::now(),
         urgency: Some(urgency(&job)),
+        tries: Tries::new(&job),
         job,
         body,
         target: None,
         stream,
         reserved,
-        tries: Tries::default(),
     };
     let answer = dispatch(state, &mut running, None).await?;
     match answer.parts.status.is_success() {
@@ -193,7 +193,7 @@
 
 /// Hash of the target that will run a turn, as far as can be told before its budget is known.
 fn likely_target(state: &State, job: &Job, prompt: Prompt) -> u32 {
-    let entry = Tries::default().next(state, job, Some(prompt), None);
+    let entry = Tries::new(job).next(state, job, Some(prompt), None);
     entry.map_or(0, |entry| balance::hash(&entry.target.id))
 }
 
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! Everything here decides without I/O or a clock: the caller passes time, load and randomness in
 //! and carries the decision out. `queue` orders calls on one target, `route` picks the target,
-//! `credit` bounds what is sent ahead, `quarantine` stops calls that crash targets, and `retry`
-//! bounds what is sent again.
+//! `credit` bounds what is sent ahead, `quarantine` stops calls that crash targets, `attempt`
+//! says what may follow a failed attempt, and `retry` bounds what is sent again.
 
+pub mod attempt;
 pub mod cost;
 pub mod credit;
 pub mod policy;
