Keep the newest configuration in a state machine of its own

Cause: that a configuration never goes back was decided inside the entry's state and only tested over the whole path. Ruled out: that processes took an older version before; the former comparison was the same, under the same lock. A configuration is now arranged outside the lock.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod key;
 pub mod lease;
 pub mod ledger;
+pub mod newest;
 pub mod observer;
 pub mod program;
 pub mod promise;
--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -6,6 +6,7 @@
 use node::object::Revision;
 use tokio::time::Instant;
 
+use crate::config::Version;
 use crate::edge::Target;
 use crate::fleet::gossip;
 use crate::fleet::news;
@@ -96,15 +97,17 @@
 
     /// What this entry knows beyond another.
     pub fn news(&self, question: Question) -> Answer {
-        let snapshot = self.snapshot();
-        let newer = snapshot.filter(|known| known.table.config.version.0 > question.version);
+        let newest = self.newest.read();
+        let config = newest.beyond(Version(question.version));
+        let config = config.map(|snapshot| snapshot.object.clone());
+        drop(newest);
         let directory = self.directory.lock();
         let targets = (directory.revision.0 > question.revision).then(|| {
             let targets: Vec<Target> = directory.targets().cloned().collect();
             (directory.revision.0, targets)
         });
         Answer {
-            config: newer.map(|snapshot| snapshot.object.clone()),
+            config,
             targets,
             membership: self.history.membership(),
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use coord::newest::Newest;
 use coord::quota::Fleet;
 use coord::time::Time;
 use node::object::Change;
@@ -67,7 +68,7 @@
     pub prefixes: Mutex<Prefixes>,
     pub suspects: Mutex<Suspects>,
     started: Instant,
-    pub(crate) snapshot: RwLock<Option<Arc<Snapshot>>>,
+    pub(crate) newest: RwLock<Newest<Version, Arc<Snapshot>>>,
     pub(crate) directory: Mutex<Directory>,
     services: RwLock<Arc<Services>>,
     draining: AtomicBool,
@@ -101,7 +102,7 @@
             prefixes: Mutex::default(),
             suspects: Mutex::default(),
             started: Instant::now(),
-            snapshot: RwLock::default(),
+            newest: RwLock::default(),
             directory: Mutex::default(),
             services: RwLock::default(),
             draining: AtomicBool::new(false),
@@ -115,13 +116,12 @@
 
     /// The configuration in force; none before the first.
     pub fn snapshot(&self) -> Option<Arc<Snapshot>> {
-        self.snapshot.read().clone()
+        self.newest.read().value().cloned()
     }
 
     /// Number of the configuration in force, 0 before the first.
     pub fn version(&self) -> Version {
-        let snapshot = self.snapshot();
-        snapshot.map_or(Version(0), |snapshot| snapshot.table.config.version)
+        self.newest.read().version().unwrap_or_default()
     }
 
     /// Entries known, this one included.
@@ -151,7 +151,7 @@
 
     /// Whether callers should come here.
     pub fn is_ready(&self) -> bool {
-        let configured = self.snapshot.read().is_some() && !self.services.read().is_empty();
+        let configured = self.snapshot().is_some() && !self.services.read().is_empty();
         let history = self.history_answers.load(Ordering::Relaxed)
             || !self.peers.lock().history_elsewhere(self.time());
         !self.is_draining() && configured && history
@@ -226,20 +226,20 @@
 
     /// Puts a configuration in force unless a newer one is.
     pub fn configure(&self, config: Config, object: String) {
-        let mut snapshot = self.snapshot.write();
-        let current = snapshot
-            .as_ref()
-            .map_or(Version(0), |known| known.table.config.version);
-        if config.version <= current {
+        let (version, former) = (config.version, self.version());
+        if version <= former {
             return;
         }
-        log::info!(
-            step = "configure", peer = "platform", version = config.version.0,
-            former = current.0, routes = config.routes.len(), customers = config.customers.len();
-            "configuration is in force"
-        );
+        let (routes, customers) = (config.routes.len(), config.customers.len());
         let table = Table::new(config);
-        *snapshot = Some(Arc::new(Snapshot { table, object }));
+        let snapshot = Arc::new(Snapshot { table, object });
+        if self.newest.write().offer(version, snapshot) {
+            log::info!(
+                step = "configure", peer = "platform", version = version.0, former = former.0,
+                routes = routes, customers = customers;
+                "configuration is in force"
+            );
+        }
     }
 
     /// Takes news from the object store.
