Tell a connection that broke from a store that wasn't reached; accept in one place

Cause: the object client answered Away also for a write whose connection broke after it was sent, which may have taken effect. Ruled out: harm done by it; every writer reads again and writes under a revision, and `follow` treats both alike, so nothing changes but the words. The accept loop stood four times (callers on both interfaces, the balancer, peers); now it is node::listener. gateway::serve::listener is now serve::server, as it serves.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -8,12 +8,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eyre::WrapErr;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
+use node::listener;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -25,8 +25,6 @@
 const STEP: &str = "serve";
 /// Time for the head of a request, also of the first one of a connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-/// Pause after a connection couldn't be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// A running server.
 #[derive(Debug)]
@@ -41,8 +39,7 @@
     ///
     /// Errors: the address can't be bound.
     pub async fn start(callers: Callers, address: SocketAddr) -> eyre::Result<Server> {
-        let listener = TcpListener::bind(address).await;
-        let listener = listener.wrap_err_with(|| format!("binding {address}"))?;
+        let listener = listener::bind(address).await?;
         let address = listener.local_addr()?;
         let stop = watch::Sender::new(false);
         let task = tokio::spawn(accept(listener, Arc::new(callers), stop.subscribe()));
@@ -67,18 +64,9 @@
 
 async fn accept(listener: TcpListener, callers: Arc<Callers>, mut stop: watch::Receiver<bool>) {
     let open = GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        match accepted {
-            Ok((stream, peer)) => connect(stream, peer, &callers, &open),
-            Err(error) => {
-                log::warn!(step = STEP, peer = "callers"; "{error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+    tokio::select! {
+        () = listener::accept(&listener, "callers", |stream, peer| connect(stream, peer, &callers, &open)) => {}
+        _ = stop.wait_for(|stop| *stop) => {}
     }
     drop(listener);
     open.shutdown().await;
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -12,6 +12,7 @@
 use history::server::Server;
 use history::time::Wall;
 use node::link;
+use node::listener;
 use node::metrics::Metrics;
 use node::object::Change;
 use node::object::Kind;
@@ -29,7 +30,7 @@
 use crate::gauges;
 use crate::operators;
 use crate::reload;
-use crate::serve::listener;
+use crate::serve::server;
 use crate::settings::Settings;
 use crate::state::State;
 
@@ -77,7 +78,7 @@
     gauges::observe_entry(&metrics.meter(), &state);
     let objects = Arc::new(objects);
     log::info!(step = "start", peer = "self"; "entry starts");
-    tokio::spawn(listener::serve_ready(ready, Arc::clone(&state)));
+    tokio::spawn(server::serve_ready(ready, Arc::clone(&state)));
     for kind in [Kind::Config, Kind::Targets] {
         let (objects, state) = (Arc::clone(&objects), Arc::clone(&state));
         tokio::spawn(async move {
@@ -108,7 +109,7 @@
         })
     };
     let stop = watch::Sender::new(false);
-    let server = listener::serve(callers, Arc::clone(&state), stop.subscribe());
+    let server = server::serve(callers, Arc::clone(&state), stop.subscribe());
     let server = tokio::spawn(server);
     tokio::select! {
         requested = shutdown::requested() => requested?,
--- a/crates/gateway/src/serve/listener.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eyre::WrapErr;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -15,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
+use node::listener;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -23,9 +23,6 @@
 use crate::serve::body::Body;
 use crate::state::State;
 
-/// Pause after a connection couldn't be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Time that a connection may stay unused before a configuration is known.
 const IDLE_DEFAULT: Duration = Duration::from_secs(15);
 
@@ -35,29 +32,12 @@
 /// Smallest buffer that the HTTP library takes, in bytes.
 const BUFFER_LEAST: usize = 8 * 1024;
 
-/// Opens a listener.
-///
-/// Errors: the address can't be bound.
-pub async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
-    let listener = TcpListener::bind(address).await;
-    listener.wrap_err_with(|| format!("binding {address}"))
-}
-
 /// Serves callers until `stop`, then finishes the answers that are open.
 pub async fn serve(listener: TcpListener, state: Arc<State>, mut stop: watch::Receiver<bool>) {
     let open = GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        match accepted {
-            Ok((stream, peer)) => connect(stream, peer, &state, &open),
-            Err(error) => {
-                log::warn!(step = "accept", peer = "callers"; "{error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+    tokio::select! {
+        () = listener::accept(&listener, "callers", |stream, peer| connect(stream, peer, &state, &open)) => {}
+        _ = stop.wait_for(|stop| *stop) => {}
     }
     drop(listener);
     open.shutdown().await;
@@ -89,11 +69,7 @@
 
 /// Answers whether callers should come, until the task is dropped.
 pub async fn serve_ready(listener: TcpListener, state: Arc<State>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    let connect = |stream, _peer| {
         let state = Arc::clone(&state);
         let service = service_fn(move |request: Request<Incoming>| {
             let status = ready(&state, request.uri().path());
@@ -112,7 +88,8 @@
                 log::debug!(step = "serve", peer = "balancer"; "connection ended: {error}");
             }
         });
-    }
+    };
+    listener::accept(&listener, "balancer", connect).await;
 }
 
 fn ready(state: &State, path: &str) -> StatusCode {
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -126,7 +126,8 @@
 
 #[rstest]
 #[case(Error::Expired)]
-#[case(Error::Away("cut".to_owned()))]
+#[case(Error::Away("turned away".to_owned()))]
+#[case(Error::Cut("reset".to_owned()))]
 #[tokio::test(start_paused = true)]
 async fn a_watch_that_ended_in_any_other_way_is_followed_by_a_listing(#[case] error: Error) {
     let script = Script::new(vec![
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod command;
 pub mod error;
 pub mod link;
+pub mod listener;
 pub mod log;
 pub mod metrics;
 pub mod object;
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -26,6 +26,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::listener;
 use crate::socket;
 
 /// Largest payload, in bytes: a page of records and its framing.
@@ -300,22 +301,15 @@
 
 /// Takes calls until the task is aborted.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: Arc<H>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                let handler = Arc::clone(&handler);
-                tokio::spawn(async move {
-                    if let Err(error) = answer(stream, handler).await {
-                        log::debug!(step = "serve", peer:% = peer; "connection of peer ended: {error}");
-                    }
-                });
+    let connect = |stream, peer| {
+        let handler = Arc::clone(&handler);
+        tokio::spawn(async move {
+            if let Err(error) = answer(stream, handler).await {
+                log::debug!(step = "serve", peer:% = peer; "connection of peer ended: {error}");
             }
-            Err(error) => {
-                log::warn!(step = "accept", peer = "peers"; "{error}");
-                tokio::time::sleep(CONNECT_PAUSE).await;
-            }
-        }
-    }
+        });
+    };
+    listener::accept(&listener, "peers", connect).await;
 }
 
 async fn answer<H: Handler>(stream: TcpStream, handler: Arc<H>) -> io::Result<()> {
--- a/crates/node/src/object.rs
+++ b/crates/node/src/object.rs
@@ -81,9 +81,11 @@
 /// Why a call failed.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Error {
-    /// Not reached, turned away, or cut off. A write that was cut off may have taken effect, so
-    /// callers read the object again before they write anew.
+    /// Not reached, or turned away; nothing was written.
     Away(String),
+    /// The connection broke before the answer: a write may have taken effect, so callers read the
+    /// object again before they write anew.
+    Cut(String),
     /// Over the rate; nothing was written.
     Limited,
     /// The object exists, or has another revision; nothing was written.
@@ -92,7 +94,7 @@
     Absent,
     /// The history after this revision is gone: list again.
     Expired,
-    /// No answer: a write may have taken effect.
+    /// No answer in time: a write may have taken effect.
     Unknown,
     /// An answer that can't be read.
     Broken(String),
@@ -102,6 +104,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Error::Away(cause) => write!(f, "object store away: {cause}"),
+            Error::Cut(cause) => write!(f, "connection to the object store broke: {cause}"),
             Error::Limited => f.write_str("over the object store's rate"),
             Error::Conflict => f.write_str("object has changed"),
             Error::Absent => f.write_str("no such object"),
