Write a log line without copies of its texts

Each text of a line was made twice, the line once more, and its end was taken apart from it, so that a full budget could leave a line out and keep its end. Change: texts are escaped into the line's buffer; a line is taken whole; lines gather 100 ms instead of 50, which halves the wake-ups of the thread that writes them. Test: a line is one JSON object whatever its texts hold.

--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -5,7 +5,7 @@
 
 pub mod output;
 
-use std::io::Write;
+use std::fmt;
 use std::str::FromStr;
 use std::sync::OnceLock;
 use std::time::SystemTime;
@@ -18,6 +18,7 @@
 use log::kv::VisitSource;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::Serializer;
 use slog::Drain;
 
 use self::output::Output;
@@ -62,7 +63,7 @@
 }
 
 /// Appends a record's fields to a JSON object that is being written.
-struct Fields<'a>(&'a mut String);
+struct Fields<'a>(&'a mut Vec<u8>);
 
 impl<'kvs> VisitSource<'kvs> for Fields<'_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
@@ -96,7 +97,6 @@
 pub fn dispatch(process: &str, level: Level, output: Output) -> fern::Dispatch {
     let process = process.to_owned();
     let library = LevelFilter::from(level).min(LevelFilter::Warn);
-    let output: Box<dyn Write + Send> = Box::new(output);
     fern::Dispatch::new()
         .level(library)
         .level_for("entry", level.into())
@@ -105,42 +105,47 @@
         .level_for("gateway", level.into())
         .level_for("history", level.into())
         .level_for("platform", level.into())
-        .format(move |out, message, record| {
-            out.finish(format_args!("{}", line(&process, message, record)));
-        })
-        .chain(output)
+        .chain(fern::Output::call(move |record| {
+            output.push(&line(&process, record));
+        }))
 }
 
-fn line(process: &str, message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
+/// A record as one line.
+fn line(process: &str, record: &log::Record<'_>) -> Vec<u8> {
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    let mut line = String::with_capacity(LINE_SIZE);
-    line.push_str("{\"at_ms\":");
-    line.push_str(&since.as_millis().to_string());
+    let mut line = Vec::with_capacity(LINE_SIZE);
+    line.extend_from_slice(b"{\"at_ms\":");
+    push_number(&mut line, since.as_millis() as u64);
     push(&mut line, "level", record.level().as_str());
     push(&mut line, "process", process);
     push(&mut line, "module", record.target());
-    push(&mut line, "message", message);
+    push(&mut line, "message", record.args());
     if record.key_values().visit(&mut Fields(&mut line)).is_err() {
         push(&mut line, "fields", "unreadable");
     }
-    line.push('}');
+    line.extend_from_slice(b"}\n");
     line
 }
 
 /// Appends a field to a JSON object that is being written.
-fn push(line: &mut String, key: &str, value: impl std::fmt::Display) {
-    line.push(',');
+fn push(line: &mut Vec<u8>, key: &str, value: impl fmt::Display) {
+    line.push(b',');
     push_text(line, key);
-    line.push(':');
-    push_text(line, &value.to_string());
+    line.push(b':');
+    push_text(line, value);
 }
 
-fn push_text(line: &mut String, text: &str) {
-    match serde_json::to_string(text) {
-        Ok(quoted) => line.push_str(&quoted),
-        Err(error) => unreachable!("a text is JSON: {error}"),
+fn push_text(line: &mut Vec<u8>, text: impl fmt::Display) {
+    if let Err(error) = serde_json::Serializer::new(line).collect_str(&text) {
+        unreachable!("a text is JSON: {error}");
+    }
+}
+
+fn push_number(line: &mut Vec<u8>, number: u64) {
+    if let Err(error) = serde_json::Serializer::new(line).serialize_u64(number) {
+        unreachable!("a number is JSON: {error}");
     }
 }
 
--- a/crates/node/src/log/output.rs
+++ b/crates/node/src/log/output.rs
@@ -18,8 +18,8 @@
 /// Bytes taken in a second at most: some thousand requests' lines.
 pub const BUDGET_PER_S: usize = 512 * 1024;
 
-/// Time in which lines gather before they are written together.
-const GATHER: Duration = Duration::from_millis(50);
+/// Time in which lines gather before they are written together; each time costs a wake-up.
+const GATHER: Duration = Duration::from_millis(100);
 
 /// Time for the last lines of a process.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
@@ -99,24 +99,17 @@
     }
 }
 
-impl Write for Output {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+impl Output {
+    /// Takes a whole line, its end included, or leaves it out and counts it.
+    pub fn push(&self, line: &[u8]) {
         let mut waiting = self.shared.waiting.lock();
         let idle = waiting.bytes.is_empty();
         waiting.take(line);
         if idle {
             self.shared.changed.notify_all();
         }
-        Ok(line.len())
     }
 
-    /// Does nothing: loggers flush after each line, and no line may wait for a reader.
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
-impl Output {
     /// Waits a little until all lines are written; false if the reader took too long.
     pub fn drain(&self) -> bool {
         let until = Instant::now() + DRAIN_TIMEOUT;
--- a/crates/node/tests/log.rs
+++ b/crates/node/tests/log.rs
@@ -52,10 +52,10 @@
 #[rstest]
 fn a_reader_that_has_stopped_blocks_nobody() {
     let sink = Sink::default();
-    let mut output = Output::start(sink).expect("thread");
+    let output = Output::start(sink).expect("thread");
     let started = Instant::now();
     for _ in 0..20_000 {
-        output.write_all(&[b'x'; 100]).expect("never fails");
+        output.push(&[b'x'; 100]);
     }
     assert!(started.elapsed() < Duration::from_secs(2));
     assert!(output.omitted() > 0);
@@ -65,9 +65,9 @@
 fn lines_are_written_in_order_and_draining_waits_for_them() {
     let sink = Sink::default();
     sink.set_open(true);
-    let mut output = Output::start(sink.clone()).expect("thread");
+    let output = Output::start(sink.clone()).expect("thread");
     for number in 0..100 {
-        writeln!(output, "{number}").expect("never fails");
+        output.push(format!("{number}\n").as_bytes());
     }
     assert!(output.drain());
     let expected: String = (0..100).map(|number| format!("{number}\n")).collect();
@@ -78,13 +78,13 @@
 fn lines_beyond_the_budget_are_counted_in_a_line() {
     let sink = Sink::default();
     sink.set_open(true);
-    let mut output = Output::start(sink.clone()).expect("thread");
+    let output = Output::start(sink.clone()).expect("thread");
     let line = vec![b'x'; 1_000];
     for _ in 0..BUDGET_PER_S / 1_000 + 50 {
-        output.write_all(&line).expect("never fails");
+        output.push(&line);
     }
     std::thread::sleep(Duration::from_millis(1_100));
-    output.write_all(b"last\n").expect("never fails");
+    output.push(b"last\n");
     assert!(output.drain());
     assert!(sink.text().contains("log lines are left out"));
     assert!(sink.text().ends_with("last\n"));
@@ -107,3 +107,27 @@
     }
     assert!(started.elapsed() < Duration::from_secs(1));
 }
+
+#[rstest]
+fn a_line_is_one_json_object_whatever_its_texts_hold() {
+    let sink = Sink::default();
+    sink.set_open(true);
+    let output = Output::start(sink.clone()).expect("thread");
+    let (_, logger) = node::log::dispatch("p", Level::Info, output.clone()).into_log();
+    let fields = [("peer", "a \"quoted\" name\n")];
+    let line = Record::builder()
+        .level(log::Level::Warn)
+        .target("gateway::serve")
+        .args(format_args!("cause:\ttab"))
+        .key_values(&fields)
+        .build();
+    logger.log(&line);
+    assert!(output.drain());
+    let text = sink.text();
+    assert_eq!(text.matches('\n').count(), 1, "{text}");
+    let value: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(value["message"], "cause:\ttab");
+    assert_eq!(value["peer"], "a \"quoted\" name\n");
+    assert_eq!(value["level"], "WARN");
+    assert!(value["at_ms"].as_u64().is_some_and(|at| at > 0));
+}
