Choose targets by how well they work, besides how much they run

Cause: a target that fails a part of its requests between others that it answers was spared for a tenth of a second at most, and an engine several times slower than others got as many running turns as they. Ways weighed: longer sparing after each failure (keeps out a target for one lost connection); a limit of running turns by measured pace (starves a target whose pace isn't known). Chosen: a share of failures over the last answers that halves in 1.5 s, and a pace from streams, both counted as further requests (sched::health). A request that a target hasn't answered within seven tenths of its objective when it is given up or overtaken counts as a failure.

--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -57,9 +57,11 @@
 /// Keys and prompts are left out.
 fn dump_entry(state: &State, page: &Page) -> Value {
     let services = state.services();
+    let now = state.time();
     let targets = services.values().flatten().skip(page.skip).take(page.limit);
     let targets: Vec<Value> = targets
         .map(|entry| {
+            let health = entry.load.health.lock().clone();
             json!({
                 "id": entry.target.id.as_str(),
                 "service": entry.target.service.as_str(),
@@ -67,6 +69,8 @@
                 "running_here": entry.load.running.load(Ordering::Relaxed),
                 "running_elsewhere": entry.load.elsewhere.load(Ordering::Relaxed),
                 "failures_in_a_row": entry.load.failures.load(Ordering::Relaxed),
+                "failing_share": health.failing(now),
+                "event_us": health.pace_us(),
             })
         })
         .collect();
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -22,9 +22,6 @@
 use crate::target::send::Answer;
 use crate::target::send::Attempt;
 
-/// Part of a route's objective after which an idempotent request is sent to a second target too.
-const HEDGE_SHARE: f64 = 0.7;
-
 /// An answer, and the id of the target that gave it.
 type Given = (Response<Body>, CompactString);
 
@@ -34,7 +31,7 @@
 pub async fn answer(state: &Arc<State>, job: &Job) -> Result<Given, Refusal> {
     let mut tries = Tries::new(job);
     let mut running = FuturesUnordered::new();
-    let hedge = tokio::time::sleep(job.route.objective.mul_f64(HEDGE_SHARE));
+    let hedge = tokio::time::sleep(job.route.objective.mul_f64(send::HEDGE_SHARE));
     tokio::pin!(hedge);
     let mut hedged = false;
     loop {
@@ -68,8 +65,13 @@
         last_event: None,
     };
     let answer = send::send(state, &entry, &attempt).await?;
-    let response = collect(answer, job).await?;
-    Ok((response, entry.target.id))
+    match collect(answer, job).await {
+        Ok(response) => Ok((response, entry.target.id)),
+        Err(error) => {
+            entry.load.health.lock().ended(true, state.time());
+            Err(error)
+        }
+    }
 }
 
 fn affinity(job: &Job) -> Option<u64> {
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -55,16 +55,26 @@
     pub fn log_end(&self, outcome: &str, target: &str, turn: Option<Timing>) {
         let customer = self.customer.as_ref().map_or("", |c| c.name.as_str());
         let program = self.call.program.as_ref().map_or("", |p| p.as_str());
-        let turn = turn.unwrap_or_default();
-        log::info!(
-            step = "answer", peer = target, service = self.service.as_str(), request = self.call.request.as_str(),
-            program = program, customer = customer, route = self.route.name.as_str(),
-            version = self.version.0, events = turn.events, sent_ms = turn.sent_ms,
-            first_event_ms = turn.first_event_ms.unwrap_or(0),
-            took_ms = self.received.elapsed().as_millis() as u64,
-            objective_ms = self.route.objective.as_millis() as u64;
-            "{outcome}"
-        );
+        let took_ms = self.received.elapsed().as_millis() as u64;
+        let objective_ms = self.route.objective.as_millis() as u64;
+        match turn {
+            None => log::info!(
+                step = "answer", peer = target, service = self.service.as_str(),
+                request = self.call.request.as_str(), program = program, customer = customer,
+                route = self.route.name.as_str(), version = self.version.0,
+                took_ms = took_ms, objective_ms = objective_ms;
+                "{outcome}"
+            ),
+            Some(turn) => log::info!(
+                step = "answer", peer = target, service = self.service.as_str(),
+                request = self.call.request.as_str(), program = program, customer = customer,
+                route = self.route.name.as_str(), version = self.version.0,
+                events = turn.events, sent_ms = turn.sent_ms,
+                first_event_ms = turn.first_event_ms.unwrap_or(0),
+                took_ms = took_ms, objective_ms = objective_ms;
+                "{outcome}"
+            ),
+        }
     }
 }
 
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -80,6 +80,8 @@
     events: u64,
     /// When the first event came.
     first: Option<Instant>,
+    /// When the newest event came.
+    newest: Option<Instant>,
     expired: Pin<Box<Sleep>>,
 }
 
@@ -110,6 +112,7 @@
             last_id: None,
             events: 0,
             first: None,
+            newest: None,
             expired: Box::pin(expired),
         }
     }
@@ -173,8 +176,9 @@
         let Whole { bytes, count } =
             pushed.map_err(|event::TooLong| Broken("an event is too long".to_owned()))?;
         self.events += count;
-        if count > 0 && self.first.is_none() {
-            self.first = Some(Instant::now());
+        if count > 0 {
+            self.newest = Some(Instant::now());
+            self.first = self.first.or(self.newest);
         }
         if let Some(running) = &mut self.running {
             if let Some(reserved) = &mut running.reserved {
@@ -194,7 +198,10 @@
 
     /// The engine's stream broke: goes on at another one if that may be.
     fn interrupted(&mut self, cause: String) {
-        self.phase = Phase::Ended;
+        let phase = std::mem::replace(&mut self.phase, Phase::Ended);
+        if let Phase::Flowing(source) = phase {
+            source.lease.broke(self.state.time());
+        }
         let Some(mut running) = self.running.take() else {
             return;
         };
@@ -231,6 +238,9 @@
     fn ended(&mut self) {
         let phase = std::mem::replace(&mut self.phase, Phase::Ended);
         if let Phase::Flowing(source) = phase {
+            if let Some(pace) = self.pace_us() {
+                source.lease.paced(pace);
+            }
             source.lease.release(source.idle);
         }
         let Some(mut running) = self.running.take() else {
@@ -273,6 +283,13 @@
         }));
     }
 
+    /// Mean time between two events, in microseconds.
+    fn pace_us(&self) -> Option<f64> {
+        let (first, newest) = (self.first?, self.newest?);
+        let gaps = self.events.checked_sub(1).filter(|gaps| *gaps > 0)?;
+        Some((newest - first).as_micros() as f64 / gaps as f64)
+    }
+
     fn turn(&mut self, running: &Running) -> Turn {
         let mut content = Vec::with_capacity(running.job.body.len() + self.output.len());
         content.extend_from_slice(&running.job.body);
--- a/crates/gateway/src/target/balance.rs
+++ b/crates/gateway/src/target/balance.rs
@@ -4,10 +4,15 @@
 //! all its programs late: turns go where the fewest requests run. A later turn of a program costs
 //! an engine that hasn't read the earlier ones the time to read them, which holds up all others in
 //! the batch; it moves only if the difference is worth that. Plain requests go to the less loaded
-//! of two targets drawn by lot.
+//! of two targets drawn by lot. Targets that fail a part of their requests count as busier, and so
+//! do engines that are slower than most.
 
 use std::hash::Hasher;
 
+use coord::time::Time;
+use sched::health;
+use sched::health::Health;
+
 use crate::target::directory::Entry;
 
 /// Tokens to read that hold up an engine as much as one more request in its batch does: at ten
@@ -21,6 +26,13 @@
 /// same loads don't all choose the same engine.
 const SPREAD: f64 = 1.5;
 
+/// Requests in its batch that make up for a target at which every request fails: more than the
+/// busiest engines of both sites run, so that only others of its kind are as bad.
+const FAILING_REQUESTS: f64 = 30.0;
+
+/// Share of failures beyond which a target gets no request only because it saw the object before.
+const FAILING_LIMIT: f64 = 0.25;
+
 /// Load that makes up for the way to another data centre, in requests.
 const WAY: f64 = 0.5;
 
@@ -73,8 +85,8 @@
     };
     match (wish.prompt, wish.affinity) {
         _ if candidates.is_empty() => None,
-        (Some(prompt), _) => cheapest(&candidates, prompt, wish.read, random),
-        (None, Some(key)) => ranked(&candidates, key),
+        (Some(prompt), _) => cheapest(&candidates, prompt, wish, random),
+        (None, Some(key)) => ranked(&candidates, key, wish),
         (None, None) => less_loaded(&candidates, wish, random),
     }
 }
@@ -83,14 +95,21 @@
 fn cheapest<'a>(
     candidates: &[&'a Entry],
     prompt: Prompt,
-    read: &dyn Fn(u32, u32) -> bool,
+    wish: Wish<'_>,
     random: [u32; 2],
 ) -> Option<&'a Entry> {
+    let paces = candidates
+        .iter()
+        .filter_map(|entry| entry.load.health.lock().pace_us());
+    let usual = health::usual_pace(paces);
     let mut best: Option<(f64, &Entry)> = None;
     for (index, entry) in candidates.iter().enumerate() {
         let jitter = uniform(random[0].wrapping_add(random[1]), index) * SPREAD;
-        let reading = reading(prompt, hash(&entry.target.id), read) / TOKENS_PER_REQUEST;
-        let cost = f64::from(entry.running()) + reading + jitter;
+        let reading = reading(prompt, hash(&entry.target.id), wish.read) / TOKENS_PER_REQUEST;
+        let health = entry.load.health.lock();
+        let work = (f64::from(entry.running()) + 1.0 + reading) * health.slowness(usual);
+        let cost = work + failing_requests(&health, wish.now_ms) + jitter;
+        drop(health);
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, entry));
         }
@@ -98,6 +117,11 @@
     best.map(|(_, entry)| entry)
 }
 
+/// Requests in its batch that make up for a target's failures.
+fn failing_requests(health: &Health, now_ms: u64) -> f64 {
+    health.failing(Time(now_ms)) * FAILING_REQUESTS
+}
+
 /// Tokens that a target would have to read anew.
 fn reading(prompt: Prompt, target: u32, read: &dyn Fn(u32, u32) -> bool) -> f64 {
     let shared = match prompt.shared {
@@ -134,11 +158,17 @@
 const CROWD_SLACK: u32 = 1;
 
 /// The first target in the key's order that isn't crowded, or the least loaded.
-fn ranked<'a>(candidates: &[&'a Entry], key: u64) -> Option<&'a Entry> {
+fn ranked<'a>(candidates: &[&'a Entry], key: u64, wish: Wish<'_>) -> Option<&'a Entry> {
     let sum: u32 = candidates.iter().map(|entry| entry.running()).sum();
     let mean_tenths = sum * CROWD_TENTHS / candidates.len() as u32;
     let limit = mean_tenths / 10 + CROWD_SLACK;
-    let open = candidates.iter().filter(|entry| entry.running() < limit);
+    let works = |entry: &Entry| {
+        let health = entry.load.health.lock();
+        health.failing(Time(wish.now_ms)) < FAILING_LIMIT
+    };
+    let open = candidates
+        .iter()
+        .filter(|entry| entry.running() < limit && works(entry));
     let first = open.max_by_key(|entry| weight(&entry.target.id, key));
     let least = || candidates.iter().min_by_key(|entry| entry.running());
     first.or_else(least).copied()
@@ -153,12 +183,10 @@
     let (one, two) = (pick(random[0]), pick(random[1]));
     let cost = |entry: &Entry| {
         let near = entry.target.data_centre.as_str() == wish.data_centre;
-        let load = f64::from(entry.running()) / f64::from(entry.target.slots.max(1));
-        load + if near {
-            0.0
-        } else {
-            WAY / f64::from(entry.target.slots.max(1))
-        }
+        let way = if near { 0.0 } else { WAY };
+        let failing = failing_requests(&entry.load.health.lock(), wish.now_ms);
+        let requests = f64::from(entry.running()) + way + failing;
+        requests / f64::from(entry.target.slots.max(1))
     };
     match cost(one) <= cost(two) {
         true => Some(one),
--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -14,6 +14,8 @@
 use node::object::Change;
 use node::object::Object;
 use node::object::Revision;
+use parking_lot::Mutex;
+use sched::health::Health;
 use tokio::time::Instant;
 
 use crate::Map;
@@ -39,6 +41,8 @@
     pub failures: AtomicU32,
     /// Until when it is spared, in milliseconds since the process started.
     pub spared_until_ms: AtomicU64,
+    /// What its answers show.
+    pub health: Mutex<Health>,
 }
 
 /// A target and its load.
--- a/crates/gateway/src/target/pool.rs
+++ b/crates/gateway/src/target/pool.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use coord::time::Time;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -231,6 +232,16 @@
         }
     }
 
+    /// Notes that the target broke its answer off.
+    pub fn broke(&self, now: Time) {
+        self.load.health.lock().ended(true, now);
+    }
+
+    /// Notes the mean time between a stream's events, in microseconds.
+    pub fn paced(&self, event_us: f64) {
+        self.load.health.lock().paced(event_us);
+    }
+
     /// Notes that the target answers.
     pub fn succeeded(&self, now_ms: u64) {
         self.load.failures.store(0, Ordering::Relaxed);
--- a/crates/gateway/src/target/send.rs
+++ b/crates/gateway/src/target/send.rs
@@ -29,6 +29,10 @@
 /// Time after the deadline in which a target's own answer to it may still arrive.
 const LATE_ANSWER: Duration = Duration::from_millis(80);
 
+/// Part of a route's objective after which an answer is overdue: an idempotent request is then sent
+/// to a second target too.
+pub const HEDGE_SHARE: f64 = 0.7;
+
 /// A target's answer up to its body.
 #[derive(Debug)]
 pub struct Answer {
@@ -64,7 +68,9 @@
     attempt: &Attempt<'_>,
 ) -> Result<Answer, Error> {
     let sent_ms = state.now_ms();
+    let mut unanswered = Unanswered::new(state, entry, attempt.job);
     let result = exchange(state, entry, attempt).await;
+    unanswered.ended(&result);
     match &result {
         Ok(answer) => {
             answer.lease.succeeded(state.now_ms());
@@ -92,6 +98,50 @@
     result
 }
 
+/// A request that a target hasn't answered yet. Dropped as such, because another target was faster
+/// or the caller left, it counts against the target if it had had its time.
+struct Unanswered<'a> {
+    state: &'a State,
+    entry: &'a Entry,
+    patience: Duration,
+    since: Instant,
+    ended: bool,
+}
+
+impl<'a> Unanswered<'a> {
+    fn new(state: &'a State, entry: &'a Entry, job: &Job) -> Unanswered<'a> {
+        Unanswered {
+            state,
+            entry,
+            patience: job.route.objective.mul_f64(HEDGE_SHARE),
+            since: Instant::now(),
+            ended: false,
+        }
+    }
+
+    fn ended(&mut self, result: &Result<Answer, Error>) {
+        self.ended = true;
+        let failed = match result {
+            Ok(answer) => answer.parts.status.is_server_error(),
+            Err(_) => true,
+        };
+        self.note(failed);
+    }
+
+    fn note(&self, failed: bool) {
+        let mut health = self.entry.load.health.lock();
+        health.ended(failed, self.state.time());
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.ended && self.since.elapsed() >= self.patience {
+            self.note(true);
+        }
+    }
+}
+
 async fn exchange(
     state: &Arc<State>,
     entry: &Entry,
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -7,6 +7,7 @@
 use std::collections::HashSet;
 use std::sync::atomic::Ordering;
 
+use coord::time::Time;
 use gateway::edge::Stage;
 use gateway::edge::Target;
 use gateway::target::balance;
@@ -48,6 +49,18 @@
     Hash,
     /// The fewest requests, whatever must be read.
     LeastLoaded,
+    /// As balanced, but blind to failures and slowness.
+    Blind,
+}
+
+/// What is wrong with the first engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fault {
+    None,
+    /// Everything takes so many times as long.
+    Slow(f64),
+    /// Loses this share of its turns.
+    Fails(f64),
 }
 
 #[derive(Debug)]
@@ -55,7 +68,10 @@
     program: usize,
     reading: f64,
     tokens: f64,
+    events: f64,
     began: f64,
+    /// When its first token came.
+    first: Option<f64>,
 }
 
 #[derive(Debug, Default)]
@@ -82,8 +98,10 @@
     read: HashSet<(u32, u32)>,
     random: StdRng,
     policy: Policy,
+    fault: Fault,
     latencies: Vec<f64>,
     tokens_read: f64,
+    lost: u32,
 }
 
 impl World {
@@ -95,8 +113,10 @@
             read: HashSet::new(),
             random: StdRng::seed_from_u64(seed),
             policy,
+            fault: Fault::None,
             latencies: Vec::new(),
             tokens_read: 0.0,
+            lost: 0,
         }
     }
 
@@ -121,7 +141,7 @@
             target: program.target,
             own_tokens: program.own_tokens,
         };
-        let chosen = self.choose(number, prompt);
+        let chosen = self.choose(number, prompt, now);
         let target = balance::hash(&self.entries[chosen].target.id);
         let program = &mut self.programs[number];
         program.target = Some(target);
@@ -137,20 +157,23 @@
             .load
             .running
             .fetch_add(1, Ordering::Relaxed);
+        let tokens = self.random.random_range(50.0..400.0);
         engine.turns.push(Turn {
             program: number,
             reading,
-            tokens: self.random.random_range(50.0..400.0),
+            tokens,
+            events: tokens,
             began: now,
+            first: None,
         });
     }
 
-    fn choose(&mut self, program: usize, prompt: Prompt) -> usize {
+    fn choose(&mut self, program: usize, prompt: Prompt, now: f64) -> usize {
         let random = [self.random.random(), self.random.random()];
         let read = |shared, target| self.read.contains(&(shared, target));
         let free = |_, _| true;
         let (prompt, read): (Prompt, &dyn Fn(u32, u32) -> bool) = match self.policy {
-            Policy::Balanced => (prompt, &read),
+            Policy::Balanced | Policy::Blind => (prompt, &read),
             Policy::LeastLoaded => (Prompt::default(), &free),
             Policy::Hash => {
                 let key = balance::key(&[&program.to_string()]);
@@ -162,7 +185,7 @@
             read,
             affinity: None,
             data_centre: "a",
-            now_ms: 0,
+            now_ms: now as u64,
         };
         let chosen = balance::choose(&self.entries, &[], wish, random).expect("an engine");
         let id = chosen.target.id.clone();
@@ -175,7 +198,10 @@
     fn step(&mut self, now: f64) {
         let mut ended = Vec::new();
         for (number, engine) in self.engines.iter_mut().enumerate() {
-            let mut time = STEP_MS;
+            let mut time = match self.fault {
+                Fault::Slow(times) if number == 0 => STEP_MS / times,
+                _ => STEP_MS,
+            };
             for turn in &mut engine.turns {
                 let read = turn.reading.min(time * READ_PER_MS);
                 turn.reading -= read;
@@ -184,27 +210,42 @@
             let running = engine.turns.iter().filter(|turn| turn.reading <= 0.0);
             let token = TOKEN_MS + TOKEN_MS_PER_TURN * running.count() as f64;
             for turn in engine.turns.iter_mut().filter(|turn| turn.reading <= 0.0) {
+                turn.first.get_or_insert(now);
                 turn.tokens -= time / token;
             }
-            let before = engine.turns.len();
-            engine.turns.retain(|turn| {
-                let keep = turn.reading > 0.0 || turn.tokens > 0.0;
-                if !keep {
-                    ended.push((turn.program, now - turn.began));
-                }
-                keep
-            });
-            let gone = (before - engine.turns.len()) as u32;
-            self.entries[number]
-                .load
-                .running
-                .fetch_sub(gone, Ordering::Relaxed);
+            let whole = |turn: &mut Turn| turn.reading <= 0.0 && turn.tokens <= 0.0;
+            ended.extend(
+                engine
+                    .turns
+                    .extract_if(.., whole)
+                    .map(|turn| (number, turn)),
+            );
         }
-        for (program, latency) in ended {
-            self.latencies.push(latency);
-            if self.programs[program].left > 0 {
-                self.send(program, now);
-            }
+        for (engine, turn) in ended {
+            self.end(engine, turn, now);
+        }
+    }
+
+    fn end(&mut self, engine: usize, turn: Turn, now: f64) {
+        let load = &self.entries[engine].load;
+        load.running.fetch_sub(1, Ordering::Relaxed);
+        let failed = match self.fault {
+            Fault::Fails(share) if engine == 0 => self.random.random_bool(share),
+            _ => false,
+        };
+        if self.policy != Policy::Blind {
+            let mut health = load.health.lock();
+            health.ended(failed, Time(now as u64));
+            let first = turn.first.unwrap_or(now);
+            health.paced((now - first) * 1_000.0 / turn.events);
+        }
+        if failed {
+            self.lost += 1;
+            return;
+        }
+        self.latencies.push(now - turn.began);
+        if self.programs[turn.program].left > 0 {
+            self.send(turn.program, now);
         }
     }
 
@@ -242,6 +283,33 @@
     assert!(balanced < least, "{balanced} ms against {least} ms by load");
 }
 
+/// One engine of nine takes four times as long for everything.
+#[rstest]
+fn a_slow_engine_gets_fewer_turns_than_one_that_is_only_busy(#[values(1, 2, 3)] seed: u64) {
+    let play = |policy| {
+        let mut world = World::new(9, policy, seed);
+        world.fault = Fault::Slow(4.0);
+        let mean = world.run(20, |_| 25.0);
+        (mean, world.engines[0].own.len())
+    };
+    let (seeing, blind) = (play(Policy::Balanced), play(Policy::Blind));
+    assert!(seeing.0 < blind.0, "{seeing:?} against {blind:?}");
+    assert!(seeing.1 < blind.1, "{seeing:?} against {blind:?}");
+}
+
+/// One engine of nine loses two of five turns; a lost turn ends its program.
+#[rstest]
+fn an_engine_that_fails_a_part_of_its_turns_loses_few_programs(#[values(1, 2, 3)] seed: u64) {
+    let lost = |policy| {
+        let mut world = World::new(9, policy, seed);
+        world.fault = Fault::Fails(0.4);
+        world.run(20, |_| 25.0);
+        world.lost
+    };
+    let (seeing, blind) = (lost(Policy::Balanced), lost(Policy::Blind));
+    assert!(2 * seeing < blind, "{seeing} against {blind}");
+}
+
 #[rstest]
 fn turns_stay_where_their_prompts_were_read(#[values(1, 2)] seed: u64) {
     let mut balanced = World::new(9, Policy::Balanced, seed);
--- a/crates/node/src/log/output.rs
+++ b/crates/node/src/log/output.rs
@@ -19,7 +19,7 @@
 pub const BUDGET_PER_S: usize = 512 * 1024;
 
 /// Time in which lines gather before they are written together; each time costs a wake-up.
-const GATHER: Duration = Duration::from_millis(100);
+const GATHER: Duration = Duration::from_millis(250);
 
 /// Time for the last lines of a process.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod cost;
 pub mod credit;
+pub mod health;
 pub mod policy;
 pub mod quarantine;
 pub mod queue;
