Reach the history through another entry when cut off from it

Ways weighed: refuse at once and close connections (callers of a data centre with one entry left still overload it); hand whole requests to another entry (a hop for each event). Chosen: a cut-off entry sends its calls for the history through one that reports that it reaches it (history::relay on the second of the ports for own processes); the relay hands them on unread, so that records are as certain as before. Tests: history/tests/relay.rs.

--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -9,6 +9,7 @@
 use history::join;
 use history::join::Plan;
 use history::membership::Member;
+use history::quorum::Route;
 use history::server::Server;
 use history::time::Wall;
 use node::link;
@@ -19,6 +20,7 @@
 use node::object::Object;
 use node::object::Objects;
 use node::shutdown;
+use rand::seq::IteratorRandom;
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
@@ -90,6 +92,8 @@
     tokio::spawn(share(objects, Arc::clone(&state)));
     let peers = listener::bind(state.settings.peer_address()).await?;
     tokio::spawn(link::serve(peers, Arc::clone(&state)));
+    let relayed = listener::bind(state.settings.relay_address()).await?;
+    tokio::spawn(link::serve(relayed, Arc::new(state.history.relay())));
     tokio::spawn(news::follow(Arc::clone(&state)));
     tokio::spawn(watch_history(Arc::clone(&state)));
     if let Some(address) = state.settings.listen.admin {
@@ -159,15 +163,42 @@
     }
 }
 
-/// Asks the history hosts now and then whether they answer.
+/// Asks the history hosts now and then whether they answer, and looks for a relay if they don't.
 async fn watch_history(state: Arc<State>) {
     loop {
-        let reached = state.history.reachable(HISTORY_TIMEOUT).await;
-        state.set_history(reached);
+        let direct = state
+            .history
+            .reachable(Route::Direct, HISTORY_TIMEOUT)
+            .await;
+        let relayed = match direct {
+            true => {
+                state.history.set_relay(None);
+                false
+            }
+            false => find_relay(&state).await,
+        };
+        state.set_history(direct, relayed);
         tokio::time::sleep(HISTORY_PAUSE).await;
     }
 }
 
+/// Keeps to a relay that works, or takes another one; whether there is one.
+async fn find_relay(state: &State) -> bool {
+    let relays = state.relays();
+    let current = state.history.relay_address();
+    let kept = current.filter(|relay| relays.contains(relay));
+    let others = relays.iter().copied().filter(|relay| Some(*relay) != kept);
+    let drawn = others.choose(&mut rand::rng());
+    for relay in kept.into_iter().chain(drawn) {
+        state.history.set_relay(Some(relay));
+        if state.history.reachable(Route::Any, HISTORY_TIMEOUT).await {
+            return true;
+        }
+    }
+    state.history.set_relay(None);
+    false
+}
+
 async fn sweep(state: Arc<State>) {
     loop {
         tokio::time::sleep(SWEEP_PAUSE).await;
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -193,14 +193,13 @@
         fresh.next().map(|(address, _)| *address)
     }
 
-    /// Whether another entry reaches the history.
-    pub fn history_elsewhere(&self, now: Time) -> bool {
-        let fresh = self
-            .peers
-            .values()
-            .filter(|peer| peer.is_fresh(now, self.silence()));
-        let mut heard = fresh.filter_map(|peer| peer.heard);
-        heard.any(|heard| heard.history)
+    /// Other entries that reach the history themselves.
+    pub fn history_elsewhere(&self, now: Time) -> Vec<SocketAddr> {
+        let silence = self.silence();
+        let reaching = self.peers.iter().filter(|(_, peer)| {
+            peer.is_fresh(now, silence) && peer.heard.is_some_and(|heard| heard.history)
+        });
+        reaching.map(|(address, _)| *address).collect()
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -77,6 +77,16 @@
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.address, self.peer_ports.0)
     }
+
+    /// Where this entry hands on other entries' calls to history hosts.
+    pub fn relay_address(&self) -> SocketAddr {
+        SocketAddr::new(self.address, self.relay_port())
+    }
+
+    /// The port of [`Settings::relay_address`], alike at all entries.
+    pub fn relay_port(&self) -> u16 {
+        self.peer_ports.0 + 1
+    }
 }
 
 impl Check for Settings {
@@ -84,7 +94,7 @@
         let (first, last) = self.peer_ports;
         match () {
             () if self.host.is_empty() => Err(Invalid::new("host", "is empty")),
-            () if first > last => Err(Invalid::new("peer_ports", "the first is after the last")),
+            () if first >= last => Err(Invalid::new("peer_ports", "must be two ports or more")),
             () if self.stop_s <= 0.0 => Err(Invalid::new("stop_s", "must be above 0")),
             () => Ok(()),
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! What all requests of an entry share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -74,8 +75,10 @@
     draining: AtomicBool,
     /// Milliseconds since the start at which the object store began to be silent; 0: it isn't.
     silent_since_ms: AtomicU64,
-    /// Whether enough history hosts answer.
+    /// Whether enough history hosts answer this entry itself.
     pub(crate) history_answers: AtomicBool,
+    /// Whether they answer it through another entry.
+    history_relayed: AtomicBool,
     pub(crate) incarnation: u64,
     pub(crate) quotas: Mutex<Quotas>,
     pub(crate) peers: Mutex<Peers>,
@@ -108,6 +111,7 @@
             draining: AtomicBool::new(false),
             silent_since_ms: AtomicU64::new(1),
             history_answers: AtomicBool::new(false),
+            history_relayed: AtomicBool::new(false),
             incarnation: rand::random(),
             quotas: Mutex::default(),
             peers: Mutex::default(),
@@ -152,9 +156,24 @@
     /// Whether callers should come here.
     pub fn is_ready(&self) -> bool {
         let configured = self.snapshot().is_some() && !self.services.read().is_empty();
-        let history = self.history_answers.load(Ordering::Relaxed)
-            || !self.peers.lock().history_elsewhere(self.time());
-        !self.is_draining() && configured && history
+        !self.is_draining() && configured && !self.is_cut_off()
+    }
+
+    /// Whether other entries reach the history and this one doesn't, not even through them.
+    pub fn is_cut_off(&self) -> bool {
+        let reached = self.history_answers.load(Ordering::Relaxed)
+            || self.history_relayed.load(Ordering::Relaxed);
+        !reached && !self.relays().is_empty()
+    }
+
+    /// Entries that reach the history and can hand calls on.
+    pub(crate) fn relays(&self) -> Vec<SocketAddr> {
+        let elsewhere = self.peers.lock().history_elsewhere(self.time());
+        let port = self.settings.relay_port();
+        let relays = elsewhere.into_iter();
+        relays
+            .map(|entry| SocketAddr::new(entry.ip(), port))
+            .collect()
     }
 
     /// Whether the newest configuration is known, as far as can be told.
@@ -168,11 +187,19 @@
         self.silent_since_ms.load(Ordering::Relaxed) != 0
     }
 
-    /// Whether enough history hosts answer.
-    pub fn set_history(&self, answers: bool) {
-        let former = self.history_answers.swap(answers, Ordering::Relaxed);
-        if former != answers {
-            log::info!(step = "ask history", peer = "history", answers = answers; "history changed");
+    /// Notes whether enough history hosts answer this entry itself, or else through another.
+    pub fn set_history(&self, answers: bool, relayed: bool) {
+        let formerly = (
+            self.history_answers.swap(answers, Ordering::Relaxed),
+            self.history_relayed.swap(relayed, Ordering::Relaxed),
+        );
+        if formerly != (answers, relayed) {
+            let relay = self.history.relay_address();
+            log::info!(
+                step = "ask history", peer = "history", answers = answers, relayed = relayed,
+                relay = relay.map_or_else(String::new, |relay| relay.to_string());
+                "history changed"
+            );
         }
     }
 
--- a/crates/history/src/client.rs
+++ b/crates/history/src/client.rs
@@ -1,5 +1,7 @@
 //! The history as entries see it.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +19,8 @@
 use crate::quorum;
 use crate::quorum::Outcome;
 use crate::quorum::Progress;
+use crate::quorum::Round;
+use crate::quorum::Route;
 use crate::quorum::View;
 use crate::quorum::Views;
 use crate::record::Account;
@@ -25,6 +29,7 @@
 use crate::record::Record;
 use crate::record::State;
 use crate::record::Turn;
+use crate::relay::Relay;
 use crate::time::Wall;
 
 /// Memberships that one call goes through at most.
@@ -33,7 +38,7 @@
 /// Access to the history.
 #[derive(Debug)]
 pub struct Client {
-    views: Views,
+    views: Arc<Views>,
     losses: usize,
 }
 
@@ -71,6 +76,7 @@
     key: &'a [u8],
     /// Disks that are asked at once; others only if these are slow.
     first: usize,
+    route: Route,
     deadline: Instant,
 }
 
@@ -89,7 +95,7 @@
     /// A client that bears the loss of this many disks.
     pub fn new(losses: usize) -> Client {
         Client {
-            views: Views::default(),
+            views: Arc::default(),
             losses,
         }
     }
@@ -123,7 +129,8 @@
         let mut call = Call::Reserve(charge);
         let mut confirmed = false;
         loop {
-            self.read_account(&call, &mut seen, deadline).await?;
+            self.read_account(&call, &mut seen, Route::Any, deadline)
+                .await?;
             let verdict = seen.decide(
                 &reservation.turn,
                 reservation.most,
@@ -149,6 +156,7 @@
         &self,
         call: &Call,
         seen: &mut account::View,
+        route: Route,
         deadline: Instant,
     ) -> Result<(), Error> {
         let writes = matches!(call, Call::Reserve(_));
@@ -156,6 +164,7 @@
             body: message::encode(call),
             key: &[],
             first: usize::MAX,
+            route,
             deadline,
         };
         let needed = |membership: &Membership| match writes {
@@ -190,6 +199,7 @@
             body: message::encode(&Call::Append(records)),
             key: near.program.as_str().as_bytes(),
             first: self.losses + 1,
+            route: Route::Any,
             deadline,
         };
         let needed = |membership: &Membership| membership.write_quorum(self.losses);
@@ -212,22 +222,21 @@
             let needed = needed(&view.membership);
             let order = order(&view, question.key);
             let mut counted = 0;
-            let outcome = quorum::ask(
-                &self.views,
-                &view,
-                &order,
-                question.first,
-                question.body.clone(),
-                question.deadline,
-                |_, answer| {
-                    let vote = vote(answer);
-                    counted += usize::from(vote == Vote::Counts);
-                    match vote == Vote::Decides || counted >= needed {
-                        true => Progress::Done,
-                        false => Progress::Wait,
-                    }
-                },
-            )
+            let round = Round {
+                order: &order,
+                first: question.first,
+                body: question.body.clone(),
+                route: question.route,
+                deadline: question.deadline,
+            };
+            let outcome = quorum::ask(&self.views, &view, &round, |_, answer| {
+                let vote = vote(answer);
+                counted += usize::from(vote == Vote::Counts);
+                match vote == Vote::Decides || counted >= needed {
+                    true => Progress::Done,
+                    false => Progress::Wait,
+                }
+            })
             .await;
             match outcome {
                 Outcome::Done => return Ok(()),
@@ -290,6 +299,7 @@
             body: message::encode(&Call::Chain(turn.clone())),
             key: near.program.as_str().as_bytes(),
             first: 1,
+            route: Route::Any,
             deadline,
         };
         let needed = |membership: &Membership| membership.read_quorum(self.losses);
@@ -307,15 +317,30 @@
         Ok(present)
     }
 
-    /// Whether enough disks answer that turns can run.
-    pub async fn reachable(&self, timeout: Duration) -> bool {
+    /// Calls hosts through the relay at another entry's address from now on, or straight again.
+    pub fn set_relay(&self, address: Option<SocketAddr>) {
+        self.views.set_relay(address);
+    }
+
+    /// Where the relay in use listens; none while hosts are called straight.
+    pub fn relay_address(&self) -> Option<SocketAddr> {
+        self.views.relay_address()
+    }
+
+    /// A relay to the hosts that this client reaches.
+    pub fn relay(&self) -> Relay {
+        Relay::new(Arc::clone(&self.views))
+    }
+
+    /// Whether enough disks answer over a route that turns can run.
+    pub async fn reachable(&self, route: Route, timeout: Duration) -> bool {
         let account = Account {
             customer: probe_name(),
             program: probe_name(),
         };
         let mut seen = account::View::default();
         let deadline = Instant::now() + timeout;
-        self.read_account(&Call::Show(account), &mut seen, deadline)
+        self.read_account(&Call::Show(account), &mut seen, route, deadline)
             .await
             .is_ok()
     }
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod message;
 pub mod quorum;
 pub mod record;
+pub mod relay;
 pub mod retire;
 pub mod segment;
 pub mod server;
--- a/crates/history/src/message.rs
+++ b/crates/history/src/message.rs
@@ -105,6 +105,11 @@
     frame.freeze()
 }
 
+/// The disk that an encoded call is for; none if it is too short for one.
+pub fn disk(mut frame: &[u8]) -> Option<Disk> {
+    (frame.len() >= HEAD).then(|| Disk(frame.get_u64()))
+}
+
 /// Reads a call.
 ///
 /// Errors: the frame isn't a call.
--- a/crates/history/src/quorum.rs
+++ b/crates/history/src/quorum.rs
@@ -1,5 +1,6 @@
 //! Asking several disks at a time.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use crate::message::Answer;
 use crate::message::Head;
 use crate::record::Disk;
+use crate::relay;
 
 /// Time for one answer before a host is asked again.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -34,10 +36,39 @@
     links: Map<Disk, Link>,
 }
 
+impl View {
+    /// The straight connection to a disk's host.
+    pub fn link(&self, disk: Disk) -> Option<Link> {
+        self.links.get(&disk).cloned()
+    }
+}
+
 /// The newest view.
 #[derive(Debug, Default)]
 pub struct Views {
     current: RwLock<Arc<View>>,
+    /// An entry through which hosts are called, while straight connections fail.
+    relay: RwLock<Option<Link>>,
+}
+
+/// Which connections a question may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Route {
+    /// Straight ones only.
+    Direct,
+    /// Through a relay, if there is one.
+    Any,
+}
+
+/// What disks are asked.
+#[derive(Debug, Clone)]
+pub struct Round<'a> {
+    pub order: &'a [Disk],
+    /// Disks that are asked at once; others only if these are slow.
+    pub first: usize,
+    pub body: Bytes,
+    pub route: Route,
+    pub deadline: Instant,
 }
 
 impl Views {
@@ -46,6 +77,19 @@
         Arc::clone(&self.current.read())
     }
 
+    /// Calls hosts through another entry from now on, or straight again.
+    pub fn set_relay(&self, address: Option<SocketAddr>) {
+        let mut relay = self.relay.write();
+        if relay.as_ref().map(Link::address) != address {
+            *relay = address.map(Link::new);
+        }
+    }
+
+    /// Where the relay in use listens.
+    pub fn relay_address(&self) -> Option<SocketAddr> {
+        self.relay.read().as_ref().map(Link::address)
+    }
+
     /// Takes a membership, unless a newer one is known; says whether it was newer.
     pub fn learn(&self, membership: Membership) -> bool {
         let mut current = self.current.write();
@@ -92,30 +136,30 @@
     Incomplete,
 }
 
-/// Asks disks in the order given, `first` of them at once and the rest after a delay or a failure,
-/// until `each` has seen enough answers.
+/// Asks disks in the order given, the first of them at once and the rest after a delay or a
+/// failure, until `each` has seen enough answers.
 pub async fn ask(
     views: &Views,
     view: &View,
-    order: &[Disk],
-    first: usize,
-    body: Bytes,
-    deadline: Instant,
+    round: &Round<'_>,
     mut each: impl FnMut(Disk, Answer) -> Progress,
 ) -> Outcome {
     let epoch = view.membership.epoch;
-    let mut waiting = order.iter().filter_map(|disk| {
-        let link = view.links.get(disk)?;
+    let relay = match round.route {
+        Route::Direct => None,
+        Route::Any => views.relay.read().clone(),
+    };
+    let mut waiting = round.order.iter().filter_map(|disk| {
+        let peer = match &relay {
+            Some(relay) => Peer::Relay(relay.clone()),
+            None => Peer::Host(view.link(*disk)?),
+        };
         let head = Head { disk: *disk, epoch };
-        Some(call(
-            *disk,
-            link.clone(),
-            message::frame(head, &body),
-            deadline,
-        ))
+        let frame = message::frame(head, &round.body);
+        Some(call(*disk, peer, frame, round.deadline))
     });
     let mut asked = FuturesUnordered::new();
-    asked.extend(waiting.by_ref().take(first));
+    asked.extend(waiting.by_ref().take(round.first));
     let mut hedge = Instant::now() + HEDGE_DELAY;
     loop {
         let answer = tokio::select! {
@@ -149,14 +193,29 @@
     }
 }
 
+/// Who gets a call for a disk.
+enum Peer {
+    Host(Link),
+    Relay(Link),
+}
+
+impl Peer {
+    async fn call(&self, frame: Bytes, timeout: Duration) -> Result<Bytes, link::Error> {
+        match self {
+            Peer::Host(host) => host.call(frame, timeout).await,
+            Peer::Relay(entry) => relay::call(entry, frame, timeout).await,
+        }
+    }
+}
+
 /// Asks one disk until it answers or time is up.
-async fn call(disk: Disk, link: Link, frame: Bytes, deadline: Instant) -> (Disk, Option<Answer>) {
+async fn call(disk: Disk, peer: Peer, frame: Bytes, deadline: Instant) -> (Disk, Option<Answer>) {
     loop {
         let left = deadline.saturating_duration_since(Instant::now());
         if left.is_zero() {
             return (disk, None);
         }
-        let answer = link.call(frame.clone(), left.min(ANSWER_TIMEOUT)).await;
+        let answer = peer.call(frame.clone(), left.min(ANSWER_TIMEOUT)).await;
         match answer.map(|frame| message::read_answer(&frame)) {
             Ok(Ok(answer)) => return (disk, Some(answer)),
             Ok(Err(error)) => {
--- /dev/null
+++ b/crates/history/tests/relay.rs
@@ -0,0 +1,149 @@
+//! Calls to history hosts through another entry.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use history::client::Client;
+use history::membership::Epoch;
+use history::membership::Member;
+use history::membership::Membership;
+use history::quorum::Route;
+use history::record::Account;
+use history::record::Record;
+use history::record::Turn;
+use history::server::Server;
+use history::time::Wall;
+use node::link;
+use rstest::rstest;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+const HOSTS: usize = 3;
+const CAPACITY: u64 = 1 << 20;
+const TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Nobody listens here.
+const NOWHERE: ([u8; 4], u16) = ([127, 0, 0, 1], 1);
+
+/// History hosts, an entry that reaches them, and one that is cut off from them.
+struct World {
+    folder: PathBuf,
+    /// Hands calls on.
+    relay: SocketAddr,
+    near: Client,
+    cut_off: Client,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        // A folder that stays behind harms nobody.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+async fn serve<H: link::Handler>(handler: Arc<H>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(link::serve(listener, handler));
+    address
+}
+
+async fn host(folder: &Path, number: usize) -> Member {
+    let path = folder.join(number.to_string());
+    std::fs::create_dir_all(&path).expect("folder");
+    let server = Server::open(&path, CAPACITY).expect("server");
+    Member {
+        disk: server.disk(),
+        host: compact_str::format_compact!("host-{number}"),
+        address: serve(server).await,
+    }
+}
+
+impl World {
+    async fn start() -> World {
+        let folder = format!("teasellever-relay-{:016x}", rand::random::<u64>());
+        let folder = std::env::temp_dir().join(folder);
+        let mut members = Vec::new();
+        for number in 0..HOSTS {
+            members.push(host(&folder, number).await);
+        }
+        let membership = |members| Membership {
+            epoch: Epoch(1),
+            members,
+        };
+        let near = Client::new(1);
+        near.learn(membership(members.clone()));
+        let relay = serve(Arc::new(near.relay())).await;
+        let unreached = members.into_iter().map(|member| Member {
+            address: NOWHERE.into(),
+            ..member
+        });
+        let cut_off = Client::new(1);
+        cut_off.learn(membership(unreached.collect()));
+        World {
+            folder,
+            relay,
+            near,
+            cut_off,
+        }
+    }
+}
+
+fn account() -> Account {
+    Account {
+        customer: "c".parse().expect("name"),
+        program: "p".parse().expect("name"),
+    }
+}
+
+fn turn() -> Turn {
+    Turn {
+        id: "turn-1".parse().expect("name"),
+        customer: "c".parse().expect("name"),
+        previous: None,
+        content: Bytes::from_static(b"said"),
+        expires: Wall::now().after(Duration::from_secs(60)),
+    }
+}
+
+#[rstest]
+#[tokio::test]
+async fn an_entry_that_is_cut_off_reaches_the_history_through_another() {
+    let world = World::start().await;
+    let cut_off = &world.cut_off;
+    assert!(!cut_off.reachable(Route::Any, TIMEOUT).await);
+    cut_off.set_relay(Some(world.relay));
+    assert!(cut_off.reachable(Route::Any, TIMEOUT).await);
+    assert!(!cut_off.reachable(Route::Direct, TIMEOUT).await);
+}
+
+#[rstest]
+#[tokio::test]
+async fn what_is_kept_through_a_relay_is_found_by_others() {
+    let world = World::start().await;
+    world.cut_off.set_relay(Some(world.relay));
+    let deadline = Instant::now() + TIMEOUT;
+    let records = vec![Record::Turn(turn())];
+    let kept = world.cut_off.keep(records, &account(), deadline).await;
+    assert_eq!(kept, Ok(()));
+    let chain = world.near.chain(&turn().id, &account(), deadline).await;
+    let chain = chain.expect("answer").expect("turn");
+    assert_eq!(chain[0].content, turn().content);
+}
+
+#[rstest]
+#[tokio::test]
+async fn a_relay_that_reaches_nobody_itself_leaves_the_answer_open() {
+    let world = World::start().await;
+    let relay = serve(Arc::new(world.cut_off.relay())).await;
+    let other = Client::new(1);
+    other.learn(world.near.membership());
+    other.set_relay(Some(relay));
+    let deadline = Instant::now() + TIMEOUT;
+    let chain = other.chain(&turn().id, &account(), deadline).await;
+    assert!(chain.is_err(), "{chain:?}");
+}
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -83,7 +83,7 @@
 #[derive(Debug, Default)]
 struct Status {
     connected: AtomicBool,
-    /// Milliseconds since `started` at which the peer was last heard.
+    /// Milliseconds since `started` at which the peer was last heard, or since which a call waits.
     heard_ms: AtomicU64,
     reset: Notify,
 }
@@ -127,7 +127,6 @@
     /// Errors: no connection, a broken one, or no answer in time.
     pub async fn call(&self, payload: Bytes, timeout: Duration) -> Result<Bytes, Error> {
         let (answer, answered) = oneshot::channel();
-        let sent = Instant::now();
         self.queue
             .try_send(Outgoing { payload, answer })
             .map_err(|_| Error::Unreachable)?;
@@ -135,22 +134,28 @@
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => Err(Error::Lost),
             Err(_) => {
-                self.check_silence(sent);
+                self.check_silence();
                 Err(Error::Lost)
             }
         }
     }
 
-    /// Opens the connection anew if the peer said nothing since a call was sent.
-    fn check_silence(&self, sent: Instant) {
+    /// Opens the connection anew if the peer has said nothing for long while calls waited.
+    fn check_silence(&self) {
         let heard = Duration::from_millis(self.status.heard_ms.load(Ordering::Relaxed));
-        let last = (self.started + heard).max(sent);
-        if self.connected() && last.elapsed() >= SILENCE {
+        if self.connected() && (self.started + heard).elapsed() >= SILENCE {
             self.status.reset.notify_one();
         }
     }
 }
 
+impl Status {
+    fn heard(&self, started: Instant) {
+        let heard = started.elapsed().as_millis() as u64;
+        self.heard_ms.store(heard, Ordering::Relaxed);
+    }
+}
+
 async fn run(
     address: SocketAddr,
     mut calls: mpsc::Receiver<Outgoing>,
@@ -210,6 +215,9 @@
     let mut output = BytesMut::new();
     let mut batch = vec![first];
     loop {
+        if pending.is_empty() {
+            status.heard(started);
+        }
         for call in batch.drain(..) {
             sequence += 1;
             put_frame(&mut output, sequence, &call.payload);
@@ -231,8 +239,7 @@
             read = reader.read_buf(&mut input) => match read {
                 Ok(0) => return "closed by peer".to_owned(),
                 Ok(_) => {
-                    let heard = started.elapsed().as_millis() as u64;
-                    status.heard_ms.store(heard, Ordering::Relaxed);
+                    status.heard(started);
                     loop {
                         match take_frame(&mut input) {
                             Ok(Some((sequence, payload))) => if let Some(answer) = pending.remove(&sequence) {
