Find out sooner that the history answers

Now it asks ten times a second until there is an answer. An entry that is cut off from the history, without a relay, closes its callers' connections as one that stops does, since callers keep to open ones. Ruled out: the process's own start, 6 ms of processor time.

--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -45,6 +45,9 @@
 /// Pause between questions whether the history answers.
 const HISTORY_PAUSE: Duration = Duration::from_millis(1000);
 
+/// Pause between them while it doesn't: callers wait for the answer.
+const HISTORY_AWAY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time for the history to answer that question.
 const HISTORY_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -178,7 +181,11 @@
             false => find_relay(&state).await,
         };
         state.set_history(direct, relayed);
-        tokio::time::sleep(HISTORY_PAUSE).await;
+        let pause = match direct || relayed {
+            true => HISTORY_PAUSE,
+            false => HISTORY_AWAY_PAUSE,
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/gateway/src/serve/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -46,7 +46,8 @@
         Ok(response) => response,
         Err(refusal) => refuse(&state, &refusal, &known, received),
     };
-    if state.is_draining() {
+    // Callers keep to open connections; elsewhere they are served better.
+    if state.is_draining() || state.is_cut_off() {
         let headers = response.headers_mut();
         headers.insert(
             header::CONNECTION,
