Refuse turns at once at an entry that is cut off from the history

One that is cut off from the other entries too called itself ready, as it heard of nobody who was better off. Now a cut-off entry answers 503 at once, with a time to come back, and one that hears neither the history nor any other entry that it knows counts as cut off. Ruled out: refusing while nobody reaches the history; then waiting is the best there is.

--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -193,6 +193,11 @@
         fresh.next().map(|(address, _)| *address)
     }
 
+    /// Whether other entries are known, and none of them was heard of late.
+    pub fn all_silent(&self, now: Time) -> bool {
+        !self.peers.is_empty() && self.heard(now).is_empty()
+    }
+
     /// Other entries that reach the history themselves.
     pub fn history_elsewhere(&self, now: Time) -> Vec<SocketAddr> {
         let silence = self.silence();
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -118,6 +118,12 @@
     job: Job,
     stream: Stream,
 ) -> Result<Response<Body>, Refusal> {
+    if state.is_cut_off() {
+        return Err(Refusal::Unavailable {
+            cause: "this entry doesn't reach the history".to_owned(),
+            retry: retry_pause(),
+        });
+    }
     let deadline = job.deadline.min(Instant::now() + HISTORY_TIMEOUT);
     let seen = job.call.program.as_ref();
     let seen = seen.and_then(|program| state.programs.lock().target(program));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -159,11 +159,16 @@
         !self.is_draining() && configured && !self.is_cut_off()
     }
 
-    /// Whether other entries reach the history and this one doesn't, not even through them.
+    /// Whether this entry doesn't reach the history while others do, as far as can be told: they say
+    /// so, or none of them is heard either.
     pub fn is_cut_off(&self) -> bool {
         let reached = self.history_answers.load(Ordering::Relaxed)
             || self.history_relayed.load(Ordering::Relaxed);
-        !reached && !self.relays().is_empty()
+        if reached {
+            return false;
+        }
+        let (peers, now) = (self.peers.lock(), self.time());
+        peers.all_silent(now) || !peers.history_elsewhere(now).is_empty()
     }
 
     /// Entries that reach the history and can hand calls on.
