Miss the history twice before turns are refused at once

Cause: an entry that is cut off refuses turns at once; a single question that isn't answered in 700 ms, as on a crowded host, would be enough.

--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -45,6 +45,10 @@
 /// Pause between questions whether the history answers.
 const HISTORY_PAUSE: Duration = Duration::from_millis(1000);
 
+/// Questions without an answer after which the history isn't reached: turns are then refused at
+/// once, which one slow answer mustn't cause.
+const HISTORY_MISSES: u32 = 2;
+
 /// Pause between them while it doesn't: callers wait for the answer.
 const HISTORY_AWAY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -168,6 +172,7 @@
 
 /// Asks the history hosts now and then whether they answer, and looks for a relay if they don't.
 async fn watch_history(state: Arc<State>) {
+    let mut misses = 0;
     loop {
         let direct = state
             .history
@@ -180,8 +185,12 @@
             }
             false => find_relay(&state).await,
         };
-        state.set_history(direct, relayed);
-        let pause = match direct || relayed {
+        let reached = direct || relayed;
+        misses = if reached { 0 } else { misses + 1 };
+        if reached || misses >= HISTORY_MISSES {
+            state.set_history(direct, relayed);
+        }
+        let pause = match reached {
             true => HISTORY_PAUSE,
             false => HISTORY_AWAY_PAUSE,
         };
