--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -45,16 +45,16 @@
 /// Pause between questions whether the history answers.
 const HISTORY_PAUSE: Duration = Duration::from_millis(1000);
 
-/// Questions without an answer after which the history isn't reached: turns are then refused at
-/// once, which one slow answer mustn't cause.
-const HISTORY_MISSES: u32 = 2;
-
 /// Pause between them while it doesn't: callers wait for the answer.
 const HISTORY_AWAY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time for the history to answer that question.
 const HISTORY_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Questions without an answer after which the history isn't reached: turns are then refused at
+/// once, which one slow answer mustn't cause.
+const HISTORY_MISSES: u32 = 2;
+
 /// How long new callers may still come after a planned stop began: the balancer asks once a second
 /// and believes the second refusal.
 const LINGER: Duration = Duration::from_millis(2600);
