--- a/crates/history/src/relay.rs
+++ b/crates/history/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::message;
 use crate::quorum::Views;
 
-/// Time for a host's answer; the caller asks again after as long.
+/// Time for a host's answer, within the 500 ms after which the caller asks again.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// First byte of what a relay sends back.
