Wait for both maps in the test of planned stops

Cause: the test waited until node b's shard map was without the stopped node and asserted at once that b or c leads each program; c's map was up to 3 versions behind b's at that moment, so c didn't lead yet what was handed over last. Ruled out: a lost handover (the last lines of the test, which find every shard led and never lost, passed each time).

--- a/crates/entry/tests/member_shards.rs
+++ b/crates/entry/tests/member_shards.rs
@@ -158,7 +158,12 @@
     a.member.depart(member_common::PATIENCE).await;
     assert!(platform.names("lease/a").is_empty());
     assert!(a.led().is_empty());
-    until("the map without it", || b.member.map().members.len() == 2).await;
+    // Both must know of the last handover: a node leads only what its own map names.
+    until("the map without it at both", || {
+        let (known_to_b, known_to_c) = (b.member.map(), c.member.map());
+        known_to_b.members.len() == 2 && known_to_c.version == known_to_b.version
+    })
+    .await;
     assert!(
         programs
             .iter()
