Exchange customers' usage through keepers; buckets begin with the configuration

Now buckets begin with the configuration, and above 8 entries each sends its totals every 100 ms to two keepers by rendezvous, which forward them to the entries that serve the customer, with the keeper's balance at the first contact. A keeper that doesn't answer within 350 ms is replaced. An entry that hears no other for 450 ms limits itself to its share at once.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod ticket;
 pub mod time;
 pub mod tombstone;
+pub mod usage;
 
 /// Hash map with a fast hasher.
 pub type Map<K, V> = rustc_hash::FxHashMap<K, V>;
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -16,6 +16,7 @@
 use crate::id::Rate;
 use crate::time::Millis;
 use crate::time::Time;
+use crate::usage::Usage;
 
 /// Time without a report after which an entry is assumed to use its share.
 pub const SILENCE_TIMEOUT: Millis = Millis(450);
@@ -23,6 +24,13 @@
 /// Smallest capacity of a bucket; prevents rounding from refusing requests of small customers.
 const MIN_BURST: f64 = 4.0;
 
+/// Smallest initial balance, so that an entry which joins many others doesn't refuse a customer's
+/// first request.
+const MIN_INITIAL_BALANCE: f64 = 1.0;
+
+/// Time between two notes of the total that [`Quota::earlier`] returns.
+const EARLIER_INTERVAL: Millis = Millis(500);
+
 /// Largest debt that other entries' reports can leave, in seconds of rate.
 const MAX_DEBT_S: f64 = 1.0;
 
@@ -51,11 +59,32 @@
     pub started: f64,
 }
 
+/// Requests that a bucket holds; negative if it is in debt.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Balance {
+    /// For any use.
+    pub requests: f64,
+    /// For charges of first turns.
+    pub programs: f64,
+}
+
+impl Total {
+    /// The larger of both numbers of each kind.
+    fn max(self, other: Total) -> Total {
+        Total {
+            requests: self.requests.max(other.requests),
+            started: self.started.max(other.started),
+        }
+    }
+}
+
 /// Newest report of another entry.
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     id: u64,
     incarnation: u64,
+    /// Incarnation before this one, whose late reports are ignored.
+    former: Option<u64>,
     reported: Total,
 }
 
@@ -79,14 +108,18 @@
     /// Number of requests that first turns can be charged with.
     program_balance: f64,
     admitted: Total,
+    /// Total at the last two ends of [`EARLIER_INTERVAL`], the older one first.
+    noted: [Total; 2],
+    noted_at: Time,
     peers: Vec<Peer>,
 }
 
 impl Quota {
-    /// Returns a bucket that starts with this entry's share of the burst.
+    /// Returns a bucket that starts with this entry's share of the burst, at least one request.
     pub fn new(rate: Rate, burst: Burst, fleet: Fleet, now: Time) -> Quota {
         let burst = f64::from(burst.0).max(MIN_BURST);
         let share = burst / fleet.entries.max(1) as f64;
+        let share = share.max(MIN_INITIAL_BALANCE);
         Quota {
             rate: rate.per_second(),
             burst,
@@ -94,6 +127,8 @@
             request_balance: share,
             program_balance: share,
             admitted: Total::default(),
+            noted: [Total::default(); 2],
+            noted_at: now,
             peers: Vec::new(),
         }
     }
@@ -109,6 +144,7 @@
     /// Takes one request.
     pub fn take(&mut self, charge: Charge, fleet: Fleet, now: Time) -> Take {
         self.refill(fleet, now);
+        self.note_total(now);
         let refill_rate = self.refill_rate(fleet);
         if self.request_balance < 1.0 {
             return Take::Wait(wait_time(1.0 - self.request_balance, refill_rate));
@@ -139,6 +175,58 @@
         self.admitted
     }
 
+    /// Returns what the bucket holds now.
+    pub fn balance(&mut self, fleet: Fleet, now: Time) -> Balance {
+        self.refill(fleet, now);
+        Balance {
+            requests: self.request_balance,
+            programs: self.program_balance,
+        }
+    }
+
+    /// Lowers what the bucket holds to the balance of an entry that knows the customer's usage better.
+    pub fn lower(&mut self, balance: Balance, fleet: Fleet, now: Time) {
+        self.refill(fleet, now);
+        self.request_balance = self.request_balance.min(balance.requests);
+        self.program_balance = self.program_balance.min(balance.programs);
+    }
+
+    /// Returns this entry's total of up to a second ago, for entries that hear of this one only now.
+    pub fn earlier(&self) -> Total {
+        self.noted[0]
+    }
+
+    fn note_total(&mut self, now: Time) {
+        let elapsed = now.since(self.noted_at);
+        if elapsed < EARLIER_INTERVAL {
+            return;
+        }
+        let idle = elapsed.0 >= 2 * EARLIER_INTERVAL.0;
+        let older = if idle { self.admitted } else { self.noted[1] };
+        self.noted = [older, self.admitted];
+        self.noted_at = now;
+    }
+
+    /// Subtracts what another entry has admitted since its last report, but nothing that it admitted
+    /// before its earlier total.
+    pub fn merge_usage(&mut self, usage: &Usage, fleet: Fleet, now: Time) {
+        let entry = usage.entry;
+        match self.peers.iter_mut().find(|known| known.id == entry.id) {
+            Some(known) if known.incarnation == entry.incarnation => {
+                known.reported = known.reported.max(usage.earlier);
+            }
+            Some(_) => {}
+            None => self.peers.push(Peer {
+                id: entry.id,
+                incarnation: entry.incarnation,
+                former: None,
+                reported: usage.earlier,
+            }),
+        }
+        let silent = Millis(0);
+        self.merge_report(entry.id, entry.incarnation, usage.total, silent, fleet, now);
+    }
+
     /// Subtracts what another entry reports to have admitted since its last report. Its counts
     /// start at zero in each incarnation. `silent` is the time for which it was assumed to use its
     /// share.
@@ -158,22 +246,24 @@
             self.peers.push(Peer {
                 id: peer,
                 incarnation,
+                former: None,
                 reported: total,
             });
             return;
         };
         let known = &mut self.peers[position];
+        if known.former == Some(incarnation) {
+            return;
+        }
         if known.incarnation != incarnation {
+            known.former = Some(known.incarnation);
             known.incarnation = incarnation;
             known.reported = Total::default();
         }
         let assumed = self.rate / fleet.entries.max(1) as f64 * silent.0 as f64 / 1000.0;
         let requests = total.requests.saturating_sub(known.reported.requests) as f64;
         let started = (total.started - known.reported.started).max(0.0);
-        known.reported = Total {
-            requests: known.reported.requests.max(total.requests),
-            started: known.reported.started.max(total.started),
-        };
+        known.reported = known.reported.max(total);
         let floor = -self.rate * MAX_DEBT_S;
         self.request_balance = (self.request_balance - (requests - assumed).max(0.0)).max(floor);
         self.program_balance = (self.program_balance - (started - assumed).max(0.0)).max(floor);
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -27,6 +27,7 @@
 use crate::adapter::Adapter;
 use crate::fleet::gossip;
 use crate::fleet::news;
+use crate::fleet::usage;
 use crate::follow;
 use crate::follow::Event;
 use crate::gauges;
@@ -172,11 +173,15 @@
     }
 }
 
-/// Exchanges reports with the other entries.
+/// Exchanges reports and customers' usage with the other entries.
 async fn exchange_reports<S: ObjectStore>(objects: Arc<S>, state: Arc<State>) {
     let registered = gossip::register(&*objects, &state);
-    let (exchanged, ()) = tokio::join!(gossip::run(Arc::clone(&state)), registered);
-    if let Err(error) = exchanged {
+    let (exchanged, counted, ()) = tokio::join!(
+        gossip::run(Arc::clone(&state)),
+        usage::run(Arc::clone(&state)),
+        registered
+    );
+    for error in [exchanged, counted].into_iter().filter_map(Result::err) {
         log::error!(step = "exchange reports", peer = "entries"; "{error}");
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -4,3 +4,4 @@
 pub mod gossip;
 pub mod news;
 pub mod peers;
+pub mod usage;
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -147,6 +147,13 @@
         }
     }
 
+    /// Whether there are other entries, and no report of any came lately. Among many entries this
+    /// shows sooner that this one is cut off than the silence of each.
+    pub fn is_isolated(&self, now: Time) -> bool {
+        let is_silent = |peer: &Peer| !peer.is_fresh(now, quota::SILENCE_TIMEOUT);
+        !self.peers.is_empty() && self.peers.values().all(is_silent)
+    }
+
     fn silence_timeout(&self) -> Millis {
         silence_timeout(self.peers.len() + 1)
     }
@@ -226,6 +233,11 @@
     }
 }
 
+/// Whether reports among this many entries come at the shortest interval.
+pub fn is_small(entries: usize) -> bool {
+    entries <= INTERVAL_ENTRIES
+}
+
 /// Time between reports among this many entries.
 pub fn interval(entries: usize) -> Duration {
     BASE_INTERVAL.mul_f64((entries as f64 / INTERVAL_ENTRIES as f64).max(1.0))
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use coord::id::Customer;
+use coord::quota::Balance;
 use coord::quota::Charge;
 use coord::quota::Fleet;
 use coord::quota::Quota;
@@ -10,8 +11,12 @@
 use coord::quota::Total;
 use coord::time::Millis;
 use coord::time::Time;
+use coord::usage::Entry;
+use coord::usage::Message;
+use coord::usage::Usage;
 
 use crate::Map;
+use crate::Set;
 use crate::config::CustomerLimits;
 
 /// Maximum retry time returned to callers.
@@ -63,6 +68,17 @@
 }
 
 impl Quotas {
+    /// Creates the buckets of new customers, so that they fill before the first request comes, and
+    /// removes those of former ones.
+    pub fn configure(&mut self, customers: &[CustomerLimits], fleet: Fleet, now: Time) {
+        for limits in customers {
+            self.bucket(limits, fleet, now);
+        }
+        let limited = customers.iter().filter(|limits| limits.rate.is_some());
+        let limited: Set<&Customer> = limited.map(|limits| &limits.name).collect();
+        self.customers.retain(|name, _| limited.contains(name));
+    }
+
     /// Admits a request and charges it to its customer's rate. A first turn is also charged
     /// with the expected requests of its whole program.
     ///
@@ -131,6 +147,38 @@
         }
     }
 
+    /// Merges what an entry that serves the same customers, or keeps their totals, has sent.
+    pub fn merge_message(&mut self, message: &Message, me: u64, fleet: Fleet, now: Time) {
+        let usages = message.own.iter().chain(&message.forwarded);
+        for (customer, usage) in usages.filter(|(_, usage)| usage.entry.id != me) {
+            if let Some(bucket) = self.customers.get_mut(customer) {
+                bucket.quota.merge_usage(usage, fleet, now);
+            }
+        }
+        for (customer, balance) in &message.balances {
+            if let Some(bucket) = self.customers.get_mut(customer) {
+                bucket.quota.lower(*balance, fleet, now);
+            }
+        }
+    }
+
+    /// Usage of a customer on this entry, and what its bucket holds.
+    pub fn usage(
+        &mut self,
+        customer: &Customer,
+        me: Entry,
+        fleet: Fleet,
+        now: Time,
+    ) -> Option<(Usage, Balance)> {
+        let quota = &mut self.customers.get_mut(customer)?.quota;
+        let usage = Usage {
+            entry: me,
+            earlier: quota.earlier(),
+            total: quota.total(),
+        };
+        Some((usage, quota.balance(fleet, now)))
+    }
+
     /// Totals of customers for which requests were admitted since a time.
     pub fn totals(&self, since: Time) -> Vec<(Customer, Total)> {
         let buckets = self.customers.iter();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -82,6 +82,11 @@
         SocketAddr::new(self.address, self.relay_port())
     }
 
+    /// Address for datagrams with customers' usage.
+    pub fn usage_address(&self) -> SocketAddr {
+        SocketAddr::new(self.address, self.relay_port())
+    }
+
     /// Port of [`Settings::relay_address`], the same on all entries.
     pub fn relay_port(&self) -> u16 {
         self.peer_ports.0 + 1
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,6 +10,7 @@
 use coord::newest::Newest;
 use coord::quota::Fleet;
 use coord::time::Time;
+use coord::usage::Exchange;
 use node::object::Change;
 use node::object::Kind;
 use node::object::Object;
@@ -82,7 +83,9 @@
     /// Whether a quorum of history hosts answers through another entry.
     history_relayed: AtomicBool,
     pub(crate) incarnation: u64,
+    /// Locked before `usage` where both are needed.
     pub(crate) quotas: Mutex<Quotas>,
+    pub(crate) usage: Mutex<Exchange<SocketAddr>>,
     pub(crate) peers: Mutex<Peers>,
 }
 
@@ -116,6 +119,7 @@
             history_relayed: AtomicBool::new(false),
             incarnation: rand::random(),
             quotas: Mutex::default(),
+            usage: Mutex::default(),
             peers: Mutex::default(),
         })
     }
@@ -220,7 +224,11 @@
     /// Errors: the rate is exceeded.
     pub fn admit(&self, customer: &CustomerLimits, first: bool) -> Result<(), Exceeded> {
         let (fleet, now) = (self.fleet(), self.time());
-        self.quotas.lock().admit(customer, first, fleet, now)
+        self.quotas.lock().admit(customer, first, fleet, now)?;
+        if customer.rate.is_some() {
+            self.usage.lock().record_admission(&customer.name);
+        }
+        Ok(())
     }
 
     /// Refuses a request that certainly exceeds its customer's rate; charges nothing.
@@ -231,8 +239,17 @@
         self.quotas.lock().check(customer, fleet, now)
     }
 
+    /// Numbers of all entries and of silent ones; all others are silent if this one hears none.
     pub(crate) fn fleet(&self) -> Fleet {
-        self.peers.lock().fleet(self.time())
+        let (peers, now) = (self.peers.lock(), self.time());
+        let fleet = peers.fleet(now);
+        match peers.is_isolated(now) {
+            true => Fleet {
+                silent: fleet.entries - 1,
+                ..fleet
+            },
+            false => fleet,
+        }
     }
 
     /// Maximum number of connections from this entry to one target of a service, at least 2.
@@ -265,9 +282,12 @@
             return;
         }
         let (routes, customers) = (config.routes.len(), config.customers.len());
+        let limits = config.customers.clone();
         let table = Table::new(config);
         let snapshot = Arc::new(Snapshot { table, object });
         if self.config.write().replace_if_newer(version, snapshot) {
+            let (fleet, now) = (self.fleet(), self.time());
+            self.quotas.lock().configure(&limits, fleet, now);
             log::info!(
                 step = "configure", peer = "platform", version = version.0, former = previous.0,
                 routes = routes, customers = customers;
@@ -353,6 +373,7 @@
         drop(directory);
         self.pool.expire();
         self.peers.lock().expire(self.time());
+        self.usage.lock().expire(self.time());
         self.prefixes.lock().expire(self.time());
         self.suspects.lock().expire(self.time());
     }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -118,3 +118,20 @@
     peers.record_report(address(1), &report("a"), Time(2_000));
     assert_eq!(peers.fleet(Time(2_000)).entries, 2);
 }
+
+#[rstest]
+fn an_entry_that_hears_no_other_of_many_notices_it_before_each_counts_as_silent() {
+    let mut peers = Peers::default();
+    for number in 1..100 {
+        let at = Time(u64::from(number) * 10);
+        peers.record_report(address(number), &report("a"), at);
+    }
+    assert!(!peers.is_isolated(Time(990 + SILENCE_TIMEOUT.0)));
+    assert!(peers.is_isolated(Time(991 + SILENCE_TIMEOUT.0)));
+    assert_eq!(peers.fleet(Time(991 + SILENCE_TIMEOUT.0)).silent, 0);
+}
+
+#[rstest]
+fn an_entry_that_knows_no_other_is_not_isolated() {
+    assert!(!Peers::default().is_isolated(Time(10_000)));
+}
--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -72,3 +72,28 @@
     assert!(wait(quotas.check(&customer, ALONE, Time(0))).is_some());
     assert_eq!(quotas.check(&customer, ALONE, Time(2_000)), Ok(()));
 }
+
+#[rstest]
+fn a_configured_customer_is_served_at_one_of_many_entries_from_its_first_request() {
+    let fleet = Fleet {
+        entries: 91,
+        silent: 0,
+    };
+    let mut quotas = Quotas::default();
+    let customer = customer(10.0, 10);
+    quotas.configure(std::slice::from_ref(&customer), fleet, Time(0));
+    for _ in 0..10 {
+        let admitted = quotas.admit(&customer, false, fleet, Time(2_000));
+        assert_eq!(admitted, Ok(()));
+    }
+}
+
+#[rstest]
+fn a_customer_that_leaves_the_configuration_and_returns_starts_anew() {
+    let mut quotas = Quotas::default();
+    let customer = customer(10.0, 10);
+    quotas.configure(std::slice::from_ref(&customer), ALONE, Time(0));
+    assert_eq!(quotas.admit(&customer, false, ALONE, Time(0)), Ok(()));
+    quotas.configure(&[], ALONE, Time(1));
+    assert!(quotas.totals(Time(0)).is_empty());
+}
