Send no further requests to a target that announces that it leaves

Cause: a target that leaves now says so in its answers (Server-Leaving), also while the object store or the other entries are out of reach; nothing read that header. The adapter decodes it for every answer. The announcement is kept beside the listing of targets, by id and start of the incarnation: a renewed, late or older registration doesn't undo it, only a later incarnation does; a 421 comes from another target and doesn't count. It holds at once, so that retries and second attempts that were queued choose anew.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -105,6 +105,8 @@
     pub sealed: bool,
     /// Whether the target confirms that it didn't run the request.
     pub not_run: bool,
+    /// Whether the target announces that it leaves.
+    pub leaving: bool,
 }
 
 /// Whether a target accepts new requests.
--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -45,6 +45,7 @@
             suspects.record_crash(*request, *crash, now);
         }
         drop(suspects);
+        self.merge_departures(report);
         let peer = (balance::hash_parts(&[&report.host]), report.incarnation);
         self.quotas
             .lock()
@@ -59,6 +60,23 @@
         }
     }
 
+    fn merge_departures(&self, report: &Report) {
+        if report.departures.is_empty() {
+            return;
+        }
+        let mut directory = self.directory.lock();
+        for departure in &report.departures {
+            if directory.record_departure(*departure, self.time()) {
+                log::info!(
+                    step = "learn target", peer = report.host.as_str(),
+                    target_hash = departure.target, born = departure.born;
+                    "another entry reports that a target leaves"
+                );
+            }
+        }
+        self.publish_services(&directory);
+    }
+
     /// Returns this entry's report and the addresses that it is sent to.
     pub fn report(&self) -> (Report, Vec<SocketAddr>) {
         let now = self.time();
@@ -79,6 +97,7 @@
             cached_prefixes: self.prefixes.lock().recent_uses(now),
             crashes: self.suspects.lock().recent_crashes(now),
             entries: self.peers.lock().fresh_addresses(now),
+            departures: self.directory.lock().recent_departures(now),
         };
         (report, self.peers.lock().addresses())
     }
--- a/crates/gateway/src/fleet/gossip.rs
+++ b/crates/gateway/src/fleet/gossip.rs
@@ -57,7 +57,7 @@
 }
 
 fn handle_datagram(state: &State, datagram: &[u8], from: IpAddr, port: u16) {
-    match postcard::from_bytes::<Report>(datagram) {
+    match Report::decode(datagram) {
         Ok(report) if report.host == state.settings.host => {}
         Ok(report) => state.merge_report(SocketAddr::new(from, port), &report),
         Err(error) => log::debug!(step = "read report", peer:% = from; "{error}"),
@@ -68,7 +68,7 @@
 async fn send_reports(state: &State, socket: &UdpSocket) -> Duration {
     let (report, addresses) = state.report();
     let entries = addresses.len() + 1;
-    match postcard::to_stdvec(&report) {
+    match report.encode() {
         Ok(datagram) => {
             for address in addresses {
                 if let Err(error) = socket.send_to(&datagram, address).await {
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 
 use crate::Map;
+use crate::target::departure::Incarnation;
 
 /// Time between reports with at most [`INTERVAL_ENTRIES`] entries.
 const BASE_INTERVAL: Duration = Duration::from_millis(100);
@@ -54,6 +55,31 @@
     pub crashes: Vec<(u64, u64)>,
     /// Other entries with recent reports, for receivers that can't read the object store.
     pub entries: Vec<SocketAddr>,
+    /// Targets that announced that they leave. Encoded after the report, where earlier builds ignore
+    /// it.
+    #[serde(skip)]
+    pub departures: Vec<Incarnation>,
+}
+
+impl Report {
+    /// Encodes the report for a datagram.
+    ///
+    /// Errors: none that the fields can cause.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let report = postcard::to_stdvec(self)?;
+        postcard::to_extend(&self.departures, report)
+    }
+
+    /// Decodes a datagram, also of a build that doesn't report departures.
+    ///
+    /// Errors: the datagram is malformed.
+    pub fn decode(datagram: &[u8]) -> Result<Report, postcard::Error> {
+        let (mut report, rest) = postcard::take_from_bytes::<Report>(datagram)?;
+        if !rest.is_empty() {
+            report.departures = postcard::from_bytes(rest)?;
+        }
+        Ok(report)
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use coord::id::Request;
 use coord::newest::Newest;
 use coord::quota::Fleet;
 use coord::time::Time;
@@ -21,6 +22,7 @@
 use tokio::time::Instant;
 
 use crate::adapter::Adapter;
+use crate::adapter::Target;
 use crate::config::Config;
 use crate::config::CustomerLimits;
 use crate::config::Version;
@@ -32,6 +34,7 @@
 use crate::serve::chain;
 use crate::settings::Settings;
 use crate::table::Table;
+use crate::target::departure::Incarnation;
 use crate::target::directory::Directory;
 use crate::target::directory::Services;
 use crate::target::pool::Pool;
@@ -365,10 +368,26 @@
         *self.services.write() = Arc::new(directory.services());
     }
 
+    /// Stops sending requests to a target that announced in an answer that it leaves.
+    pub fn record_departure(&self, target: &Target, request: &Request) {
+        let mut directory = self.directory.lock();
+        if !directory.record_departure(Incarnation::of(target), self.time()) {
+            return;
+        }
+        self.publish_services(&directory);
+        log::info!(
+            step = "learn target", peer = target.id.as_str(), service = target.service.as_str(),
+            address:% = target.address, born = target.born.unwrap_or(0),
+            request = request.as_str();
+            "target announces that it leaves, it gets no further requests"
+        );
+    }
+
     /// Removes expired targets, idle connections, peers, prompt prefixes and crash suspects.
     pub fn expire(&self) {
         let mut directory = self.directory.lock();
         directory.expire(Instant::now());
+        directory.expire_departures(self.time());
         self.publish_services(&directory);
         drop(directory);
         self.pool.expire();
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -2,6 +2,7 @@
 
 pub mod balance;
 pub mod crash;
+pub mod departure;
 pub mod directory;
 pub mod pool;
 pub mod prefix;
--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use coord::time::Time;
 use node::object::Change;
 use node::object::Object;
 use node::object::Revision;
@@ -24,6 +25,8 @@
 use crate::adapter::Stage;
 use crate::adapter::Target;
 use crate::config::Service;
+use crate::target::departure::Departures;
+use crate::target::departure::Incarnation;
 
 /// Time after an outage of the object store within which targets register again, as stated by the
 /// platform.
@@ -72,6 +75,8 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     targets: Map<CompactString, Registration>,
+    /// Targets that announced that they leave.
+    departures: Departures,
     /// When the object store last recovered.
     store_recovered: Option<Instant>,
     /// Revision of the object store at which the targets were read.
@@ -207,12 +212,30 @@
         }
     }
 
+    /// Records that a target announced that it leaves; returns whether that is new.
+    pub fn record_departure(&mut self, incarnation: Incarnation, now: Time) -> bool {
+        self.departures.record(incarnation, now)
+    }
+
+    /// Departures that this entry learned of lately, for reports to other entries.
+    pub fn recent_departures(&self, now: Time) -> Vec<Incarnation> {
+        self.departures.recent(now)
+    }
+
+    /// Forgets departures of targets that have long been gone.
+    pub fn expire_departures(&mut self, now: Time) {
+        let registered = self.targets.values();
+        let registered = registered.map(|registration| &registration.candidate.target);
+        self.departures.expire(registered, now);
+    }
+
     /// Targets that accept new requests, by service, each sorted by id.
     pub fn services(&self) -> Services {
         let mut services = Services::default();
         for registration in self.targets.values() {
             let candidate = &registration.candidate;
-            if candidate.target.stage == Stage::Ready {
+            let leaves = self.departures.contains(Incarnation::of(&candidate.target));
+            if candidate.target.stage == Stage::Ready && !leaves {
                 let candidates = services
                     .entry(candidate.target.service.clone())
                     .or_default();
--- a/crates/gateway/src/target/send.rs
+++ b/crates/gateway/src/target/send.rs
@@ -176,6 +176,10 @@
     };
     let (parts, body) = response.into_parts();
     let reply = state.adapter.reply(&parts.headers);
+    // A misdirected request was answered by another target at the same address.
+    if reply.leaving && parts.status != StatusCode::MISDIRECTED_REQUEST {
+        state.record_departure(&candidate.target, &job.call.request);
+    }
     check_answer(&parts.status, &parts.headers, &reply, job)?;
     let idle = idle_timeout(&parts.headers);
     Ok(Answer {
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -398,3 +398,33 @@
     let other = balance::choose(&candidates, &[], criteria, [2, 3]).expect("a target");
     assert_ne!(first.target.id, other.target.id);
 }
+
+/// Programs whose engine leaves must not all move to one other engine.
+#[rstest]
+fn programs_of_an_engine_that_leaves_spread_over_the_others(#[values(1, 2, 3)] seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let remaining: Vec<Candidate> = (1..12).map(|number| candidate(number, 6)).collect();
+    let is_cached = |_: u32, _: u32| false;
+    let criteria = Criteria {
+        prompt: Some(Prompt {
+            prefix: Some(1),
+            prefix_tokens: PREFIX_TOKENS,
+            last_target: Some(balance::target_hash("engine-0")),
+            own_tokens: 3_000,
+        }),
+        is_cached: &is_cached,
+        affinity: None,
+        data_centre: "a",
+        now_ms: 0,
+    };
+    for _ in 0..33 {
+        let chosen = balance::choose(&remaining, &[], criteria, random.random());
+        let load = &chosen.expect("an engine").load;
+        load.running.fetch_add(1, Ordering::Relaxed);
+    }
+    let counts = remaining
+        .iter()
+        .map(|engine| engine.load.running.load(Ordering::Relaxed));
+    // Three programs for each engine on average.
+    assert!(counts.max().expect("engines") <= 5);
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -26,6 +26,7 @@
         cached_prefixes: Vec::new(),
         crashes: Vec::new(),
         entries: Vec::new(),
+        departures: Vec::new(),
     }
 }
 
