Tell an isolated entry by any message; limit its burst to its share

Now any datagram counts, and the time between reports varies by half. A check of an exhausted rate named the time between two requests (50 ms at 20/s) as the time to come back, however deep the debt: callers used up their retries. It names the time until the bucket holds a request.

--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -138,7 +138,7 @@
         self.refill(fleet, now);
         self.rate = rate.per_second();
         self.burst = f64::from(burst.0).max(MIN_BURST);
-        self.cap();
+        self.cap(fleet);
     }
 
     /// Takes one request.
@@ -164,10 +164,11 @@
         Take::Granted
     }
 
-    /// Whether a request would be refused now.
-    pub fn is_exhausted(&mut self, fleet: Fleet, now: Time) -> bool {
+    /// Time after which a request would be granted; `None` if it would be now.
+    pub fn request_wait(&mut self, fleet: Fleet, now: Time) -> Option<Millis> {
         self.refill(fleet, now);
-        self.request_balance < 1.0
+        let missing = 1.0 - self.request_balance;
+        (missing > 0.0).then(|| wait_time(missing, self.refill_rate(fleet)))
     }
 
     /// Returns the total that this entry reports to the others.
@@ -280,12 +281,18 @@
         self.refilled_at = self.refilled_at.max(now);
         self.request_balance += refill;
         self.program_balance += refill;
-        self.cap();
+        self.cap(fleet);
     }
 
-    fn cap(&mut self) {
-        self.request_balance = self.request_balance.min(self.burst);
-        self.program_balance = self.program_balance.min(self.burst);
+    /// Limits the balances to the burst, or to this entry's share of it while all others are silent.
+    fn cap(&mut self, fleet: Fleet) {
+        let alone = fleet.entries > 1 && fleet.silent + 1 >= fleet.entries;
+        let burst = match alone {
+            true => (self.burst / fleet.entries as f64).max(MIN_BURST),
+            false => self.burst,
+        };
+        self.request_balance = self.request_balance.min(burst);
+        self.program_balance = self.program_balance.min(burst);
     }
 }
 
--- a/crates/gateway/src/fleet/gossip.rs
+++ b/crates/gateway/src/fleet/gossip.rs
@@ -28,6 +28,9 @@
 /// Maximum size of a received datagram, in bytes.
 const DATAGRAM_LIMIT: usize = 16 * 1024;
 
+/// Range by which the time between reports varies.
+const INTERVAL_JITTER: std::ops::Range<f64> = 0.5..1.5;
+
 /// Time before a failed registration is retried.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(700);
 
@@ -78,7 +81,8 @@
         }
         Err(error) => log::error!(step = "encode report", peer = "entries"; "{error}"),
     }
-    peers::interval(entries)
+    // Jitter spreads the reports of entries that started together.
+    peers::interval(entries).mul_f64(rand::random_range(INTERVAL_JITTER))
 }
 
 /// Time since which changed totals are included in a report sent at `now`.
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -105,6 +105,8 @@
     peers: Map<SocketAddr, Peer>,
     /// Entries whose last report announced that they stop, with its time; others may still list them.
     departed: Map<SocketAddr, Time>,
+    /// When the last message of any entry came.
+    last_message: Time,
 }
 
 impl Peers {
@@ -124,6 +126,7 @@
     /// Records a report; returns how long its sender counted as silent, in which it was assumed to use
     /// its even share of the rates.
     pub fn record_report(&mut self, address: SocketAddr, report: &Report, now: Time) -> Millis {
+        self.record_message(now);
         if report.leaving {
             self.peers.remove(&address);
             self.departed.insert(address, now);
@@ -173,11 +176,15 @@
         }
     }
 
-    /// Whether there are other entries, and no report of any came lately. Among many entries this
+    /// Records that a message of another entry came.
+    pub fn record_message(&mut self, now: Time) {
+        self.last_message = now;
+    }
+
+    /// Whether there are other entries, and no message of any came lately. Among many entries this
     /// shows sooner that this one is cut off than the silence of each.
     pub fn is_isolated(&self, now: Time) -> bool {
-        let is_silent = |peer: &Peer| !peer.is_fresh(now, quota::SILENCE_TIMEOUT);
-        !self.peers.is_empty() && self.peers.values().all(is_silent)
+        !self.peers.is_empty() && now.since(self.last_message) > quota::SILENCE_TIMEOUT
     }
 
     fn silence_timeout(&self) -> Millis {
--- a/crates/gateway/src/fleet/usage.rs
+++ b/crates/gateway/src/fleet/usage.rs
@@ -72,6 +72,7 @@
 
     /// Merges a message of the entry at an address.
     pub fn merge_usage(&self, from: SocketAddr, message: &Message) {
+        self.peers.lock().record_message(self.time());
         let (fleet, now, me) = (self.fleet(), self.time(), self.entry());
         let mut quotas = self.quotas.lock();
         self.usage.lock().receive(from, message, now);
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -120,11 +120,10 @@
         fleet: Fleet,
         now: Time,
     ) -> Result<(), Exceeded> {
-        let request_interval_ms = limits.rate.map_or(0.0, |rate| 1000.0 / rate.per_second());
         let bucket = self.bucket(limits, fleet, now);
-        match bucket.is_some_and(|bucket| bucket.quota.is_exhausted(fleet, now)) {
-            true => Err(Exceeded(retry_after(Millis(request_interval_ms as u64)))),
-            false => Ok(()),
+        match bucket.and_then(|bucket| bucket.quota.request_wait(fleet, now)) {
+            Some(wait) => Err(Exceeded(retry_after(wait))),
+            None => Ok(()),
         }
     }
 
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -130,6 +130,8 @@
     assert!(!peers.is_isolated(Time(990 + SILENCE_TIMEOUT.0)));
     assert!(peers.is_isolated(Time(991 + SILENCE_TIMEOUT.0)));
     assert_eq!(peers.fleet(Time(991 + SILENCE_TIMEOUT.0)).silent, 0);
+    peers.record_message(Time(2_000));
+    assert!(!peers.is_isolated(Time(2_000 + SILENCE_TIMEOUT.0)));
 }
 
 #[rstest]
--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -97,3 +97,13 @@
     quotas.configure(&[], ALONE, Time(1));
     assert!(quotas.totals(Time(0)).is_empty());
 }
+
+#[rstest]
+fn a_check_returns_the_time_until_the_rate_allows_a_request() {
+    let mut quotas = Quotas::default();
+    let customer = customer(10.0, 10);
+    while quotas.admit(&customer, false, ALONE, Time(0)).is_ok() {}
+    let wait = wait(quotas.check(&customer, ALONE, Time(0))).expect("refused");
+    assert_eq!(wait, Duration::from_millis(100));
+    assert_eq!(quotas.check(&customer, ALONE, Time(100)), Ok(()));
+}
