Report only an entry's own uses of prefixes; no cost for waiting turns

Cause: an entry reported prefixes that it had only heard of, so that every pair of prefix and engine went round for ever: 16 prefixes on 128 engines are 20 KB, over the 16 KiB that receivers read, and the reports were dropped. Reports now carry own uses, for two intervals; changes of totals as long, since an interval may exceed 1.5 s. A report that doesn't fit is an error in the log.

--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -37,7 +37,7 @@
         drop(peers);
         let mut prefixes = self.prefixes.lock();
         for (prefix, target) in &report.cached_prefixes {
-            prefixes.record_use(*prefix, *target, now);
+            prefixes.merge_use(*prefix, *target, now);
         }
         drop(prefixes);
         let mut suspects = self.suspects.lock();
@@ -80,6 +80,7 @@
     /// Returns this entry's report and the addresses that it is sent to.
     pub fn report(&self) -> (Report, Vec<SocketAddr>) {
         let now = self.time();
+        let since = gossip::repeat_since(now, self.entry_count());
         let services = self.services();
         let running = services.values().flatten().filter_map(|candidate| {
             let running = candidate.load.running.load(Ordering::Relaxed);
@@ -92,9 +93,9 @@
             store_reachable: !self.is_object_store_lost(),
             history_reachable: self.history_direct.load(Ordering::Relaxed),
             leaving: self.is_draining(),
-            totals: self.quotas.lock().totals(gossip::repeat_since(now)),
+            totals: self.quotas.lock().totals(since),
             running: running.collect(),
-            cached_prefixes: self.prefixes.lock().recent_uses(now),
+            cached_prefixes: self.prefixes.lock().own_uses(since),
             crashes: self.suspects.lock().recent_crashes(now),
             entries: self.peers.lock().fresh_addresses(now),
             departures: self.directory.lock().recent_departures(now),
--- a/crates/gateway/src/fleet/gossip.rs
+++ b/crates/gateway/src/fleet/gossip.rs
@@ -10,7 +10,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coord::time::Millis;
 use coord::time::Time;
 use node::object::Error;
 use node::object::Kind;
@@ -22,11 +21,13 @@
 use crate::fleet::peers::Report;
 use crate::state::State;
 
-/// Time for which a customer's totals are reported after they changed.
-const REPEAT_WINDOW: Millis = Millis(1500);
+/// Shortest time for which a change is reported, and number of intervals for which it is among many
+/// entries, so that a lost datagram delays it only.
+const REPEAT_WINDOW: Duration = Duration::from_millis(1500);
+const REPEATS: u32 = 2;
 
-/// Maximum size of a received datagram, in bytes.
-const DATAGRAM_LIMIT: usize = 16 * 1024;
+/// Maximum size of a datagram, in bytes.
+const DATAGRAM_LIMIT: usize = 60 * 1024;
 
 /// Range by which the time between reports varies.
 const INTERVAL_JITTER: std::ops::Range<f64> = 0.5..1.5;
@@ -72,6 +73,12 @@
     let (report, addresses) = state.report();
     let entries = addresses.len() + 1;
     match report.encode() {
+        Ok(datagram) if datagram.len() > DATAGRAM_LIMIT => {
+            log::error!(
+                step = "send report", peer = "entries", bytes = datagram.len(), limit = DATAGRAM_LIMIT;
+                "report is too long to be sent"
+            );
+        }
         Ok(datagram) => {
             for address in addresses {
                 if let Err(error) = socket.send_to(&datagram, address).await {
@@ -85,9 +92,10 @@
     peers::interval(entries).mul_f64(rand::random_range(INTERVAL_JITTER))
 }
 
-/// Time since which changed totals are included in a report sent at `now`.
-pub fn repeat_since(now: Time) -> Time {
-    Time(now.0.saturating_sub(REPEAT_WINDOW.0))
+/// Time since which changes are included in a report sent at `now` among this many entries.
+pub fn repeat_since(now: Time, entries: usize) -> Time {
+    let window = REPEAT_WINDOW.max(peers::interval(entries) * REPEATS);
+    Time(now.0.saturating_sub(window.as_millis() as u64))
 }
 
 /// Registers this entry and adds the registered ones as peers; retries until both succeed.
--- a/crates/gateway/src/target/balance.rs
+++ b/crates/gateway/src/target/balance.rs
@@ -22,9 +22,6 @@
 /// Share of a prefix's prefill that counts as cost, since other programs will use the prefix too.
 const PREFIX_COST_SHARE: f64 = 0.15;
 
-/// Time of a turn, in requests; a turn that waits for one of an engine's slots waits for a share of it.
-const TURN_COST: f64 = 150.0;
-
 /// Number of entries up to which reports come often enough to compare all engines.
 const FRESH_ENTRIES: usize = 8;
 
@@ -122,8 +119,7 @@
         let hash = target_hash(&candidate.target.id);
         let prefill = prefill_tokens(prompt, hash, criteria.is_cached) / PREFILL_TOKENS_PER_REQUEST;
         let health = candidate.load.health.lock();
-        let running = f64::from(candidate.running()) + 1.0;
-        let work = (running + queueing(candidate) + prefill) * health.slowness(median);
+        let work = (f64::from(candidate.running()) + 1.0 + prefill) * health.slowness(median);
         let cost = work + failure_penalty(&health, criteria.now_ms) + jitter;
         drop(health);
         if best.is_none_or(|(lowest, _)| cost < lowest) {
@@ -159,13 +155,6 @@
     Box::new(picks.map(|index| (index, candidates[index])))
 }
 
-/// Cost of waiting for a slot, in requests; 0 while the engine has a free one.
-fn queueing(candidate: &Candidate) -> f64 {
-    let slots = candidate.target.slots.max(1);
-    let waiting = (candidate.running() + 1).saturating_sub(slots);
-    f64::from(waiting) * TURN_COST / f64::from(slots)
-}
-
 /// Penalty for a target's recent failures, in requests.
 fn failure_penalty(health: &Health, now_ms: u64) -> f64 {
     health.failing_share(Time(now_ms)) * FAILURE_PENALTY
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -13,6 +13,7 @@
 use coord::time::Time;
 use gateway::adapter::Stage;
 use gateway::adapter::Target;
+use gateway::fleet::gossip;
 use gateway::target::balance;
 use gateway::target::balance::Criteria;
 use gateway::target::balance::Prompt;
@@ -295,13 +296,14 @@
             .map(|(engine, load)| (engine, load.running.load(Ordering::Relaxed)))
             .filter(|(_, running)| *running > 0)
             .collect();
-        let uses = entry.prefixes.recent_uses(now);
+        let since = gossip::repeat_since(now, ENTRIES);
+        let uses = entry.prefixes.own_uses(since);
         for (other, entry) in self.entries.iter_mut().enumerate() {
             if other == at {
                 continue;
             }
             for (prefix, target) in &uses {
-                entry.prefixes.record_use(*prefix, *target, now);
+                entry.prefixes.merge_use(*prefix, *target, now);
             }
             let former = std::mem::replace(&mut entry.reports[at], running.clone());
             for (engine, count) in former {
