Let programs under way use half of the allowed excess over a rate

Half of that excess is now open to requests of programs under way, not to first turns; the rest covers late reports. An isolated entry has none.

--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -107,6 +107,8 @@
     request_balance: f64,
     /// Number of requests that first turns can be charged with.
     program_balance: f64,
+    /// Number of requests beyond the balance that programs under way may take.
+    allowance: f64,
     admitted: Total,
     /// Total at the last two ends of [`EARLIER_INTERVAL`], the older one first.
     noted: [Total; 2],
@@ -126,6 +128,7 @@
             refilled_at: now,
             request_balance: share,
             program_balance: share,
+            allowance: 0.0,
             admitted: Total::default(),
             noted: [Total::default(); 2],
             noted_at: now,
@@ -133,6 +136,13 @@
         }
     }
 
+    /// Lets programs under way take this many requests beyond the balance, so that they needn't fail
+    /// where a customer's rate is small; they are regained before the next program begins.
+    pub fn with_allowance(mut self, requests: f64) -> Quota {
+        self.allowance = requests;
+        self
+    }
+
     /// Changes the limits; the number of available requests never increases.
     pub fn set_limits(&mut self, rate: Rate, burst: Burst, fleet: Fleet, now: Time) {
         self.refill(fleet, now);
@@ -146,8 +156,13 @@
         self.refill(fleet, now);
         self.note_total(now);
         let refill_rate = self.refill_rate(fleet);
-        if self.request_balance < 1.0 {
-            return Take::Wait(wait_time(1.0 - self.request_balance, refill_rate));
+        let allowance = match charge {
+            Charge::Request => self.usable_allowance(fleet),
+            Charge::FirstTurn(_) => 0.0,
+        };
+        let available = self.request_balance + allowance;
+        if available < 1.0 {
+            return Take::Wait(wait_time(1.0 - available, refill_rate));
         }
         match charge {
             Charge::Request => {}
@@ -164,10 +179,10 @@
         Take::Granted
     }
 
-    /// Time after which a request would be granted; `None` if it would be now.
+    /// Time after which a request of a program under way would be granted; `None` if it would be now.
     pub fn request_wait(&mut self, fleet: Fleet, now: Time) -> Option<Millis> {
         self.refill(fleet, now);
-        let missing = 1.0 - self.request_balance;
+        let missing = 1.0 - self.request_balance - self.usable_allowance(fleet);
         (missing > 0.0).then(|| wait_time(missing, self.refill_rate(fleet)))
     }
 
@@ -265,7 +280,7 @@
         let requests = total.requests.saturating_sub(known.reported.requests) as f64;
         let started = (total.started - known.reported.started).max(0.0);
         known.reported = known.reported.max(total);
-        let floor = -self.rate * MAX_DEBT_S;
+        let floor = -self.rate * MAX_DEBT_S - self.allowance;
         self.request_balance = (self.request_balance - (requests - assumed).max(0.0)).max(floor);
         self.program_balance = (self.program_balance - (started - assumed).max(0.0)).max(floor);
     }
@@ -284,10 +299,17 @@
         self.cap(fleet);
     }
 
+    /// The allowance; none while all others are silent, as each entry would use the whole of it.
+    fn usable_allowance(&self, fleet: Fleet) -> f64 {
+        match is_cut_off(fleet) {
+            true => 0.0,
+            false => self.allowance,
+        }
+    }
+
     /// Limits the balances to the burst, or to this entry's share of it while all others are silent.
     fn cap(&mut self, fleet: Fleet) {
-        let alone = fleet.entries > 1 && fleet.silent + 1 >= fleet.entries;
-        let burst = match alone {
+        let burst = match is_cut_off(fleet) {
             true => (self.burst / fleet.entries as f64).max(MIN_BURST),
             false => self.burst,
         };
@@ -296,6 +318,11 @@
     }
 }
 
+/// Whether all other entries are silent.
+fn is_cut_off(fleet: Fleet) -> bool {
+    fleet.entries > 1 && fleet.silent + 1 >= fleet.entries
+}
+
 fn wait_time(missing: f64, refill_rate: f64) -> Millis {
     match refill_rate > 0.0 {
         true => Millis((missing / refill_rate * 1000.0).ceil() as u64),
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -47,10 +47,16 @@
     last_slot: Time,
 }
 
+/// Part of the allowed excess over a rate that programs under way may use; the rest covers requests
+/// that entries admit before they learn of each other's.
+const ALLOWANCE_SHARE: f64 = 0.5;
+
 /// Token buckets of all customers.
 #[derive(Debug)]
 pub struct Quotas {
     customers: Map<Customer, Bucket>,
+    /// Requests beyond each customer's balance that programs under way may take.
+    allowance: f64,
     /// Moving average of requests per first turn, the first turn included.
     program_requests: f64,
     /// Requests since the last first turn.
@@ -61,6 +67,7 @@
     fn default() -> Quotas {
         Quotas {
             customers: Map::default(),
+            allowance: 0.0,
             program_requests: INITIAL_PROGRAM_REQUESTS,
             since_first_turn: 0.0,
         }
@@ -68,6 +75,14 @@
 }
 
 impl Quotas {
+    /// Creates buckets for rates that may be exceeded by some requests within a few seconds.
+    pub fn new(allowed_excess: f64) -> Quotas {
+        Quotas {
+            allowance: allowed_excess * ALLOWANCE_SHARE,
+            ..Quotas::default()
+        }
+    }
+
     /// Creates the buckets of new customers, so that they fill before the first request comes, and
     /// removes those of former ones.
     pub fn configure(&mut self, customers: &[CustomerLimits], fleet: Fleet, now: Time) {
@@ -191,9 +206,10 @@
     fn bucket(&mut self, limits: &CustomerLimits, fleet: Fleet, now: Time) -> Option<&mut Bucket> {
         let rate = limits.rate?;
         let new_limits = (rate.per_second(), limits.burst.0);
+        let allowance = self.allowance;
         let bucket = self.customers.entry(limits.name.clone());
         let bucket = bucket.or_insert_with(|| Bucket {
-            quota: Quota::new(rate, limits.burst, fleet, now),
+            quota: Quota::new(rate, limits.burst, fleet, now).with_allowance(allowance),
             limits: new_limits,
             last_admitted: now,
             last_slot: now,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -30,6 +30,9 @@
     pub first_start: bool,
     /// Number of disks that may be lost at the same time.
     pub tolerated_losses: usize,
+    /// Requests by which a customer's rate may be exceeded within a few seconds, over all entries.
+    #[serde(default, deserialize_with = "optional")]
+    pub rate_excess: Option<u32>,
     /// Address of the object store.
     pub object_store: SocketAddr,
     pub resources: Resources,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -102,6 +102,7 @@
     /// Creates the state of an entry without configuration, targets and peers.
     pub fn new(settings: Settings, adapter: Arc<dyn Adapter>, meter: &Meter) -> Arc<State> {
         let losses = settings.tolerated_losses;
+        let rate_excess = settings.rate_excess.unwrap_or(0);
         Arc::new(State {
             settings,
             adapter,
@@ -121,7 +122,7 @@
             history_direct: AtomicBool::new(false),
             history_relayed: AtomicBool::new(false),
             incarnation: rand::random(),
-            quotas: Mutex::default(),
+            quotas: Mutex::new(Quotas::new(f64::from(rate_excess))),
             usage: Mutex::default(),
             peers: Mutex::default(),
         })
