Keep requests that may not run twice from targets that fail at any entry

Reports now name the targets whose last answer was a failure. Requests that may not run twice avoid targets that fail here or at another entry, if there are others; repeatable ones find out whether they have recovered. Other requests are placed as before, so that a report of an entry that is cut off from targets does no harm. Ruled out: a longer memory of failures for all requests (targets with rare faults would stay empty).

--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -53,10 +53,11 @@
         for candidate in self.services().values().flatten() {
             let hash = balance::target_hash(&candidate.target.id);
             let elsewhere = running.get(&hash).copied().unwrap_or(0);
-            candidate
-                .load
-                .running_elsewhere
-                .store(elsewhere, Ordering::Relaxed);
+            let load = &candidate.load;
+            load.running_elsewhere.store(elsewhere, Ordering::Relaxed);
+            if report.failing.contains(&hash) {
+                load.failed_elsewhere_ms.store(now.0, Ordering::Relaxed);
+            }
         }
     }
 
@@ -86,6 +87,11 @@
             let running = candidate.load.running.load(Ordering::Relaxed);
             (running > 0).then(|| (balance::target_hash(&candidate.target.id), running))
         });
+        let failing = services
+            .values()
+            .flatten()
+            .filter(|candidate| candidate.load.fails_here(now.0))
+            .map(|candidate| balance::target_hash(&candidate.target.id));
         let report = Report {
             host: self.settings.host.clone(),
             incarnation: self.incarnation,
@@ -99,6 +105,7 @@
             crashes: self.suspects.lock().recent_crashes(now),
             entries: self.peers.lock().fresh_addresses(now),
             departures: self.directory.lock().recent_departures(now),
+            failing: failing.collect(),
         };
         (report, self.peers.lock().addresses())
     }
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -55,10 +55,13 @@
     pub crashes: Vec<(u64, u64)>,
     /// Other entries with recent reports, for receivers that can't read the object store.
     pub entries: Vec<SocketAddr>,
-    /// Targets that announced that they leave. Encoded after the report, where earlier builds ignore
-    /// it.
+    /// Targets that announced that they leave. This and the next field are encoded after the report,
+    /// where earlier builds ignore them.
     #[serde(skip)]
     pub departures: Vec<Incarnation>,
+    /// Targets whose last answer to the sender was a failure, by the hash of the target's id.
+    #[serde(skip)]
+    pub failing: Vec<u32>,
 }
 
 impl Report {
@@ -67,16 +70,16 @@
     /// Errors: none that the fields can cause.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let report = postcard::to_stdvec(self)?;
-        postcard::to_extend(&self.departures, report)
+        postcard::to_extend(&(&self.departures, &self.failing), report)
     }
 
-    /// Decodes a datagram, also of a build that doesn't report departures.
+    /// Decodes a datagram, also of a build that reports neither departures nor failing targets.
     ///
     /// Errors: the datagram is malformed.
     pub fn decode(datagram: &[u8]) -> Result<Report, postcard::Error> {
         let (mut report, rest) = postcard::take_from_bytes::<Report>(datagram)?;
         if !rest.is_empty() {
-            report.departures = postcard::from_bytes(rest)?;
+            (report.departures, report.failing) = postcard::from_bytes(rest)?;
         }
         Ok(report)
     }
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -62,6 +62,7 @@
             is_cached: &is_cached,
             affinity,
             data_centre: state.settings.data_centre.as_str(),
+            idempotent: job.is_idempotent(),
             entries: state.entry_count(),
             now_ms: state.now_ms(),
         };
--- a/crates/gateway/src/target/balance.rs
+++ b/crates/gateway/src/target/balance.rs
@@ -53,6 +53,8 @@
     pub affinity: Option<u64>,
     /// Data centre of this process.
     pub data_centre: &'a str,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
     /// Number of entries; the more there are, the later they learn of each other's requests.
     pub entries: usize,
     /// Milliseconds since this process started.
@@ -92,6 +94,10 @@
         true => untried,
         false => healthy,
     };
+    let candidates = match criteria.idempotent {
+        true => candidates,
+        false => without_failing(candidates, criteria.now_ms),
+    };
     match (criteria.prompt, criteria.affinity) {
         _ if candidates.is_empty() => None,
         (Some(prompt), _) => lowest_cost(&candidates, prompt, criteria, random),
@@ -100,6 +106,20 @@
     }
 }
 
+/// Returns the targets that fail at no entry, or all if there are none. Only requests that can be
+/// repeated elsewhere find out whether a failing target has recovered.
+fn without_failing(candidates: Vec<&Candidate>, now_ms: u64) -> Vec<&Candidate> {
+    let sound: Vec<&Candidate> = candidates
+        .iter()
+        .copied()
+        .filter(|candidate| !candidate.load.fails_anywhere(now_ms))
+        .collect();
+    match sound.is_empty() {
+        true => candidates,
+        false => sound,
+    }
+}
+
 /// Returns the engine with the lowest cost: running requests and prefill, scaled by the engine's
 /// slowness, plus the failure penalty and a random addition.
 fn lowest_cost<'a>(
--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -32,6 +32,13 @@
 /// platform.
 pub const REREGISTRATION_TIMEOUT: Duration = Duration::from_millis(2000);
 
+/// Time for which a target that failed and wasn't tried since counts as failing, in milliseconds.
+const FAILURE_LIFETIME_MS: u64 = 4_000;
+
+/// Time for which another entry's report of a failing target counts, in milliseconds; more than the
+/// time between the reports of a hundred entries.
+const REPORT_LIFETIME_MS: u64 = 2_000;
+
 /// Load and health of a target as observed by this process.
 #[derive(Debug, Default)]
 pub struct Load {
@@ -45,6 +52,11 @@
     pub consecutive_failures: AtomicU32,
     /// End of its ejection, in milliseconds since the process started.
     pub ejected_until_ms: AtomicU64,
+    /// Time of its last failure, on the same clock; counts while [`Self::consecutive_failures`]
+    /// isn't zero.
+    pub failed_ms: AtomicU64,
+    /// When another entry last reported that it fails, on the same clock; 0 for never.
+    pub failed_elsewhere_ms: AtomicU64,
     /// Failure share and event interval of its answers.
     pub health: Mutex<Health>,
 }
@@ -64,6 +76,22 @@
     }
 }
 
+impl Load {
+    /// Whether the target's last answer to this process was a failure, and not long ago.
+    pub fn fails_here(&self, now_ms: u64) -> bool {
+        let failed_ms = self.failed_ms.load(Ordering::Relaxed);
+        self.consecutive_failures.load(Ordering::Relaxed) > 0
+            && now_ms.saturating_sub(failed_ms) < FAILURE_LIFETIME_MS
+    }
+
+    /// Whether the target fails here or at another entry.
+    pub fn fails_anywhere(&self, now_ms: u64) -> bool {
+        let reported_ms = self.failed_elsewhere_ms.load(Ordering::Relaxed);
+        let reported = reported_ms > 0 && now_ms.saturating_sub(reported_ms) < REPORT_LIFETIME_MS;
+        reported || self.fails_here(now_ms)
+    }
+}
+
 #[derive(Debug)]
 struct Registration {
     candidate: Candidate,
--- a/crates/gateway/src/target/pool.rs
+++ b/crates/gateway/src/target/pool.rs
@@ -270,4 +270,5 @@
         BASE_EJECTION_TIME.as_millis() as u64 * (1 << failures.min(MAX_EJECTION_DOUBLINGS));
     load.ejected_until_ms
         .store(now_ms + duration, Ordering::Relaxed);
+    load.failed_ms.store(now_ms, Ordering::Relaxed);
 }
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -188,6 +188,7 @@
             is_cached,
             affinity: None,
             data_centre: "a",
+            idempotent: true,
             entries: 1,
             now_ms: now as u64,
         };
@@ -343,6 +344,7 @@
         is_cached,
         affinity: None,
         data_centre: "a",
+        idempotent: true,
         entries: 1,
         now_ms: 0,
     }
@@ -417,6 +419,7 @@
         is_cached: &is_cached,
         affinity: None,
         data_centre: "a",
+        idempotent: true,
         entries: 1,
         now_ms: 0,
     };
@@ -431,3 +434,67 @@
     // Three programs for each engine on average.
     assert!(counts.max().expect("engines") <= 5);
 }
+
+/// Health checks of some targets are good while they reset each request; a request that can't be
+/// repeated is lost there.
+#[rstest]
+fn requests_that_may_not_run_twice_avoid_targets_that_fail_at_any_entry() {
+    let candidates: Vec<Candidate> = (0..4).map(|number| candidate(number, 6)).collect();
+    let is_cached = |_, _| true;
+    let mut criteria = criteria(&is_cached);
+    criteria.now_ms = 10_000;
+    criteria.idempotent = false;
+    // Target 0 failed here a while ago, target 1 at another entry; target 2 has recovered.
+    for failed in [0, 2] {
+        let load = &candidates[failed].load;
+        load.consecutive_failures.store(1, Ordering::Relaxed);
+        load.failed_ms.store(8_000, Ordering::Relaxed);
+    }
+    candidates[2]
+        .load
+        .consecutive_failures
+        .store(0, Ordering::Relaxed);
+    let reported = &candidates[1].load.failed_elsewhere_ms;
+    reported.store(9_000, Ordering::Relaxed);
+    let mut random = StdRng::seed_from_u64(3);
+    let mut chosen = HashSet::new();
+    for _ in 0..100 {
+        let draw = [random.random(), random.random()];
+        let target = balance::choose(&candidates, &[], criteria, draw).expect("a target");
+        chosen.insert(target.target.id.to_string());
+    }
+    let sound = ["engine-2", "engine-3"].map(str::to_owned);
+    assert_eq!(chosen, HashSet::from(sound));
+    // Requests that can be repeated try the others too.
+    criteria.idempotent = true;
+    let draws = (0..100).map(|_| [random.random(), random.random()]);
+    let tried: HashSet<String> = draws
+        .filter_map(|draw| balance::choose(&candidates, &[], criteria, draw))
+        .map(|target| target.target.id.to_string())
+        .collect();
+    assert_eq!(tried.len(), 4);
+}
+
+#[rstest]
+fn if_all_targets_fail_a_request_that_may_not_run_twice_still_goes_to_one() {
+    let candidates: Vec<Candidate> = (0..3).map(|number| candidate(number, 6)).collect();
+    for candidate in &candidates {
+        let reported = &candidate.load.failed_elsewhere_ms;
+        reported.store(9_900, Ordering::Relaxed);
+    }
+    let is_cached = |_, _| true;
+    let mut criteria = criteria(&is_cached);
+    criteria.now_ms = 10_000;
+    criteria.idempotent = false;
+    assert!(balance::choose(&candidates, &[], criteria, [5, 9]).is_some());
+}
+
+#[rstest]
+fn a_reported_failure_counts_for_two_seconds() {
+    let load = Load::default();
+    assert!(!load.fails_anywhere(1));
+    load.failed_elsewhere_ms.store(1_000, Ordering::Relaxed);
+    assert!(load.fails_anywhere(2_900));
+    assert!(!load.fails_here(2_900));
+    assert!(!load.fails_anywhere(3_100));
+}
--- a/crates/gateway/tests/departure.rs
+++ b/crates/gateway/tests/departure.rs
@@ -126,19 +126,23 @@
         cached_prefixes: Vec::new(),
         crashes: Vec::new(),
         entries: vec![entry],
+        failing: departures
+            .iter()
+            .map(|departure| departure.target)
+            .collect(),
         departures,
     }
 }
 
 #[rstest]
-fn a_report_carries_departures() {
+fn a_report_carries_departures_and_failing_targets() {
     let report = report(vec![Incarnation::of(&target("a", 5))]);
     let datagram = report.encode().expect("encoded");
     assert_eq!(Report::decode(&datagram).expect("decoded"), report);
 }
 
 #[rstest]
-fn reports_are_exchanged_with_builds_that_know_no_departures() {
+fn reports_are_exchanged_with_builds_that_know_neither() {
     let with_departures = report(vec![Incarnation::of(&target("a", 5))]);
     let without = report(Vec::new());
     // The earlier build encodes the fields before the departures alone.
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -27,6 +27,7 @@
         crashes: Vec::new(),
         entries: Vec::new(),
         departures: Vec::new(),
+        failing: Vec::new(),
     }
 }
 
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -230,6 +230,7 @@
             is_cached: &is_cached,
             affinity: None,
             data_centre: "a",
+            idempotent: true,
             entries: ENTRIES,
             now_ms: time.0,
         };
