--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -16,7 +16,6 @@
 use crate::id::Rate;
 use crate::time::Millis;
 use crate::time::Time;
-use crate::usage::Usage;
 
 /// Time without a report after which an entry is assumed to use its share.
 pub const SILENCE_TIMEOUT: Millis = Millis(450);
@@ -78,6 +77,32 @@
     }
 }
 
+/// An entry and its incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    pub id: u64,
+    pub incarnation: u64,
+}
+
+/// Requests that an entry has admitted for a customer.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    pub entry: Entry,
+    /// Total of up to a second ago; entries that learn of this one only now don't charge it.
+    pub earlier: Total,
+    pub total: Total,
+}
+
+impl Usage {
+    /// The same usage for an entry whose balance accounts for it already.
+    pub(crate) fn without_recent(self) -> Usage {
+        Usage {
+            earlier: self.total,
+            ..self
+        }
+    }
+}
+
 /// Newest report of another entry.
 #[derive(Debug, Clone, Copy)]
 struct Peer {
--- a/crates/coord/src/usage.rs
+++ b/crates/coord/src/usage.rs
@@ -15,7 +15,8 @@
 use crate::Set;
 use crate::id::Customer;
 use crate::quota::Balance;
-use crate::quota::Total;
+use crate::quota::Entry;
+use crate::quota::Usage;
 use crate::time::Millis;
 use crate::time::Time;
 
@@ -40,32 +41,6 @@
 /// Time after its last message for which an entry counts as serving a customer.
 const SERVING_WINDOW: Millis = Millis(3_000);
 
-/// An entry and its incarnation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    pub id: u64,
-    pub incarnation: u64,
-}
-
-/// Requests that an entry has admitted for a customer.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Usage {
-    pub entry: Entry,
-    /// Total of up to a second ago; entries that learn of this one only now don't charge it.
-    pub earlier: Total,
-    pub total: Total,
-}
-
-impl Usage {
-    /// The same usage for an entry whose balance accounts for it already.
-    fn without_recent(self) -> Usage {
-        Usage {
-            earlier: self.total,
-            ..self
-        }
-    }
-}
-
 /// Totals that an entry sends to one other.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Message {
@@ -87,9 +62,7 @@
             balances: Vec::new(),
         }
     }
-}
 
-impl Message {
     /// Splits a message into parts that fit into a datagram.
     fn split(self) -> impl Iterator<Item = Message> {
         let from = self.from;
@@ -121,7 +94,7 @@
 
 /// Entry that serves a customer.
 #[derive(Debug, Clone, Copy)]
-struct Server {
+struct Serving {
     id: u64,
     last_seen: Time,
     /// Number of the last change that was forwarded to it.
@@ -134,7 +107,7 @@
 #[derive(Debug)]
 struct Kept<A> {
     shares: Map<u64, Share>,
-    servers: Map<A, Server>,
+    serving: Map<A, Serving>,
     changes: u64,
 }
 
@@ -142,7 +115,7 @@
     fn default() -> Kept<A> {
         Kept {
             shares: Map::default(),
-            servers: Map::default(),
+            serving: Map::default(),
             changes: 0,
         }
     }
@@ -203,15 +176,15 @@
         for (customer, usage) in &message.own {
             let kept = self.kept.entry(customer.clone()).or_default();
             kept.record(*usage, now);
-            let server = Server {
+            let entry = Serving {
                 id: message.from.id,
                 last_seen: now,
                 forwarded: 0,
                 awaits_answer: true,
             };
-            let server = kept.servers.entry(from).or_insert(server);
-            server.last_seen = now;
-            server.awaits_answer = true;
+            let entry = kept.serving.entry(from).or_insert(entry);
+            entry.last_seen = now;
+            entry.awaits_answer = true;
             self.pending.insert(customer.clone());
         }
     }
@@ -281,20 +254,20 @@
             let Some(kept) = self.kept.get_mut(&customer) else {
                 continue;
             };
-            kept.servers
-                .retain(|_, server| now.since(server.last_seen) < SERVING_WINDOW);
-            for (address, server) in &mut kept.servers {
-                let begins = server.forwarded == 0;
+            kept.serving
+                .retain(|_, entry| now.since(entry.last_seen) < SERVING_WINDOW);
+            for (address, entry) in &mut kept.serving {
+                let begins = entry.forwarded == 0;
                 let news = kept.shares.values().filter(|share| {
-                    share.change > server.forwarded && share.usage.entry.id != server.id
+                    share.change > entry.forwarded && share.usage.entry.id != entry.id
                 });
                 let news = news.map(|share| match begins {
                     true => (customer.clone(), share.usage.without_recent()),
                     false => (customer.clone(), share.usage),
                 });
                 let news: Vec<(Customer, Usage)> = news.collect();
-                server.forwarded = kept.changes;
-                let awaits_answer = std::mem::take(&mut server.awaits_answer);
+                entry.forwarded = kept.changes;
+                let awaits_answer = std::mem::take(&mut entry.awaits_answer);
                 if news.is_empty() && !awaits_answer {
                     continue;
                 }
--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -14,7 +14,7 @@
 use crate::fleet::news::Response;
 use crate::fleet::peers::Report;
 use crate::state::State;
-use crate::target::balance;
+use crate::target::hash;
 
 impl State {
     /// Adds the address of another entry, unless it is this entry's own.
@@ -46,12 +46,12 @@
         }
         drop(suspects);
         self.merge_departures(report);
-        let peer = (balance::hash_parts(&[&report.host]), report.incarnation);
+        let peer = (hash::hash_parts(&[&report.host]), report.incarnation);
         self.quotas
             .lock()
             .merge_report(peer, &report.totals, silent_time, fleet, now);
         for candidate in self.services().values().flatten() {
-            let hash = balance::target_hash(&candidate.target.id);
+            let hash = hash::target_hash(&candidate.target.id);
             let elsewhere = running.get(&hash).copied().unwrap_or(0);
             let load = &candidate.load;
             load.running_elsewhere.store(elsewhere, Ordering::Relaxed);
@@ -85,13 +85,13 @@
         let services = self.services();
         let running = services.values().flatten().filter_map(|candidate| {
             let running = candidate.load.running.load(Ordering::Relaxed);
-            (running > 0).then(|| (balance::target_hash(&candidate.target.id), running))
+            (running > 0).then(|| (hash::target_hash(&candidate.target.id), running))
         });
         let failing = services
             .values()
             .flatten()
             .filter(|candidate| candidate.load.fails_here(now.0))
-            .map(|candidate| balance::target_hash(&candidate.target.id));
+            .map(|candidate| hash::target_hash(&candidate.target.id));
         let report = Report {
             host: self.settings.host.clone(),
             incarnation: self.incarnation,
--- a/crates/gateway/src/fleet/usage.rs
+++ b/crates/gateway/src/fleet/usage.rs
@@ -4,15 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coord::quota::Entry;
 use coord::usage;
-use coord::usage::Entry;
 use coord::usage::Message;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
 use crate::fleet::peers;
 use crate::state::State;
-use crate::target::balance;
+use crate::target::hash;
 
 /// Maximum size of a received datagram, in bytes.
 const DATAGRAM_LIMIT: usize = 32 * 1024;
@@ -65,7 +65,7 @@
     /// This entry, as other entries name it in their buckets.
     pub(crate) fn entry(&self) -> Entry {
         Entry {
-            id: balance::hash_parts(&[&self.settings.host]),
+            id: hash::hash_parts(&[&self.settings.host]),
             incarnation: self.incarnation,
         }
     }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -5,15 +5,15 @@
 use coord::id::Customer;
 use coord::quota::Balance;
 use coord::quota::Charge;
+use coord::quota::Entry;
 use coord::quota::Fleet;
 use coord::quota::Quota;
 use coord::quota::Take;
 use coord::quota::Total;
+use coord::quota::Usage;
 use coord::time::Millis;
 use coord::time::Time;
-use coord::usage::Entry;
 use coord::usage::Message;
-use coord::usage::Usage;
 
 use crate::Map;
 use crate::Set;
--- a/crates/gateway/src/serve/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -235,7 +235,7 @@
     let mut offset = match total_weight {
         0 => 0,
         total_weight => {
-            (crate::target::balance::hash_parts(&[affinity_id]) >> 16) as u32 % total_weight
+            (crate::target::hash::hash_parts(&[affinity_id]) >> 16) as u32 % total_weight
         }
     };
     for share in &route.shares {
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -16,8 +16,8 @@
 use crate::serve::request::Job;
 use crate::serve::retry::RetryState;
 use crate::state::State;
-use crate::target::balance;
 use crate::target::directory::Candidate;
+use crate::target::hash;
 use crate::target::send;
 use crate::target::send::Answer;
 use crate::target::send::Attempt;
@@ -81,7 +81,7 @@
 
 fn affinity_hash(job: &Job) -> Option<u64> {
     let affinity_key = job.call.affinity.as_ref().filter(|_| job.route.sticky)?;
-    Some(balance::hash_parts(&[&job.route.name, affinity_key]))
+    Some(hash::hash_parts(&[&job.route.name, affinity_key]))
 }
 
 /// Reads the whole body of an answer.
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -30,9 +30,9 @@
 use crate::serve::retry::RetryState;
 use crate::serve::stream::Relay;
 use crate::state::State;
-use crate::target::balance;
 use crate::target::balance::Prompt;
 use crate::target::directory::Candidate;
+use crate::target::hash;
 use crate::target::send;
 use crate::target::send::Answer;
 use crate::target::send::Attempt;
@@ -202,12 +202,12 @@
         .retry
         .next_target(state, &running.job, Some(running.prompt), None)?;
     if let Some(program) = &running.job.call.program {
-        let target = balance::target_hash(&entry.target.id);
+        let target = hash::target_hash(&entry.target.id);
         state.programs.lock().set_target(program, target);
     }
     running.target = Some(entry.target.clone());
     if let Some(prefix) = running.prompt.prefix {
-        let target = balance::target_hash(&entry.target.id);
+        let target = hash::target_hash(&entry.target.id);
         state
             .prefixes
             .lock()
@@ -232,7 +232,7 @@
 /// reserved; 0 if there is none.
 fn predict_target(state: &State, job: &Job, retry: &RetryState, prompt: Prompt) -> u32 {
     let entry = retry.clone().next_target(state, job, Some(prompt), None);
-    entry.map_or(0, |entry| balance::target_hash(&entry.target.id))
+    entry.map_or(0, |entry| hash::target_hash(&entry.target.id))
 }
 
 fn relay(state: &Arc<State>, running: Running, answer: Answer) -> Response<Body> {
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -4,6 +4,7 @@
 pub mod crash;
 pub mod departure;
 pub mod directory;
+pub mod hash;
 pub mod pool;
 pub mod prefix;
 pub mod program;
--- a/crates/gateway/src/target/balance.rs
+++ b/crates/gateway/src/target/balance.rs
@@ -14,6 +14,7 @@
 use sched::health::Health;
 
 use crate::target::directory::Candidate;
+use crate::target::hash::target_hash;
 
 /// Prefill tokens that delay an engine as much as one more request in its batch: with ten requests
 /// in the batch, either delays the engines of both sites by about 19 ms.
@@ -201,11 +202,6 @@
     f64::from(mixed.wrapping_mul(0x9e37_79b9)) / f64::from(u32::MAX)
 }
 
-/// Hash of a target's id, used in reports between entries and in the history; never 0.
-pub fn target_hash(id: &str) -> u32 {
-    (hash_parts(&[id]) as u32).max(1)
-}
-
 fn is_ejected(candidate: &Candidate, now_ms: u64) -> bool {
     let until = &candidate.load.ejected_until_ms;
     until.load(std::sync::atomic::Ordering::Relaxed) > now_ms
@@ -271,13 +267,3 @@
     hasher.write_u64(key);
     hasher.finish()
 }
-
-/// Hash of a list of strings, each terminated by a zero byte.
-pub fn hash_parts(parts: &[&str]) -> u64 {
-    let mut hasher = rustc_hash::FxHasher::default();
-    for part in parts {
-        hasher.write(part.as_bytes());
-        hasher.write_u8(0);
-    }
-    hasher.finish()
-}
--- a/crates/gateway/src/target/departure.rs
+++ b/crates/gateway/src/target/departure.rs
@@ -11,7 +11,7 @@
 
 use crate::Map;
 use crate::adapter::Target;
-use crate::target::balance;
+use crate::target::hash;
 
 /// Time for which an announcement is reported to other entries, so that one that starts meanwhile
 /// learns of it.
@@ -34,7 +34,7 @@
     /// Returns the incarnation that a registration describes.
     pub fn of(target: &Target) -> Incarnation {
         Incarnation {
-            target: balance::target_hash(&target.id),
+            target: hash::target_hash(&target.id),
             born: target.born.unwrap_or(0),
         }
     }
@@ -94,7 +94,7 @@
     /// Forgets announcements of targets that haven't been registered for [`RETENTION`].
     pub fn expire<'a>(&mut self, registered: impl Iterator<Item = &'a Target>, now: Time) {
         for target in registered {
-            let hash = balance::target_hash(&target.id);
+            let hash = hash::target_hash(&target.id);
             if let Some(departure) = self.by_target.get_mut(&hash) {
                 departure.registered = now;
             }
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -15,6 +15,7 @@
 use gateway::target::balance::Prompt;
 use gateway::target::directory::Candidate;
 use gateway::target::directory::Load;
+use gateway::target::hash;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -142,7 +143,7 @@
             own_tokens: program.own_tokens,
         };
         let chosen = self.choose(number, prompt, now);
-        let target = balance::target_hash(&self.candidates[chosen].target.id);
+        let target = hash::target_hash(&self.candidates[chosen].target.id);
         let program = &mut self.programs[number];
         program.last_target = Some(target);
         let engine = &mut self.engines[chosen];
@@ -179,7 +180,7 @@
             Policy::Balanced | Policy::Blind => (prompt, &is_cached),
             Policy::LeastLoaded => (Prompt::default(), &all_cached),
             Policy::Hash => {
-                let key = balance::hash_parts(&[&program.to_string()]);
+                let key = hash::hash_parts(&[&program.to_string()]);
                 return (key >> 20) as usize % self.candidates.len();
             }
         };
@@ -413,7 +414,7 @@
         prompt: Some(Prompt {
             prefix: Some(1),
             prefix_tokens: PREFIX_TOKENS,
-            last_target: Some(balance::target_hash("engine-0")),
+            last_target: Some(hash::target_hash("engine-0")),
             own_tokens: 3_000,
         }),
         is_cached: &is_cached,
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -19,6 +19,7 @@
 use gateway::target::balance::Prompt;
 use gateway::target::directory::Candidate;
 use gateway::target::directory::Load;
+use gateway::target::hash;
 use gateway::target::prefix::Prefixes;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -238,7 +239,7 @@
         let chosen = balance::choose(&entry.candidates, &[], criteria, random);
         let chosen = chosen.expect("an engine").target.clone();
         let engine: usize = chosen.id["engine-".len()..].parse().expect("number");
-        let target = balance::target_hash(&chosen.id);
+        let target = hash::target_hash(&chosen.id);
         entry.prefixes.record_use(program.prefix, target, time);
         let load = &entry.candidates[engine].load;
         load.running.fetch_add(1, Ordering::Relaxed);
