--- a/crates/gateway/src/target/balance.rs
+++ b/crates/gateway/src/target/balance.rs
@@ -5,7 +5,10 @@
 //! prefill them first, which delays the whole batch; a turn therefore moves only if the difference
 //! in load outweighs the prefill. Plain requests go to the less loaded of two random targets.
 //! Targets that fail some of their requests count as busier, and so do engines that are slower than
-//! the median.
+//! the median. Requests that may not run twice avoid targets that fail at any entry.
+//!
+//! Among many entries each learns late of the others' requests; it then compares only a random share
+//! of the engines.
 
 use std::hash::Hasher;
 
