--- a/crates/coord/src/id.rs
+++ b/crates/coord/src/id.rs
@@ -98,6 +98,50 @@
 name!(/// A program; a child's name is its parent's followed by `.` and a number.
     Program, "program name");
 
+/// Longest software version, in bytes.
+const SOFTWARE_VERSION_LIMIT: usize = 128;
+
+/// Version of a target's software, as its operators name it; unrelated to the version of a model's
+/// weights. Versions have no order.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub struct SoftwareVersion(CompactString);
+
+impl SoftwareVersion {
+    /// The version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        let is_valid = !text.is_empty()
+            && text.len() <= SOFTWARE_VERSION_LIMIT
+            && !text.chars().any(char::is_control);
+        match is_valid {
+            true => Ok(Self(CompactString::from(text))),
+            false => Err(Malformed {
+                expected: "software version",
+            }),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for SoftwareVersion {
+    fn deserialize<D: serde::Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = CompactString::deserialize(from)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
 impl Program {
     /// Name of the root program, which determines the shard.
     pub fn root(&self) -> &str {
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -10,6 +10,7 @@
 use coord::id::DataCentre;
 use coord::id::Program;
 use coord::id::Request;
+use coord::id::SoftwareVersion;
 use http::HeaderMap;
 use node::object::Object;
 use serde::Deserialize;
@@ -53,8 +54,17 @@
     pub shared_prefix: Option<PromptPart>,
     /// Number of prompt tokens after the shared part.
     pub own_tokens: u64,
-    /// Whether the caller resumes a broken stream.
-    pub resumes: bool,
+    /// Broken stream that the caller resumes.
+    pub resumption: Option<Resumption>,
+}
+
+/// A broken stream that a caller resumes with a new request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Resumption {
+    /// Request that brought the stream's first event, if the caller names it.
+    pub first_request: Option<Request>,
+    /// Id of the last event that the caller received.
+    pub last_event: Option<CompactString>,
 }
 
 impl fmt::Debug for Call {
@@ -128,6 +138,17 @@
     pub slots: u32,
     /// Start time of this incarnation, in milliseconds since the Unix epoch.
     pub born: Option<u64>,
+    /// Version of the software; none if it comes from an entry of an earlier build. Encoded apart
+    /// from the other fields; see [`crate::fleet::news`].
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
+}
+
+impl Target {
+    /// Version of the software as text, or an empty string.
+    pub fn version_text(&self) -> &str {
+        self.version.as_ref().map_or("", SoftwareVersion::as_str)
+    }
 }
 
 /// Translation between this crate and one platform.
--- a/crates/gateway/src/fleet/news.rs
+++ b/crates/gateway/src/fleet/news.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coord::id::SoftwareVersion;
 use history::membership::Membership;
 use node::link;
 use node::link::Link;
@@ -39,11 +40,42 @@
     pub membership: Membership,
 }
 
+impl Response {
+    /// Encodes the response; the targets' software versions follow it, where earlier builds ignore
+    /// them.
+    ///
+    /// Errors: none that the fields can cause.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let response = postcard::to_stdvec(self)?;
+        let targets = self
+            .targets
+            .as_ref()
+            .map_or(&[][..], |(_, targets)| targets);
+        let versions: Vec<&Option<SoftwareVersion>> =
+            targets.iter().map(|target| &target.version).collect();
+        postcard::to_extend(&versions, response)
+    }
+
+    /// Decodes a response, also of a build that sends no software versions.
+    ///
+    /// Errors: the response is malformed.
+    pub fn decode(bytes: &[u8]) -> Result<Response, postcard::Error> {
+        let (mut response, rest) = postcard::take_from_bytes::<Response>(bytes)?;
+        if let (Some((_, targets)), false) = (&mut response.targets, rest.is_empty()) {
+            let versions: Vec<Option<SoftwareVersion>> = postcard::from_bytes(rest)?;
+            for (target, version) in targets.iter_mut().zip(versions) {
+                target.version = version;
+            }
+        }
+        Ok(response)
+    }
+}
+
 /// Handles requests of other entries.
 impl link::Handler for State {
     fn handle(self: &Arc<Self>, payload: Bytes, responder: Responder) {
         match postcard::from_bytes::<Request>(&payload) {
-            Ok(request) => match postcard::to_stdvec(&self.sync_response(request)) {
+            Ok(request) => match self.sync_response(request).encode() {
                 Ok(response) => responder.send(Bytes::from(response)),
                 Err(error) => log::error!(step = "encode news", peer = "entry"; "{error}"),
             },
@@ -85,7 +117,7 @@
             return log::debug!(step = "ask entry", peer:% = link.address(); "{error}");
         }
     };
-    match postcard::from_bytes::<Response>(&response) {
+    match Response::decode(&response) {
         Ok(response) => state.apply_sync_response(response, &link.address().to_string()),
         Err(error) => log::warn!(step = "read news", peer:% = link.address(); "{error}"),
     }
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -65,6 +65,7 @@
             json!({
                 "id": entry.target.id.as_str(),
                 "service": entry.target.service.as_str(),
+                "version": entry.target.version_text(),
                 "address": entry.target.address,
                 "running_here": entry.load.running.load(Ordering::Relaxed),
                 "running_elsewhere": entry.load.running_elsewhere.load(Ordering::Relaxed),
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use bytes::BytesMut;
-use compact_str::CompactString;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use http::Response;
 use http_body_util::BodyExt;
 
+use crate::adapter::Target;
 use crate::error::Error;
 use crate::serve::body::Body;
 use crate::serve::header::strip_hop_by_hop;
@@ -22,8 +22,8 @@
 use crate::target::send::Answer;
 use crate::target::send::Attempt;
 
-/// A response and the id of the target that sent it.
-type TargetResponse = (Response<Body>, CompactString);
+/// A response and the target that sent it.
+type TargetResponse = (Response<Body>, Target);
 
 /// Sends a request to a target; retries failed attempts and hedges slow ones at other targets where
 /// the request may run more than once.
@@ -71,7 +71,7 @@
     };
     let answer = send::send(state, &entry, &attempt).await?;
     match collect(answer, job).await {
-        Ok(response) => Ok((response, entry.target.id)),
+        Ok(response) => Ok((response, entry.target)),
         Err(error) => {
             entry.load.health.lock().record_result(true, state.time());
             Err(error)
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::adapter::Call;
+use crate::adapter::Target;
 use crate::config::CustomerLimits;
 use crate::config::RequestKind;
 use crate::config::Route;
@@ -50,21 +51,23 @@
     }
 
     /// Logs the request's outcome, the target that ran it and, for a turn, its timing.
-    pub fn log_outcome(&self, outcome: &str, target: &str, timing: Option<TurnTiming>) {
+    pub fn log_outcome(&self, outcome: &str, target: Option<&Target>, timing: Option<TurnTiming>) {
+        let target_version = target.map_or("", Target::version_text);
+        let target = target.map_or("", |target| target.id.as_str());
         let customer = self.customer.as_ref().map_or("", |c| c.name.as_str());
         let program = self.call.program.as_ref().map_or("", |p| p.as_str());
         let took_ms = self.received.elapsed().as_millis() as u64;
         let objective_ms = self.route.objective.as_millis() as u64;
         match timing {
             None => log::info!(
-                step = "answer", peer = target, service = self.service.as_str(),
+                step = "answer", peer = target, target_version = target_version, service = self.service.as_str(),
                 request = self.call.request.as_str(), program = program, customer = customer,
                 route = self.route.name.as_str(), version = self.version.0,
                 took_ms = took_ms, objective_ms = objective_ms;
                 "{outcome}"
             ),
             Some(timing) => log::info!(
-                step = "answer", peer = target, service = self.service.as_str(),
+                step = "answer", peer = target, target_version = target_version, service = self.service.as_str(),
                 request = self.call.request.as_str(), program = program, customer = customer,
                 route = self.route.name.as_str(), version = self.version.0,
                 events = timing.events, sent_ms = timing.sent_ms,
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use crate::adapter::Target;
 use crate::error::Error;
 use crate::metrics::HistoryCall;
 use crate::metrics::TurnTiming;
@@ -211,6 +212,7 @@
         };
         log::info!(
             step = "relay", peer = running.target_id(),
+            target_version = running.target.as_ref().map_or("", Target::version_text),
             request = running.job.call.request.as_str(), events = self.events,
             resumable = running.stream.resumable;
             "stream broke: {cause}"
@@ -331,7 +333,7 @@
         }
         running
             .job
-            .log_outcome(outcome, running.target_id(), Some(timing));
+            .log_outcome(outcome, running.target.as_ref(), Some(timing));
     }
 
     /// Aborts the stream and logs the cause.
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -168,7 +168,9 @@
     let response = plain::collect(answer, &running.job).await;
     let response = response.map_err(|error| Refusal::Lost(error.to_string()))?;
     let outcome = format!("engine answers {status}");
-    running.job.log_outcome(&outcome, running.target_id(), None);
+    running
+        .job
+        .log_outcome(&outcome, running.target.as_ref(), None);
     Ok(response)
 }
 
--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -194,6 +194,7 @@
         };
         log::info!(
             step = "learn target", peer = target.id.as_str(), service = target.service.as_str(),
+            target_version = target.version_text(), born = target.born.unwrap_or(0),
             address:% = target.address, stage:? = target.stage;
             "target registered"
         );
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -38,6 +38,7 @@
             stage: Stage::Ready,
             slots,
             born: None,
+            version: None,
         },
         load: std::sync::Arc::new(Load::default()),
     }
--- a/crates/gateway/tests/departure.rs
+++ b/crates/gateway/tests/departure.rs
@@ -23,6 +23,7 @@
         stage: Stage::Ready,
         slots: 6,
         born: Some(born),
+        version: None,
     }
 }
 
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -46,6 +46,7 @@
             stage,
             slots: 6,
             born: object.spec["born"].as_u64(),
+            version: None,
         })
     }
 
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -162,6 +162,7 @@
             stage: Stage::Ready,
             slots: SLOTS as u32,
             born: None,
+            version: None,
         },
         load: Arc::new(Load::default()),
     }
