Resume streams only at the software version that began them

Cause: nothing recorded which version began a stream. An entry chose the engine of a resuming request by load and cached prompts alone, and its own resumption within an answer likewise. Class: a decision that depends on an earlier one was made by a process that can't know the earlier one.

The version is now part of what is stored before a turn is dispatched: the reservation's call to the history hosts carries the chosen service and version under the request's id (history::origin), so that it is on t+1 disks before the first event can exist, and costs no further call. Streams without a budget store it with a call of their own. Until the first event is relayed a request may move to another version, which is stored first; afterwards only targets of that version are chosen. A request that resumes reads the record of the request that it names, from a quorum, at whichever entry it comes to, and is stored with the same version itself. States merge in any order; an id used for two requests is ambiguous.

If the version isn't known and several serve, or none of its targets is left, the request is refused at once with 503 without a time to come back; a target that restarted between choice and answer isn't used to resume, and makes the origin of a fresh stream ambiguous.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,7 @@
     refusals: Counter<u64>,
     failures: Counter<u64>,
     stream_breaks: Counter<u64>,
+    resumptions: Counter<u64>,
     events: Counter<u64>,
     request_duration: Histogram<f64>,
     time_to_send: Histogram<f64>,
@@ -45,6 +46,7 @@
     Reserve,
     Keep,
     Chain,
+    Origin,
 }
 
 impl Instruments {
@@ -75,6 +77,10 @@
                 "teasellever_stream_breaks",
                 "Streams that targets broke off",
             ),
+            resumptions: counter(
+                "teasellever_resumptions",
+                "Streams that callers resumed, by outcome",
+            ),
             events: counter("teasellever_events", "Events relayed"),
             request_duration: seconds(
                 "teasellever_request_seconds",
@@ -131,12 +137,20 @@
         self.stream_breaks.add(1, &[]);
     }
 
+    /// Records a request that resumes a stream, and whether the stream goes on.
+    pub fn record_resumption(&self, continued: bool) {
+        let outcome = if continued { "continued" } else { "refused" };
+        self.resumptions
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records the duration of a call to the history hosts.
     pub fn record_history_call(&self, call: HistoryCall, duration: Duration) {
         let label = match call {
             HistoryCall::Reserve => "reserve",
             HistoryCall::Keep => "keep",
             HistoryCall::Chain => "chain",
+            HistoryCall::Origin => "origin",
         };
         self.history_call_duration
             .record(duration.as_secs_f64(), &[KeyValue::new("call", label)]);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,6 +5,7 @@
 pub mod chain;
 pub mod event;
 pub mod header;
+pub mod origin;
 pub mod plain;
 pub mod refusal;
 pub mod request;
--- a/crates/gateway/src/serve/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -15,7 +15,6 @@
 use tokio::time::Instant;
 
 use crate::adapter::Call;
-use crate::adapter::Resumption;
 use crate::config::CustomerLimits;
 use crate::config::RequestKind;
 use crate::config::Route;
@@ -144,9 +143,6 @@
         route,
     };
     check_suspect(state, &job)?;
-    if let Some(resumption) = &job.call.resumption {
-        log_resumption(&job, resumption);
-    }
     match job.route.kind {
         RequestKind::Stream(stream) => turn::answer(state, job, stream).await,
         RequestKind::Idempotent | RequestKind::NonIdempotent => {
@@ -163,18 +159,6 @@
     }
 }
 
-fn log_resumption(job: &Job, resumption: &Resumption) {
-    let first_request = resumption.first_request.as_ref();
-    log::info!(
-        step = "resume", peer = "caller", request = job.call.request.as_str(),
-        program = job.call.program.as_ref().map_or("", |program| program.as_str()),
-        service = job.service.as_str(), route = job.route.name.as_str(),
-        first_request = first_request.map_or("", |request| request.as_str()),
-        last_event = resumption.last_event.as_deref().unwrap_or("");
-        "caller resumes a stream"
-    );
-}
-
 /// Returns `refusal`, caused by an item missing from the configuration, if the configuration is the
 /// newest; otherwise `NotConfigured`, as a newer one may contain the item.
 fn refusal_if_current(state: &State, refusal: Refusal) -> Refusal {
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use coord::id::SoftwareVersion;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -10,6 +11,7 @@
 
 use crate::quota::Exceeded;
 use crate::serve::body::Body;
+use crate::serve::request::retry_delay;
 
 /// Reason why a request gets no answer from a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,19 +36,54 @@
         cause: String,
         retry: Duration,
     },
+    /// The request resumes a stream that can't go on. No target has run it, and a retry won't help.
+    NotResumable(Unresumable),
     /// A target may have run the request, but its answer was lost.
     Lost(String),
     /// The deadline has passed; a target may have run the request.
     Timeout,
 }
 
+/// Reason why a stream can't go on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Unresumable {
+    /// It isn't known which software version began it, and several serve.
+    OriginUnknown,
+    /// No target of the software version that began it is left.
+    VersionGone(SoftwareVersion),
+}
+
+impl fmt::Display for Unresumable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Unresumable::OriginUnknown => {
+                f.write_str("the software version that began the stream isn't known")
+            }
+            Unresumable::VersionGone(version) => write!(
+                f,
+                "no target is left of version {version}, which began the stream"
+            ),
+        }
+    }
+}
+
 impl Refusal {
+    /// Returns the refusal of a request for which too few history hosts answer.
+    pub fn history_unavailable(error: &history::error::Error) -> Refusal {
+        Refusal::Unavailable {
+            cause: error.to_string(),
+            retry: retry_delay(),
+        }
+    }
+
     /// Returns the HTTP status.
     pub fn status(&self) -> StatusCode {
         match self {
             Refusal::Malformed(_) => StatusCode::BAD_REQUEST,
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Refusal::NotConfigured | Refusal::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::NotConfigured | Refusal::Unavailable { .. } | Refusal::NotResumable(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Refusal::NoRoute | Refusal::NoTurn => StatusCode::NOT_FOUND,
             Refusal::NoKey => StatusCode::UNAUTHORIZED,
             Refusal::OverRate(_) => StatusCode::TOO_MANY_REQUESTS,
@@ -68,6 +105,8 @@
             Refusal::BudgetSpent => "budget_spent",
             Refusal::NoTurn => "no_turn",
             Refusal::Unavailable { .. } => "unavailable",
+            Refusal::NotResumable(Unresumable::OriginUnknown) => "origin_unknown",
+            Refusal::NotResumable(Unresumable::VersionGone(_)) => "version_gone",
             Refusal::Lost(_) => "lost",
             Refusal::Timeout => "timeout",
         }
@@ -121,6 +160,7 @@
             Refusal::BudgetSpent => f.write_str("not run: the program's budget is spent"),
             Refusal::NoTurn => f.write_str("no such turn"),
             Refusal::Unavailable { cause, .. } => write!(f, "not run: {cause}"),
+            Refusal::NotResumable(cause) => write!(f, "not run: {cause}"),
             Refusal::Lost(cause) => write!(f, "outcome unknown: {cause}"),
             Refusal::Timeout => f.write_str("no answer in time"),
         }
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -1,9 +1,12 @@
 //! A caller's request after parsing, authentication and rate limiting.
 
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use coord::id::Customer;
+use coord::id::Program;
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
@@ -50,6 +53,23 @@
         }
     }
 
+    /// Returns the customer that records of the request are stored under; a placeholder on routes
+    /// without authentication.
+    pub fn customer_name(&self) -> Customer {
+        match &self.customer {
+            Some(customer) => customer.name.clone(),
+            None => placeholder(),
+        }
+    }
+
+    /// Returns the program that the request belongs to; a placeholder if it belongs to none.
+    pub fn program_name(&self) -> Program {
+        match &self.call.program {
+            Some(program) => program.clone(),
+            None => placeholder(),
+        }
+    }
+
     /// Logs the request's outcome, the target that ran it and, for a turn, its timing.
     pub fn log_outcome(&self, outcome: &str, target: Option<&Target>, timing: Option<TurnTiming>) {
         let target_version = target.map_or("", Target::version_text);
@@ -79,6 +99,13 @@
     }
 }
 
+fn placeholder<T: FromStr>() -> T {
+    match "_".parse() {
+        Ok(name) => name,
+        Err(_) => unreachable!("an underscore is a name"),
+    }
+}
+
 /// Returns a random delay before a refused caller should retry, so that refused callers don't all
 /// retry at once.
 pub fn retry_delay() -> Duration {
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -9,6 +9,7 @@
 
 use crate::error::Error;
 use crate::serve::refusal::Refusal;
+use crate::serve::refusal::Unresumable;
 use crate::serve::request::Job;
 use crate::serve::request::retry_delay;
 use crate::state::State;
@@ -16,6 +17,7 @@
 use crate::target::balance::Criteria;
 use crate::target::balance::Prompt;
 use crate::target::directory::Candidate;
+use crate::target::version;
 
 /// Targets tried for one request and the state of its attempts.
 #[derive(Debug, Clone)]
@@ -24,6 +26,8 @@
     /// Random numbers that all choices use, so that a choice can be predicted.
     random: [u32; 2],
     attempts: Attempts,
+    /// Software versions that may run the request.
+    pub versions: version::Rule,
     /// Cause of the most recent failure.
     last_failure: Option<String>,
 }
@@ -35,6 +39,7 @@
             tried: Vec::new(),
             random: rand::random(),
             attempts: Attempts::new(job.is_idempotent(), job.route.max_attempts),
+            versions: version::Rule::Any,
             last_failure: None,
         }
     }
@@ -63,6 +68,7 @@
             affinity,
             data_centre: state.settings.data_centre.as_str(),
             idempotent: job.is_idempotent(),
+            versions: &self.versions,
             entries: state.entry_count(),
             now_ms: state.now_ms(),
         };
@@ -73,7 +79,26 @@
                 self.attempts.record_start();
                 Ok(entry)
             }
-            None => Err(self.refusal(self.attempts.outcome(), job)),
+            None => Err(self.no_target(entries, job)),
+        }
+    }
+
+    /// Returns the refusal of a request for which no untried target is left.
+    fn no_target(&self, entries: &[Candidate], job: &Job) -> Refusal {
+        let permits = |entry: &Candidate| self.versions.permits(&entry.target);
+        match (&self.versions, self.attempts.outcome()) {
+            (version::Rule::Only(version), Outcome::NotRun) if !entries.iter().any(permits) => {
+                Refusal::NotResumable(Unresumable::VersionGone(version.clone()))
+            }
+            (_, outcome) => self.refusal(outcome, job),
+        }
+    }
+
+    /// Records that an attempt won't be sent, and returns the refusal of the request.
+    pub fn abandon(&mut self, error: Error, job: &Job) -> Refusal {
+        match self.record_failure(error, job) {
+            Ok(()) => self.refusal(self.attempts.outcome(), job),
+            Err(refusal) => refusal,
         }
     }
 
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -223,12 +223,16 @@
         }
         self.scanner = Scanner::default();
         let last_event_id = self.last_event_id.clone();
+        let pinned = match self.events {
+            0 => Ok(()),
+            _ => running.pin_version(&self.state),
+        };
         let state = Arc::clone(&self.state);
         self.phase = Phase::Resuming(Box::pin(async move {
-            let answer = match running
+            let failed = running
                 .retry
-                .record_failure(Error::MaybeRun(cause), &running.job)
-            {
+                .record_failure(Error::MaybeRun(cause), &running.job);
+            let answer = match failed.and(pinned) {
                 Ok(()) => turn::dispatch(&state, &mut running, last_event_id.as_deref()).await,
                 Err(refusal) => Err(refusal),
             };
@@ -269,16 +273,13 @@
         );
         let state = Arc::clone(&self.state);
         self.phase = Phase::Storing(Box::pin(async move {
-            let account = match &running.reservation {
-                Some(reservation) => reservation.account().clone(),
-                None => history::record::Account {
-                    customer: turn.customer.clone(),
-                    program: turn::program_name(&running.job),
-                },
-            };
+            let program = running.job.program_name();
             let deadline = Instant::now() + STORE_TIMEOUT;
             let started = Instant::now();
-            let stored = state.history.append(records, &account, deadline).await;
+            let stored = state
+                .history
+                .append(records, program.as_str(), deadline)
+                .await;
             state
                 .instruments
                 .record_history_call(HistoryCall::Keep, started.elapsed());
@@ -313,7 +314,7 @@
         content.append(&mut self.output);
         Turn {
             id: running.job.call.request.clone(),
-            customer: turn::customer_name(&running.job),
+            customer: running.job.customer_name(),
             previous: running.job.call.previous.clone(),
             content: Bytes::from(content),
             expires: Timestamp::now().after(running.stream.retention),
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -7,10 +7,10 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use coord::id::Customer;
-use coord::id::Program;
 use coord::id::Request;
 use history::client::Grant;
 use history::client::Reservation;
+use history::origin::Origin;
 use history::record::Account;
 use history::record::Turn;
 use history::time::Timestamp;
@@ -19,12 +19,15 @@
 
 use crate::adapter::Target;
 use crate::config::Stream;
+use crate::error::Error;
 use crate::metrics::HistoryCall;
 use crate::serve::body::Body;
 use crate::serve::chain::Lookup;
 use crate::serve::header::strip_hop_by_hop;
+use crate::serve::origin;
 use crate::serve::plain;
 use crate::serve::refusal::Refusal;
+use crate::serve::refusal::Unresumable;
 use crate::serve::request::Job;
 use crate::serve::request::retry_delay;
 use crate::serve::retry::RetryState;
@@ -36,6 +39,7 @@
 use crate::target::send;
 use crate::target::send::Answer;
 use crate::target::send::Attempt;
+use crate::target::version::Rule;
 
 /// Time limit for calls to the history hosts before a turn is dispatched. A turn that exceeds it is
 /// refused early enough for its caller to retry.
@@ -104,6 +108,8 @@
     pub reservation: Option<ReservationGuard>,
     pub urgency: Option<u8>,
     pub retry: RetryState,
+    /// Stored origin of the stream, if its caller may resume it.
+    pub origin: Option<Origin>,
     pub tokens_per_event: u64,
     /// Parts of the prompt that an engine may have processed before.
     pub prompt: Prompt,
@@ -117,6 +123,18 @@
         let target = self.target.as_ref();
         target.map_or("", |target| target.id.as_str())
     }
+
+    /// Restricts further attempts to the software version whose events the caller has received.
+    ///
+    /// Errors: the version isn't known.
+    pub fn pin_version(&mut self, state: &State) -> Result<(), Refusal> {
+        let target = self.target.as_ref();
+        let version = target.and_then(|target| target.version.clone());
+        let version = version.or_else(|| state.sole_version(&self.job.service));
+        let unknown = Refusal::NotResumable(Unresumable::OriginUnknown);
+        self.retry.versions = Rule::Only(version.ok_or(unknown)?);
+        Ok(())
+    }
 }
 
 /// Runs a turn and returns the response once an engine starts to answer.
@@ -127,6 +145,17 @@
     job: Job,
     stream: Stream,
 ) -> Result<Response<Body>, Refusal> {
+    let resumes = stream.resumable && job.call.resumption.is_some();
+    let result = run(state, job, stream).await;
+    if resumes {
+        let is_success = |response: &Response<Body>| response.status().is_success();
+        let continued = result.as_ref().is_ok_and(is_success);
+        state.instruments.record_resumption(continued);
+    }
+    result
+}
+
+async fn run(state: &Arc<State>, mut job: Job, stream: Stream) -> Result<Response<Body>, Refusal> {
     if state.is_cut_off() {
         return Err(Refusal::Unavailable {
             cause: "this entry doesn't reach the history".to_owned(),
@@ -134,12 +163,24 @@
         });
     }
     let deadline = job.deadline.min(Instant::now() + HISTORY_TIMEOUT);
+    let mut retry = RetryState::new(&job);
+    if let (true, Some(resumption)) = (stream.resumable, &job.call.resumption) {
+        let source = origin::find(state, &job, resumption, deadline).await?;
+        job.service = source.service;
+        retry.versions = Rule::Only(source.version);
+    }
     let last_target = job.call.program.as_ref();
     let last_target = last_target.and_then(|program| state.programs.lock().target(program));
-    let retry = RetryState::new(&job);
-    let predicted = predict_target(state, &job, &retry, prompt(&job, last_target));
+    let predicted = predict_target(state, &job, &retry, prompt(&job, last_target))?;
+    let origin = predicted
+        .as_ref()
+        .filter(|_| stream.resumable)
+        .and_then(|entry| origin::chosen(&job, &entry.target));
+    if let (Rule::Any, Some(entry), true) = (&retry.versions, &predicted, stream.resumable) {
+        retry.versions = Rule::preferring(&entry.target);
+    }
     let (reserved, body) = tokio::join!(
-        reserve(state, &job, stream, predicted, deadline),
+        reserve(state, &job, stream, predicted, origin.clone(), deadline),
         build_input(state, &job, stream, deadline)
     );
     let ((reservation, recorded_target), body) = (reserved?, body?);
@@ -149,6 +190,7 @@
         sent: Instant::now(),
         urgency: Some(urgency(&job)),
         retry,
+        origin,
         job,
         body,
         target: None,
@@ -185,19 +227,73 @@
 ) -> Result<Answer, Refusal> {
     loop {
         let entry = choose_target(state, running)?;
+        if let Err(error) = store_version(state, running, &entry.target).await {
+            return Err(running.retry.abandon(error, &running.job));
+        }
         let attempt = Attempt {
             job: &running.job,
             body: running.body.clone(),
             urgency: running.urgency,
             last_event,
         };
-        match send::send(state, &entry, &attempt).await {
+        let answer = send::send(state, &entry, &attempt).await;
+        let answer = match answer {
+            Ok(answer) => confirm_version(state, running, &entry.target)
+                .await
+                .map(|()| answer),
+            Err(error) => Err(error),
+        };
+        match answer {
             Ok(answer) => return Ok(answer),
             Err(error) => running.retry.record_failure(error, &running.job)?,
         }
     }
 }
 
+/// Stores the software version of the target that a turn is about to be sent to, unless it is stored
+/// already.
+///
+/// Errors: it can't be stored in time.
+async fn store_version(state: &State, running: &mut Running, target: &Target) -> Result<(), Error> {
+    if !running.stream.resumable {
+        return Ok(());
+    }
+    match origin::moved(&running.job, running.origin.as_ref(), target) {
+        Some(origin) => store_origin(state, running, origin).await,
+        None => Ok(()),
+    }
+}
+
+/// Checks that a target that answers hasn't restarted since it was chosen: which version began the
+/// stream would be uncertain.
+///
+/// Errors: the caller has received events of another version, or the uncertainty can't be stored.
+async fn confirm_version(
+    state: &State,
+    running: &mut Running,
+    target: &Target,
+) -> Result<(), Error> {
+    match (&running.retry.versions, &running.origin) {
+        _ if !running.stream.resumable || !state.is_superseded(target) => Ok(()),
+        (Rule::Only(_), _) => Err(Error::MaybeRun(
+            "target restarted after it was chosen".to_owned(),
+        )),
+        (_, Some(origin)) => {
+            let origin = origin::uncertain(origin);
+            let stored = store_origin(state, running, origin).await;
+            stored.map_err(|error| Error::MaybeRun(error.to_string()))
+        }
+        (_, None) => Ok(()),
+    }
+}
+
+async fn store_origin(state: &State, running: &mut Running, origin: Origin) -> Result<(), Error> {
+    let deadline = running.job.deadline.min(Instant::now() + HISTORY_TIMEOUT);
+    origin::store(state, &running.job, &origin, deadline).await?;
+    running.origin = Some(origin);
+    Ok(())
+}
+
 /// Chooses the engine for the next attempt and records the choice for the program and the prompt.
 fn choose_target(state: &State, running: &mut Running) -> Result<Candidate, Refusal> {
     let entry = running
@@ -230,11 +326,21 @@
     }
 }
 
-/// Returns the hash of the target that will probably run a turn, chosen before its budget is
-/// reserved; 0 if there is none.
-fn predict_target(state: &State, job: &Job, retry: &RetryState, prompt: Prompt) -> u32 {
-    let entry = retry.clone().next_target(state, job, Some(prompt), None);
-    entry.map_or(0, |entry| hash::target_hash(&entry.target.id))
+/// Returns the target that will probably run a turn, chosen before its budget is reserved; none if
+/// there is none now.
+///
+/// Errors: the turn resumes a stream, and no target may go on with it.
+fn predict_target(
+    state: &State,
+    job: &Job,
+    retry: &RetryState,
+    prompt: Prompt,
+) -> Result<Option<Candidate>, Refusal> {
+    let predicted = retry.clone().next_target(state, job, Some(prompt), None);
+    match (predicted, &retry.versions) {
+        (Err(refusal), Rule::Only(_)) => Err(refusal),
+        (predicted, _) => Ok(predicted.ok()),
+    }
 }
 
 fn relay(state: &Arc<State>, running: Running, answer: Answer) -> Response<Body> {
@@ -260,13 +366,14 @@
     DEFAULT_URGENCY.saturating_add(priority).min(LOWEST_URGENCY)
 }
 
-/// Reserves a turn's tokens. Returns the reservation, and the hash of the target recorded for the
-/// program's newest turn; neither for a turn without a budget.
+/// Reserves a turn's tokens and stores the origin of its stream. Returns the reservation, and the
+/// hash of the target recorded for the program's newest turn; neither for a turn without a budget.
 async fn reserve(
     state: &Arc<State>,
     job: &Job,
     stream: Stream,
-    target: u32,
+    predicted: Option<Candidate>,
+    origin: Option<Origin>,
     deadline: Instant,
 ) -> Result<(Option<ReservationGuard>, Option<u32>), Refusal> {
     let (Some(program), Some(budget), Some(tokens)) =
@@ -275,18 +382,26 @@
         if let Some(customer) = &job.customer {
             state.admit(customer, false)?;
         }
+        if let Some(origin) = &origin {
+            let stored = origin::store(state, job, origin, deadline).await;
+            stored.map_err(|error| Refusal::Unavailable {
+                cause: error.to_string(),
+                retry: retry_delay(),
+            })?;
+        }
         return Ok((None, None));
     };
     let reservation = Reservation {
         account: Account {
-            customer: customer_name(job),
+            customer: job.customer_name(),
             program: program.clone(),
         },
         turn: job.call.request.clone(),
         max_tokens: tokens.max_generated,
         budget,
-        target,
+        target: predicted.map_or(0, |entry| hash::target_hash(&entry.target.id)),
         expires: Timestamp::now().after(stream.retention),
+        origin,
     };
     let guard = ReservationGuard {
         state: Arc::clone(state),
@@ -309,7 +424,7 @@
             );
             Err(Refusal::BudgetSpent)
         }
-        Err(error) => Err(history_unavailable(&error)),
+        Err(error) => Err(Refusal::history_unavailable(&error)),
     }
 }
 
@@ -325,7 +440,7 @@
         Some(previous) if stream.stores_turns => previous,
         _ => return Ok(input.clone()),
     };
-    let customer = customer_name(job);
+    let customer = job.customer_name();
     let contents = chain_contents(state, job, previous, &customer, deadline).await?;
     let size = contents.iter().map(Bytes::len).sum::<usize>() + input.len();
     let mut body = BytesMut::with_capacity(size);
@@ -353,7 +468,7 @@
     };
     let account = Account {
         customer: customer.clone(),
-        program: program_name(job),
+        program: job.program_name(),
     };
     let started = Instant::now();
     let chain = state.history.chain(&missing, &account, deadline).await;
@@ -363,7 +478,7 @@
     let chain: Vec<Turn> = match chain {
         Ok(Some(chain)) if chain.iter().all(|turn| turn.customer == *customer) => chain,
         Ok(_) => return Err(Refusal::NoTurn),
-        Err(error) => return Err(history_unavailable(&error)),
+        Err(error) => return Err(Refusal::history_unavailable(&error)),
     };
     let mut contents = history::client::contents_oldest_first(&chain);
     contents.extend(cached);
@@ -371,41 +486,3 @@
     chain.into_iter().rev().for_each(|turn| cache.insert(turn));
     Ok(contents)
 }
-
-/// Returns the customer that a turn is stored under; a placeholder on routes without
-/// authentication.
-pub fn customer_name(job: &Job) -> Customer {
-    match &job.customer {
-        Some(customer) => customer.name.clone(),
-        None => placeholder_customer(),
-    }
-}
-
-/// Returns the program that a turn belongs to; a placeholder if it belongs to none.
-pub fn program_name(job: &Job) -> Program {
-    match &job.call.program {
-        Some(program) => program.clone(),
-        None => placeholder_program(),
-    }
-}
-
-fn placeholder_customer() -> Customer {
-    match "_".parse() {
-        Ok(name) => name,
-        Err(_) => unreachable!("an underscore is a name"),
-    }
-}
-
-fn placeholder_program() -> Program {
-    match "_".parse() {
-        Ok(name) => name,
-        Err(_) => unreachable!("an underscore is a name"),
-    }
-}
-
-fn history_unavailable(error: &history::error::Error) -> Refusal {
-    Refusal::Unavailable {
-        cause: error.to_string(),
-        retry: retry_delay(),
-    }
-}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use coord::id::Request;
+use coord::id::SoftwareVersion;
 use coord::newest::Newest;
 use coord::quota::Fleet;
 use coord::time::Time;
@@ -365,6 +366,19 @@
         }
     }
 
+    /// The only software version that a service's targets have had lately; none if there were several.
+    pub fn sole_version(&self, service: &str) -> Option<SoftwareVersion> {
+        let mut directory = self.directory.lock();
+        directory.refresh_versions(Instant::now());
+        directory.sole_version(service)
+    }
+
+    /// Whether a target has registered again since, as another incarnation or with another software
+    /// version.
+    pub fn is_superseded(&self, target: &Target) -> bool {
+        self.directory.lock().is_superseded(target)
+    }
+
     pub(crate) fn publish_services(&self, directory: &Directory) {
         *self.services.write() = Arc::new(directory.services());
     }
@@ -387,6 +401,7 @@
     /// Removes expired targets, idle connections, peers, prompt prefixes and crash suspects.
     pub fn expire(&self) {
         let mut directory = self.directory.lock();
+        directory.refresh_versions(Instant::now());
         directory.expire(Instant::now());
         directory.expire_departures(self.time());
         self.publish_services(&directory);
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -9,3 +9,4 @@
 pub mod prefix;
 pub mod program;
 pub mod send;
+pub mod version;
--- a/crates/gateway/src/target/balance.rs
+++ b/crates/gateway/src/target/balance.rs
@@ -18,6 +18,7 @@
 
 use crate::target::directory::Candidate;
 use crate::target::hash::target_hash;
+use crate::target::version;
 
 /// Prefill tokens that delay an engine as much as one more request in its batch: with ten requests
 /// in the batch, either delays the engines of both sites by about 19 ms.
@@ -59,6 +60,8 @@
     pub data_centre: &'a str,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Software versions that may run the request.
+    pub versions: &'a version::Rule,
     /// Number of entries; the more there are, the later they learn of each other's requests.
     pub entries: usize,
     /// Milliseconds since this process started.
@@ -87,7 +90,8 @@
 ) -> Option<&'a Candidate> {
     let untried = targets
         .iter()
-        .filter(|candidate| !tried.contains(&candidate.target.id.as_str()));
+        .filter(|candidate| !tried.contains(&candidate.target.id.as_str()))
+        .filter(|candidate| criteria.versions.permits(&candidate.target));
     let untried: Vec<&Candidate> = untried.collect();
     let healthy: Vec<&Candidate> = untried
         .iter()
@@ -102,6 +106,7 @@
         true => candidates,
         false => without_failing(candidates, criteria.now_ms),
     };
+    let candidates = preferred(candidates, criteria.versions);
     match (criteria.prompt, criteria.affinity) {
         _ if candidates.is_empty() => None,
         (Some(prompt), _) => lowest_cost(&candidates, prompt, criteria, random),
@@ -110,6 +115,19 @@
     }
 }
 
+/// Returns the targets of the preferred software version, or all if there are none.
+fn preferred<'a>(candidates: Vec<&'a Candidate>, versions: &version::Rule) -> Vec<&'a Candidate> {
+    let preferred: Vec<&Candidate> = candidates
+        .iter()
+        .copied()
+        .filter(|candidate| versions.prefers(&candidate.target))
+        .collect();
+    match preferred.is_empty() {
+        true => candidates,
+        false => preferred,
+    }
+}
+
 /// Returns the targets that fail at no entry, or all if there are none. Only requests that can be
 /// repeated elsewhere find out whether a failing target has recovered.
 fn without_failing(candidates: Vec<&Candidate>, now_ms: u64) -> Vec<&Candidate> {
--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use coord::id::SoftwareVersion;
 use coord::time::Time;
 use node::object::Change;
 use node::object::Object;
@@ -39,6 +40,10 @@
 /// time between the reports of a hundred entries.
 const REPORT_LIFETIME_MS: u64 = 2_000;
 
+/// Time for which a software version counts as serving after its last target was registered; longer
+/// than a caller waits for a stream.
+const VERSION_LIFETIME: Duration = Duration::from_secs(60);
+
 /// Load and health of a target as observed by this process.
 #[derive(Debug, Default)]
 pub struct Load {
@@ -105,6 +110,8 @@
     targets: Map<CompactString, Registration>,
     /// Targets that announced that they leave.
     departures: Departures,
+    /// Software versions of each service, and when a target of each was last registered.
+    versions: Map<Service, Map<Option<SoftwareVersion>, Instant>>,
     /// When the object store last recovered.
     store_recovered: Option<Instant>,
     /// Revision of the object store at which the targets were read.
@@ -241,6 +248,39 @@
         }
     }
 
+    /// Notes the software versions of all registered targets, and forgets those that ended long ago.
+    pub fn refresh_versions(&mut self, now: Instant) {
+        for registration in self.targets.values() {
+            let target = &registration.candidate.target;
+            let versions = self.versions.entry(target.service.clone()).or_default();
+            versions.insert(target.version.clone(), now);
+        }
+        self.versions.retain(|_, versions| {
+            versions.retain(|_, seen| now - *seen < VERSION_LIFETIME);
+            !versions.is_empty()
+        });
+    }
+
+    /// The only software version of a service's targets within [`VERSION_LIFETIME`]; none if there
+    /// were several.
+    pub fn sole_version(&self, service: &str) -> Option<SoftwareVersion> {
+        let mut versions = self.versions.get(service)?.keys();
+        match (versions.next(), versions.next()) {
+            (Some(Some(version)), None) => Some(version.clone()),
+            _ => None,
+        }
+    }
+
+    /// Whether a target has registered again since, as another incarnation or with another software
+    /// version.
+    pub fn is_superseded(&self, target: &Target) -> bool {
+        let registration = self.targets.get(&target.id);
+        registration.is_some_and(|registration| {
+            let newest = &registration.candidate.target;
+            (newest.born, &newest.version) != (target.born, &target.version)
+        })
+    }
+
     /// Records that a target announced that it leaves; returns whether that is new.
     pub fn record_departure(&mut self, incarnation: Incarnation, now: Time) -> bool {
         self.departures.record(incarnation, now)
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -16,6 +16,7 @@
 use gateway::target::directory::Candidate;
 use gateway::target::directory::Load;
 use gateway::target::hash;
+use gateway::target::version::Rule;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -191,6 +192,7 @@
             affinity: None,
             data_centre: "a",
             idempotent: true,
+            versions: &Rule::Any,
             entries: 1,
             now_ms: now as u64,
         };
@@ -347,6 +349,7 @@
         affinity: None,
         data_centre: "a",
         idempotent: true,
+        versions: &Rule::Any,
         entries: 1,
         now_ms: 0,
     }
@@ -422,6 +425,7 @@
         affinity: None,
         data_centre: "a",
         idempotent: true,
+        versions: &Rule::Any,
         entries: 1,
         now_ms: 0,
     };
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -21,6 +21,7 @@
 use gateway::target::directory::Load;
 use gateway::target::hash;
 use gateway::target::prefix::Prefixes;
+use gateway::target::version::Rule;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -233,6 +234,7 @@
             affinity: None,
             data_centre: "a",
             idempotent: true,
+            versions: &Rule::Any,
             entries: ENTRIES,
             now_ms: time.0,
         };
--- a/crates/history/src/client.rs
+++ b/crates/history/src/client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coord::id::Customer;
 use coord::id::Request;
 use tokio::time::Instant;
 
@@ -16,6 +17,8 @@
 use crate::message;
 use crate::message::Answer;
 use crate::message::Call;
+use crate::origin;
+use crate::origin::Origin;
 use crate::quorum;
 use crate::quorum::Fanout;
 use crate::quorum::Outcome;
@@ -67,6 +70,8 @@
     /// Hash of the target chosen to run the turn.
     pub target: u32,
     pub expires: Timestamp,
+    /// Origin of the turn's stream, if its caller may resume it.
+    pub origin: Option<Origin>,
 }
 
 /// A call to a quorum of disks.
@@ -127,7 +132,13 @@
             expires: reservation.expires,
         };
         let mut snapshot = account::Snapshot::default();
-        let mut call = Call::Reserve(charge);
+        let mut call = match &reservation.origin {
+            Some(origin) => Call::ReserveStream {
+                charge,
+                origin: origin.clone(),
+            },
+            None => Call::Reserve(charge),
+        };
         let mut confirmed = false;
         loop {
             self.read_account(&call, &mut snapshot, Route::Any, deadline)
@@ -160,7 +171,7 @@
         route: Route,
         deadline: Instant,
     ) -> Result<(), Error> {
-        let writes = matches!(call, Call::Reserve(_));
+        let writes = matches!(call, Call::Reserve(_) | Call::ReserveStream { .. });
         let query = Query {
             body: message::encode(call),
             placement_key: &[],
@@ -187,19 +198,18 @@
         .await
     }
 
-    /// Stores records on a write quorum. The program of `placement` determines which disks are
-    /// called first.
+    /// Stores records on a write quorum. `placement` determines which disks are called first.
     ///
     /// Errors: too few disks answered; the records may have been stored.
     pub async fn append(
         &self,
         records: Vec<Record>,
-        placement: &Account,
+        placement: &str,
         deadline: Instant,
     ) -> Result<(), Error> {
         let query = Query {
             body: message::encode(&Call::Append(records)),
-            placement_key: placement.program.as_str().as_bytes(),
+            placement_key: placement.as_bytes(),
             initial: self.tolerated_losses + 1,
             route: Route::Any,
             deadline,
@@ -260,8 +270,47 @@
         deadline: Instant,
     ) -> Result<(), Error> {
         let charge = settled_charge(reservation, tokens);
-        self.append(vec![charge], &reservation.account, deadline)
-            .await
+        let placement = reservation.account.program.as_str();
+        self.append(vec![charge], placement, deadline).await
+    }
+
+    /// What is stored of a request's origin; `None` if certainly nothing is.
+    ///
+    /// Errors: fewer disks than the read quorum answered.
+    pub async fn origin(
+        &self,
+        customer: &Customer,
+        request: &Request,
+        deadline: Instant,
+    ) -> Result<Option<origin::State>, Error> {
+        let call = Call::ReadOrigin {
+            customer: customer.clone(),
+            request: request.clone(),
+        };
+        let query = Query {
+            body: message::encode(&call),
+            placement_key: &[],
+            initial: usize::MAX,
+            route: Route::Any,
+            deadline,
+        };
+        let needed = |membership: &Membership| membership.read_quorum(self.tolerated_losses);
+        let mut merged: Option<origin::State> = None;
+        self.query(&query, needed, |answer| match answer {
+            Answer::Origin { state, complete } => {
+                merged = match (merged.take(), state) {
+                    (Some(a), Some(b)) => Some(a.merge(b)),
+                    (a, b) => a.or(b),
+                };
+                match complete {
+                    true => Vote::Counted,
+                    false => Vote::Ignored,
+                }
+            }
+            _ => Vote::Ignored,
+        })
+        .await?;
+        Ok(merged)
     }
 
     /// A turn and its predecessors, oldest last; `None` if one of them is absent. The program of
--- a/crates/history/src/index.rs
+++ b/crates/history/src/index.rs
@@ -1,5 +1,5 @@
-//! In-memory index of a disk's records: turns by request, charges by account, and the order of
-//! arrival.
+//! In-memory index of a disk's records: turns and origins by request, charges by account, and the
+//! order of arrival.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -14,6 +14,8 @@
 use crate::Set;
 use crate::membership::Membership;
 use crate::message::Position;
+use crate::origin;
+use crate::origin::Origin;
 use crate::record::Account;
 use crate::record::Charge;
 use crate::record::Entry;
@@ -50,11 +52,18 @@
     expires: Timestamp,
 }
 
+#[derive(Debug)]
+struct StoredOrigin {
+    state: origin::State,
+    expires: Timestamp,
+}
+
 /// Identifies a record in the index.
 #[derive(Debug, Clone)]
 enum Key {
     Turn(Request),
     Charge(Account, Request),
+    Origin(Customer, Request),
 }
 
 /// Index of one disk's records.
@@ -62,6 +71,7 @@
 pub struct Index {
     turns: Map<Request, StoredTurn>,
     budgets: Map<Account, Budget>,
+    origins: Map<(Customer, Request), StoredOrigin>,
     /// Fingerprints and keys of records, in order of arrival.
     arrival_order: VecDeque<(u64, Key)>,
     /// Position of the first key in `arrival_order`.
@@ -82,6 +92,7 @@
         match record {
             Record::Turn(turn) => self.insert_turn(turn, file),
             Record::Charge(charge) => self.insert_charge(charge, file),
+            Record::Origin(origin) => self.insert_origin(origin, file),
             Record::Membership(membership) => {
                 let newer = membership.epoch > self.membership.epoch;
                 if newer {
@@ -146,6 +157,34 @@
         changed
     }
 
+    fn insert_origin(&mut self, origin: Origin, file: Number) -> bool {
+        self.retain_file(file, origin.expires);
+        let key = (origin.customer, origin.request);
+        let state = match self.origins.get_mut(&key) {
+            Some(known) => {
+                known.expires = known.expires.max(origin.expires);
+                let merged = known.state.clone().merge(origin.state);
+                if merged == known.state {
+                    return false;
+                }
+                known.state = merged.clone();
+                merged
+            }
+            None => {
+                let stored = StoredOrigin {
+                    state: origin.state.clone(),
+                    expires: origin.expires,
+                };
+                self.origins.insert(key.clone(), stored);
+                origin.state
+            }
+        };
+        let fingerprint = origin_fingerprint(&key.0, &key.1, &state);
+        self.arrival_order
+            .push_back((fingerprint, Key::Origin(key.0, key.1)));
+        true
+    }
+
     /// Extends the expiry of a turn and its predecessors to `expires`, less [`EXTENSION_SLACK`] at
     /// most; returns the expiry that holds for all of them.
     fn extend_chain(&mut self, mut turn: Option<Request>, expires: Timestamp) -> Timestamp {
@@ -178,6 +217,12 @@
         budget.map_or_else(Vec::new, |budget| budget.charges.clone())
     }
 
+    /// What is stored of a request's origin.
+    pub fn origin(&self, customer: &Customer, request: &Request) -> Option<origin::State> {
+        let key = (customer.clone(), request.clone());
+        self.origins.get(&key).map(|stored| stored.state.clone())
+    }
+
     /// A turn and its predecessors, newest first, up to the first one that this disk lacks.
     pub fn chain(&self, id: &Request) -> Vec<Turn> {
         let mut chain = Vec::new();
@@ -240,6 +285,15 @@
                     expires: budget.expires,
                 }))
             }
+            Key::Origin(customer, request) => {
+                let stored = self.origins.get(&(customer.clone(), request.clone()))?;
+                Some(Record::Origin(Origin {
+                    customer: customer.clone(),
+                    request: request.clone(),
+                    state: stored.state.clone(),
+                    expires: stored.expires,
+                }))
+            }
         }
     }
 
@@ -254,6 +308,7 @@
         });
         self.content_bytes -= freed;
         self.budgets.retain(|_, budget| !expired(budget.expires));
+        self.origins.retain(|_, stored| !expired(stored.expires));
         while self
             .arrival_order
             .front()
@@ -273,6 +328,11 @@
         expired_files
     }
 
+    /// Number of requests with a stored origin.
+    pub fn origin_count(&self) -> usize {
+        self.origins.len()
+    }
+
     /// Number of turns and of accounts.
     pub fn counts(&self) -> (usize, usize) {
         (self.turns.len(), self.budgets.len())
@@ -314,3 +374,23 @@
     ];
     fingerprint(&parts).max(1)
 }
+
+fn origin_fingerprint(customer: &Customer, request: &Request, state: &origin::State) -> u64 {
+    let (relay, number, service, version) = match state {
+        origin::State::Chosen(choice) => {
+            let (service, version) = (choice.service.as_str(), choice.version.as_str());
+            (choice.relay, choice.number, service, version)
+        }
+        origin::State::Ambiguous => (0, 0, "", ""),
+    };
+    let parts = [
+        b"origin".as_slice(),
+        customer.as_str().as_bytes(),
+        request.as_str().as_bytes(),
+        &relay.to_be_bytes(),
+        &number.to_be_bytes(),
+        service.as_bytes(),
+        version.as_bytes(),
+    ];
+    fingerprint(&parts).max(1)
+}
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -1,4 +1,5 @@
-//! Leaderless replicated storage for the turns and token budgets of programs.
+//! Leaderless replicated storage for the turns and token budgets of programs, and for the software
+//! versions that began streams.
 //!
 //! Records are immutable, so any disk may accept them and replicas never conflict. To tolerate the
 //! loss of `t` disks, a record is committed once `t + 1` disks have synced it, and reported as
@@ -14,6 +15,7 @@
 pub mod join;
 pub mod membership;
 pub mod message;
+pub mod origin;
 pub mod quorum;
 pub mod record;
 pub mod relay;
--- a/crates/history/src/message.rs
+++ b/crates/history/src/message.rs
@@ -7,12 +7,15 @@
 use bytes::BufMut;
 use bytes::Bytes;
 use bytes::BytesMut;
+use coord::id::Customer;
 use coord::id::Request;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::membership::Epoch;
 use crate::membership::Membership;
+use crate::origin;
+use crate::origin::Origin;
 use crate::record::Account;
 use crate::record::Charge;
 use crate::record::Disk;
@@ -48,6 +51,13 @@
     Fetch(Vec<Position>),
     /// Sends a newer membership.
     Inform(Membership),
+    /// [`Call::Reserve`] that also stores the origin of the turn's stream.
+    ReserveStream { charge: Charge, origin: Origin },
+    /// Returns what is stored of a request's origin.
+    ReadOrigin {
+        customer: Customer,
+        request: Request,
+    },
 }
 
 /// A host's answer.
@@ -83,6 +93,11 @@
     OtherDisk,
     /// The host accepts no new records: it is retiring, or its disk is full or has failed.
     Closed,
+    Origin {
+        state: Option<origin::State>,
+        /// Whether the disk has finished joining; until then it may lack committed origins.
+        complete: bool,
+    },
 }
 
 /// Index of a record in a host's order of arrival.
--- a/crates/history/src/record.rs
+++ b/crates/history/src/record.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::membership::Membership;
+use crate::origin::Origin;
 use crate::time::Timestamp;
 
 /// One entry of a disk's log.
@@ -20,6 +21,7 @@
     Membership(Membership),
     /// Whether this disk still copies records that were committed before it became a member.
     Joining(bool),
+    Origin(Origin),
 }
 
 /// A turn that was answered completely.
--- a/crates/history/src/server.rs
+++ b/crates/history/src/server.rs
@@ -22,6 +22,8 @@
 use crate::message::Call;
 use crate::message::Header;
 use crate::message::Position;
+use crate::origin::Origin;
+use crate::record::Charge;
 use crate::record::Disk;
 use crate::record::Record;
 use crate::segment;
@@ -120,6 +122,11 @@
         (turns, accounts, state.index.content_bytes)
     }
 
+    /// Number of requests whose origin is stored.
+    pub fn origins(&self) -> usize {
+        self.state.lock().index.origin_count()
+    }
+
     /// Number of syncs since the start and their total duration in microseconds.
     pub fn syncs(&self) -> (u64, u64) {
         self.committer.syncs()
@@ -216,6 +223,26 @@
         });
     }
 
+    /// Stores a charge, with the origin of its turn's stream if there is one, and sends the account
+    /// as it was before.
+    fn reserve(
+        &self,
+        state: &mut State,
+        charge: Charge,
+        origin: Option<Origin>,
+        responder: Responder,
+    ) {
+        // The account is read under the lock under which the charge is added, so that the later of
+        // two concurrent reservations sees the earlier one.
+        let answer = Answer::Account {
+            charges: state.index.charges(&charge.account),
+            complete: !state.index.joining,
+        };
+        let mut records = vec![Record::Charge(charge)];
+        records.extend(origin.map(Record::Origin));
+        self.append(state, records, responder, message::encode(&answer));
+    }
+
     fn rejects_writes(&self, state: &State) -> bool {
         state.closed || self.committer.failed() || state.index.content_bytes as u64 > self.capacity
     }
@@ -247,7 +274,10 @@
         if let Some(answer) = rejection(header, self.disk(), &state, &call) {
             return responder.send(message::encode(&answer));
         }
-        let writes = matches!(call, Call::Append(_) | Call::Reserve(_));
+        let writes = matches!(
+            call,
+            Call::Append(_) | Call::Reserve(_) | Call::ReserveStream { .. }
+        );
         if writes && self.rejects_writes(&state) {
             return responder.send(message::encode(&Answer::Closed));
         }
@@ -257,14 +287,17 @@
                 let answer = message::encode(&Answer::Appended);
                 self.append(&mut state, records, responder, answer);
             }
-            Call::Reserve(charge) => {
-                let account = charge.account.clone();
-                let records = vec![Record::Charge(charge)];
-                // The account is read under the lock under which the charge is added, so that the
-                // later of two concurrent reservations sees the earlier one.
-                let charges = state.index.charges(&account);
-                let answer = Answer::Account { charges, complete };
-                self.append(&mut state, records, responder, message::encode(&answer));
+            Call::Reserve(charge) => self.reserve(&mut state, charge, None, responder),
+            Call::ReserveStream { charge, origin } => {
+                self.reserve(&mut state, charge, Some(origin), responder);
+            }
+            Call::ReadOrigin { customer, request } => {
+                let stored = state.index.origin(&customer, &request);
+                let answer = Answer::Origin {
+                    state: stored,
+                    complete,
+                };
+                responder.send(message::encode(&answer));
             }
             Call::ReadAccount(account) => {
                 let charges = state.index.charges(&account);
--- a/crates/history/tests/relay.rs
+++ b/crates/history/tests/relay.rs
@@ -128,7 +128,10 @@
     world.cut_off.set_relay(Some(world.relay));
     let deadline = Instant::now() + TIMEOUT;
     let records = vec![Record::Turn(turn())];
-    let appended = world.cut_off.append(records, &account(), deadline).await;
+    let appended = world
+        .cut_off
+        .append(records, account().program.as_str(), deadline)
+        .await;
     assert_eq!(appended, Ok(()));
     let chain = world
         .connected
