Ignore registrations of earlier incarnations of a target

`born` decides; an update without it is applied as before.

gateway/tests/directory.rs: the test failed before (born 1, v1 instead of 2, v2). Also tested: a superseded incarnation is recognised, and a service counts as having one version only a minute after the others ended.

--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -185,9 +185,18 @@
         }
     }
 
-    /// Inserts or updates a target. Its load is kept as long as `born` stays the same.
+    /// Inserts or updates a target, unless a later incarnation of it is known. Its load is kept as
+    /// long as `born` stays the same.
     pub fn put_target(&mut self, target: Target) {
         let load = match self.targets.get(&target.id) {
+            Some(registration) if is_earlier(&target, &registration.candidate.target) => {
+                log::info!(
+                    step = "learn target", peer = target.id.as_str(),
+                    target_version = target.version_text(), born = target.born.unwrap_or(0);
+                    "outdated registration is ignored"
+                );
+                return;
+            }
             Some(registration) if registration.candidate.target == target => {
                 if let Some(registration) = self.targets.get_mut(&target.id) {
                     registration.missing_since = None;
@@ -324,3 +333,11 @@
             .map(|registration| &registration.candidate.target)
     }
 }
+
+/// Whether `target` is an earlier incarnation than `known`.
+fn is_earlier(target: &Target, known: &Target) -> bool {
+    match (target.born, known.born) {
+        (Some(born), Some(known)) => born < known,
+        _ => false,
+    }
+}
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -46,7 +46,9 @@
             stage,
             slots: 6,
             born: object.spec["born"].as_u64(),
-            version: None,
+            version: object.spec["version"]
+                .as_str()
+                .and_then(|version| version.parse().ok()),
         })
     }
 
@@ -150,3 +152,55 @@
     directory.apply_peer_snapshot(Revision(11), vec![target], now);
     assert_eq!(ready(&directory), ["c"]);
 }
+
+fn incarnation(born: u64, version: &str) -> Object {
+    Object {
+        name: "t".to_owned(),
+        revision: Revision(born),
+        spec: json!({ "stage": "ready", "born": born, "version": version }),
+        status: serde_json::Value::Null,
+    }
+}
+
+/// Guards against streams that are resumed at a version that a target no longer has: a listing that
+/// was on its way for long arrives after the target has registered again.
+#[rstest]
+fn a_late_listing_does_not_bring_back_an_earlier_incarnation_of_a_target() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.apply_change(&Change::Put(incarnation(2, "v2")), &Plain, now);
+    directory.apply_listing(&[incarnation(1, "v1")], &Plain, now);
+    let services = directory.services();
+    let target = &services["s"][0].target;
+    assert_eq!((target.born, target.version_text()), (Some(2), "v2"));
+}
+
+#[rstest]
+fn a_target_that_registered_again_supersedes_its_earlier_incarnation() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.apply_change(&Change::Put(incarnation(1, "v1")), &Plain, now);
+    let chosen = directory.services()["s"][0].target.clone();
+    assert!(!directory.is_superseded(&chosen));
+    directory.apply_change(&Change::Put(incarnation(2, "v1")), &Plain, now);
+    assert!(directory.is_superseded(&chosen));
+    directory.apply_change(&Change::Deleted("t".to_owned()), &Plain, now);
+    assert!(!directory.is_superseded(&chosen));
+}
+
+/// A version that has just ended may have begun streams that are still resumed.
+#[rstest]
+fn a_service_has_a_sole_software_version_only_a_minute_after_the_others_ended() {
+    let mut directory = Directory::default();
+    let start = Instant::now();
+    directory.apply_change(&Change::Put(incarnation(1, "v1")), &Plain, start);
+    directory.refresh_versions(start);
+    assert_eq!(directory.sole_version("s"), "v1".parse().ok());
+    directory.apply_change(&Change::Put(incarnation(2, "v2")), &Plain, start);
+    let soon = start + Duration::from_secs(59);
+    directory.refresh_versions(soon);
+    assert_eq!(directory.sole_version("s"), None);
+    let later = start + Duration::from_secs(60);
+    directory.refresh_versions(later);
+    assert_eq!(directory.sole_version("s"), "v2".parse().ok());
+}
