Begin few resumable streams at the only target of a software version

While a service is replaced, the first target of the new version and the last of the old one are alone: if such a target fails, the streams that it began can't go on anywhere. It now counts as five requests busier for a stream that may be resumed, so that it takes them only while the others are busier.

--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Returns whether the request's answer is a stream that may be resumed.
+    pub fn is_resumable(&self) -> bool {
+        matches!(self.route.kind, RequestKind::Stream(stream) if stream.resumable)
+    }
+
     /// Returns the customer that records of the request are stored under; a placeholder on routes
     /// without authentication.
     pub fn customer_name(&self) -> Customer {
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -68,6 +68,7 @@
             affinity,
             data_centre: state.settings.data_centre.as_str(),
             idempotent: job.is_idempotent(),
+            resumable: job.is_resumable(),
             versions: &self.versions,
             entries: state.entry_count(),
             now_ms: state.now_ms(),
--- a/crates/gateway/src/target/balance.rs
+++ b/crates/gateway/src/target/balance.rs
@@ -44,6 +44,10 @@
 /// Share of failures from which a target is no longer chosen by affinity.
 const AFFINITY_FAILURE_LIMIT: f64 = 0.25;
 
+/// Penalty, in requests, of the only target of a software version: if it fails, the streams that it
+/// began can't go on. It still takes streams while the others are busier.
+const SOLE_TARGET_PENALTY: f64 = 5.0;
+
 /// Penalty of a target in another data centre, in requests.
 const REMOTE_PENALTY: f64 = 0.5;
 
@@ -60,6 +64,8 @@
     pub data_centre: &'a str,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Whether the request's stream may be resumed, which needs a target of the version that began it.
+    pub resumable: bool,
     /// Software versions that may run the request.
     pub versions: &'a version::Rule,
     /// Number of entries; the more there are, the later they learn of each other's requests.
@@ -162,7 +168,9 @@
         let prefill = prefill_tokens(prompt, hash, criteria.is_cached) / PREFILL_TOKENS_PER_REQUEST;
         let health = candidate.load.health.lock();
         let work = (f64::from(candidate.running()) + 1.0 + prefill) * health.slowness(median);
-        let cost = work + failure_penalty(&health, criteria.now_ms) + jitter;
+        let sole = f64::from(criteria.resumable && candidate.sole_of_version);
+        let penalty = failure_penalty(&health, criteria.now_ms) + sole * SOLE_TARGET_PENALTY;
+        let cost = work + penalty + jitter;
         drop(health);
         if best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, candidate));
--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -71,6 +71,9 @@
 pub struct Candidate {
     pub target: Target,
     pub load: Arc<Load>,
+    /// Whether it is the only one of its software version that accepts new requests, while more of
+    /// another version do.
+    pub sole_of_version: bool,
 }
 
 impl Candidate {
@@ -215,7 +218,11 @@
             "target registered"
         );
         let id = target.id.clone();
-        let candidate = Candidate { target, load };
+        let candidate = Candidate {
+            target,
+            load,
+            sole_of_version: false,
+        };
         let missing_since = None;
         self.targets.insert(
             id,
@@ -322,6 +329,7 @@
         }
         for candidates in services.values_mut() {
             candidates.sort_by(|a, b| a.target.id.cmp(&b.target.id));
+            mark_sole_versions(candidates);
         }
         services
     }
@@ -341,3 +349,15 @@
         _ => false,
     }
 }
+
+/// Sets [`Candidate::sole_of_version`] of a service's targets.
+pub fn mark_sole_versions(candidates: &mut [Candidate]) {
+    let mut counts: Map<Option<SoftwareVersion>, usize> = Map::default();
+    for candidate in candidates.iter() {
+        *counts.entry(candidate.target.version.clone()).or_default() += 1;
+    }
+    let any_more = counts.values().any(|count| *count > 1);
+    for candidate in candidates {
+        candidate.sole_of_version = any_more && counts[&candidate.target.version] == 1;
+    }
+}
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -42,6 +42,7 @@
             version: None,
         },
         load: std::sync::Arc::new(Load::default()),
+        sole_of_version: false,
     }
 }
 
@@ -192,6 +193,7 @@
             affinity: None,
             data_centre: "a",
             idempotent: true,
+            resumable: true,
             versions: &Rule::Any,
             entries: 1,
             now_ms: now as u64,
@@ -349,6 +351,7 @@
         affinity: None,
         data_centre: "a",
         idempotent: true,
+        resumable: true,
         versions: &Rule::Any,
         entries: 1,
         now_ms: 0,
@@ -425,6 +428,7 @@
         affinity: None,
         data_centre: "a",
         idempotent: true,
+        resumable: true,
         versions: &Rule::Any,
         entries: 1,
         now_ms: 0,
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -166,6 +166,7 @@
             version: None,
         },
         load: Arc::new(Load::default()),
+        sole_of_version: false,
     }
 }
 
@@ -234,6 +235,7 @@
             affinity: None,
             data_centre: "a",
             idempotent: true,
+            resumable: true,
             versions: &Rule::Any,
             entries: ENTRIES,
             now_ms: time.0,
