Move token reservations of turns into a module of their own

serve/turn.rs had grown by the choice of versions; reservations and their settlement need nothing of it. History hosts show how many origins they keep (dump, teasellever_origins).

--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -66,6 +66,11 @@
         "Bytes of the turns kept",
         |server| server.size().2 as u64,
     );
+    gauge(
+        "teasellever_origins",
+        "Requests whose stream's software version is kept",
+        |server| server.origins() as u64,
+    );
     gauge("teasellever_syncs", "Syncs since the start", |server| {
         server.syncs().0
     });
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -98,6 +98,7 @@
         "turns": turns,
         "accounts": accounts,
         "turn_bytes": bytes,
+        "origins": server.origins(),
     })
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,6 +9,7 @@
 pub mod plain;
 pub mod refusal;
 pub mod request;
+pub mod reservation;
 pub mod retry;
 pub mod server;
 pub mod stream;
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -8,12 +8,9 @@
 use bytes::BytesMut;
 use coord::id::Customer;
 use coord::id::Request;
-use history::client::Grant;
-use history::client::Reservation;
 use history::origin::Origin;
 use history::record::Account;
 use history::record::Turn;
-use history::time::Timestamp;
 use http::Response;
 use tokio::time::Instant;
 
@@ -30,6 +27,7 @@
 use crate::serve::refusal::Unresumable;
 use crate::serve::request::Job;
 use crate::serve::request::retry_delay;
+use crate::serve::reservation;
 use crate::serve::retry::RetryState;
 use crate::serve::stream::Relay;
 use crate::state::State;
@@ -45,57 +43,6 @@
 /// refused early enough for its caller to retry.
 const HISTORY_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Time limit for settling a reservation in the background, while no caller waits for it.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Token reservation of a turn. Dropping the guard settles the reservation in the background unless
-/// [`Self::settle`] was called.
-#[derive(Debug)]
-pub struct ReservationGuard {
-    state: Arc<State>,
-    reservation: Reservation,
-    /// Number of tokens relayed to the caller.
-    pub used_tokens: u64,
-    settled: bool,
-}
-
-impl ReservationGuard {
-    /// Returns the record that settles the reservation; the caller must store it.
-    pub fn settle(&mut self) -> history::record::Record {
-        self.settled = true;
-        history::client::settled_charge(&self.reservation, self.used_tokens)
-    }
-
-    /// Returns the account that the tokens are reserved from.
-    pub fn account(&self) -> &Account {
-        &self.reservation.account
-    }
-}
-
-impl Drop for ReservationGuard {
-    fn drop(&mut self) {
-        if self.settled {
-            return;
-        }
-        let state = Arc::clone(&self.state);
-        let reservation = self.reservation.clone();
-        let used_tokens = self.used_tokens;
-        tokio::spawn(async move {
-            let deadline = Instant::now() + SETTLE_TIMEOUT;
-            if let Err(error) = state
-                .history
-                .settle(&reservation, used_tokens, deadline)
-                .await
-            {
-                log::warn!(
-                    step = "settle", peer = "history", request = reservation.turn.as_str();
-                    "reservation can't be settled, turn is charged its maximum: {error}"
-                );
-            }
-        });
-    }
-}
-
 /// A turn in progress.
 #[derive(Debug)]
 pub struct Running {
@@ -105,7 +52,7 @@
     /// Engine that the turn was last sent to.
     pub target: Option<Target>,
     pub stream: Stream,
-    pub reservation: Option<ReservationGuard>,
+    pub reservation: Option<reservation::Guard>,
     pub urgency: Option<u8>,
     pub retry: RetryState,
     /// Stored origin of the stream, if its caller may resume it.
@@ -180,7 +127,7 @@
         retry.versions = Rule::preferring(&entry.target);
     }
     let (reserved, body) = tokio::join!(
-        reserve(state, &job, stream, predicted, origin.clone(), deadline),
+        reservation::reserve(state, &job, stream, predicted, origin.clone(), deadline),
         build_input(state, &job, stream, deadline)
     );
     let ((reservation, recorded_target), body) = (reserved?, body?);
@@ -366,68 +313,6 @@
     DEFAULT_URGENCY.saturating_add(priority).min(LOWEST_URGENCY)
 }
 
-/// Reserves a turn's tokens and stores the origin of its stream. Returns the reservation, and the
-/// hash of the target recorded for the program's newest turn; neither for a turn without a budget.
-async fn reserve(
-    state: &Arc<State>,
-    job: &Job,
-    stream: Stream,
-    predicted: Option<Candidate>,
-    origin: Option<Origin>,
-    deadline: Instant,
-) -> Result<(Option<ReservationGuard>, Option<u32>), Refusal> {
-    let (Some(program), Some(budget), Some(tokens)) =
-        (&job.call.program, job.call.budget, job.call.tokens)
-    else {
-        if let Some(customer) = &job.customer {
-            state.admit(customer, false)?;
-        }
-        if let Some(origin) = &origin {
-            let stored = origin::store(state, job, origin, deadline).await;
-            stored.map_err(|error| Refusal::Unavailable {
-                cause: error.to_string(),
-                retry: retry_delay(),
-            })?;
-        }
-        return Ok((None, None));
-    };
-    let reservation = Reservation {
-        account: Account {
-            customer: job.customer_name(),
-            program: program.clone(),
-        },
-        turn: job.call.request.clone(),
-        max_tokens: tokens.max_generated,
-        budget,
-        target: predicted.map_or(0, |entry| hash::target_hash(&entry.target.id)),
-        expires: Timestamp::now().after(stream.retention),
-        origin,
-    };
-    let guard = ReservationGuard {
-        state: Arc::clone(state),
-        reservation,
-        used_tokens: 0,
-        settled: false,
-    };
-    match state.history.reserve(&guard.reservation, deadline).await {
-        Ok(Grant::Granted { first, target }) => {
-            if let Some(customer) = &job.customer {
-                state.admit(customer, first)?;
-            }
-            Ok((Some(guard), target))
-        }
-        Ok(Grant::Spent(taken)) => {
-            log::info!(
-                step = "reserve", peer = "history", request = job.call.request.as_str(),
-                program = program.as_str(), taken = taken, most = tokens.max_generated, budget = budget;
-                "budget doesn't hold the turn"
-            );
-            Err(Refusal::BudgetSpent)
-        }
-        Err(error) => Err(Refusal::history_unavailable(&error)),
-    }
-}
-
 /// Builds an engine's input from the chain that a turn continues and the turn's own input.
 async fn build_input(
     state: &Arc<State>,
