--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -39,6 +39,11 @@
         "Whether the object store doesn't answer",
         |state| u64::from(state.is_object_store_lost()),
     );
+    gauge(
+        "teasellever_history_reached",
+        "Whether enough history hosts answer, directly or through another entry",
+        |state| u64::from(state.reaches_history()),
+    );
 }
 
 /// Registers the gauges of a history host.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -170,12 +170,15 @@
         !self.is_draining() && configured && !self.is_cut_off()
     }
 
+    /// Whether a quorum of history hosts answered the last probes, directly or through another entry.
+    pub fn reaches_history(&self) -> bool {
+        self.history_direct.load(Ordering::Relaxed) || self.history_relayed.load(Ordering::Relaxed)
+    }
+
     /// Whether only this entry seems to be cut off from the history hosts: it doesn't reach them,
     /// and another entry reports that it does or all known entries are silent.
     pub fn is_cut_off(&self) -> bool {
-        let reached = self.history_direct.load(Ordering::Relaxed)
-            || self.history_relayed.load(Ordering::Relaxed);
-        if reached {
+        if self.reaches_history() {
             return false;
         }
         let (peers, now) = (self.peers.lock(), self.time());
