Keep known software versions when an earlier build passes targets on

An entry that the object store doesn't answer takes targets over from another entry; one of an earlier build sends them without versions. The version known for the same incarnation was lost then, and its streams couldn't be resumed. gateway/tests/directory.rs failed before.

--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -162,9 +162,19 @@
         for id in missing {
             self.remove(&id, now);
         }
-        targets
-            .into_iter()
-            .for_each(|target| self.put_target(target));
+        for mut target in targets {
+            if target.version.is_none() {
+                target.version = self.known_version(&target);
+            }
+            self.put_target(target);
+        }
+    }
+
+    /// The software version with which the same incarnation of a target is registered here.
+    fn known_version(&self, target: &Target) -> Option<SoftwareVersion> {
+        let registration = self.targets.get(&target.id)?;
+        let known = &registration.candidate.target;
+        known.version.clone().filter(|_| known.born == target.born)
     }
 
     /// Applies a change of one registration.
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -204,3 +204,18 @@
     directory.refresh_versions(later);
     assert_eq!(directory.sole_version("s"), "v2".parse().ok());
 }
+
+/// Entries of an earlier build pass targets on without their versions.
+#[rstest]
+fn a_snapshot_without_software_versions_does_not_remove_known_ones() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.apply_change(&Change::Put(incarnation(1, "v1")), &Plain, now);
+    let mut target = directory.services()["s"][0].target.clone();
+    target.version = None;
+    directory.apply_peer_snapshot(Revision(5), vec![target.clone()], now);
+    assert_eq!(directory.services()["s"][0].target.version_text(), "v1");
+    target.born = Some(2);
+    directory.apply_peer_snapshot(Revision(6), vec![target], now);
+    assert_eq!(directory.services()["s"][0].target.version, None);
+}
