--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -156,7 +156,7 @@
 
 /// Returns the origin to store for a request whose target may have run it at another version than
 /// the stored one.
-pub fn uncertain(stored: &Origin) -> Origin {
+pub fn ambiguous(stored: &Origin) -> Origin {
     Origin {
         state: Stored::Ambiguous,
         ..stored.clone()
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -111,21 +111,16 @@
     }
     let deadline = job.deadline.min(Instant::now() + HISTORY_TIMEOUT);
     let mut retry = RetryState::new(&job);
-    if let (true, Some(resumption)) = (stream.resumable, &job.call.resumption) {
-        let source = origin::find(state, &job, resumption, deadline).await?;
-        job.service = source.service;
-        retry.versions = Rule::Only(source.version);
+    if stream.resumable {
+        restrict_to_origin(state, &mut job, &mut retry, deadline).await?;
     }
     let last_target = job.call.program.as_ref();
     let last_target = last_target.and_then(|program| state.programs.lock().target(program));
     let predicted = predict_target(state, &job, &retry, prompt(&job, last_target))?;
-    let origin = predicted
-        .as_ref()
-        .filter(|_| stream.resumable)
-        .and_then(|entry| origin::chosen(&job, &entry.target));
-    if let (Rule::Any, Some(entry), true) = (&retry.versions, &predicted, stream.resumable) {
-        retry.versions = Rule::preferring(&entry.target);
-    }
+    let origin = match &predicted {
+        Some(entry) if stream.resumable => choose_version(&job, &mut retry, &entry.target),
+        _ => None,
+    };
     let (reserved, body) = tokio::join!(
         reservation::reserve(state, &job, stream, predicted, origin.clone(), deadline),
         build_input(state, &job, stream, deadline)
@@ -151,6 +146,32 @@
     }
 }
 
+/// Restricts a turn that resumes a stream to the service and software version that began it.
+///
+/// Errors: they aren't known, or the history can't be read.
+async fn restrict_to_origin(
+    state: &State,
+    job: &mut Job,
+    retry: &mut RetryState,
+    deadline: Instant,
+) -> Result<(), Refusal> {
+    if let Some(resumption) = &job.call.resumption {
+        let source = origin::find(state, job, resumption, deadline).await?;
+        job.service = source.service;
+        retry.versions = Rule::Only(source.version);
+    }
+    Ok(())
+}
+
+/// Makes a turn prefer the software version of the target that will probably run it; returns the
+/// origin to store.
+fn choose_version(job: &Job, retry: &mut RetryState, target: &Target) -> Option<Origin> {
+    if retry.versions == Rule::Any {
+        retry.versions = Rule::preferring(target);
+    }
+    origin::chosen(job, target)
+}
+
 /// Relays an engine's error response, which is not a stream.
 async fn relay_error(running: Running, answer: Answer) -> Result<Response<Body>, Refusal> {
     let status = answer.parts.status;
@@ -226,7 +247,7 @@
             "target restarted after it was chosen".to_owned(),
         )),
         (_, Some(origin)) => {
-            let origin = origin::uncertain(origin);
+            let origin = origin::ambiguous(origin);
             let stored = store_origin(state, running, origin).await;
             stored.map_err(|error| Error::MaybeRun(error.to_string()))
         }
