Count a software version from its first registration

Versions were noted once a second, so that one whose targets were replaced within the first second of an entry counted as if it had never served, and the other one as the only one.

--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -107,14 +107,16 @@
     missing_since: Option<Instant>,
 }
 
+/// Software versions of each service, and when a target of each was last registered.
+type Versions = Map<Service, Map<Option<SoftwareVersion>, Instant>>;
+
 /// All registered targets.
 #[derive(Debug, Default)]
 pub struct Directory {
     targets: Map<CompactString, Registration>,
     /// Targets that announced that they leave.
     departures: Departures,
-    /// Software versions of each service, and when a target of each was last registered.
-    versions: Map<Service, Map<Option<SoftwareVersion>, Instant>>,
+    versions: Versions,
     /// When the object store last recovered.
     store_recovered: Option<Instant>,
     /// Revision of the object store at which the targets were read.
@@ -143,7 +145,7 @@
             self.remove(&id, now);
         }
         for object in objects {
-            self.put(object, adapter);
+            self.put(object, adapter, now);
         }
     }
 
@@ -166,7 +168,7 @@
             if target.version.is_none() {
                 target.version = self.known_version(&target);
             }
-            self.put_target(target);
+            self.put_target(target, now);
         }
     }
 
@@ -180,14 +182,14 @@
     /// Applies a change of one registration.
     pub fn apply_change(&mut self, change: &Change, adapter: &dyn Adapter, now: Instant) {
         match change {
-            Change::Put(object) => self.put(object, adapter),
+            Change::Put(object) => self.put(object, adapter, now),
             Change::Deleted(name) => self.remove(name, now),
         }
     }
 
-    fn put(&mut self, object: &Object, adapter: &dyn Adapter) {
+    fn put(&mut self, object: &Object, adapter: &dyn Adapter, now: Instant) {
         match adapter.target(object) {
-            Ok(target) => self.put_target(target),
+            Ok(target) => self.put_target(target, now),
             Err(error) => {
                 log::warn!(
                     step = "read registration", peer = object.name.as_str();
@@ -200,7 +202,7 @@
 
     /// Inserts or updates a target, unless a later incarnation of it is known. Its load is kept as
     /// long as `born` stays the same.
-    pub fn put_target(&mut self, target: Target) {
+    pub fn put_target(&mut self, target: Target, now: Instant) {
         let load = match self.targets.get(&target.id) {
             Some(registration) if is_earlier(&target, &registration.candidate.target) => {
                 log::info!(
@@ -227,6 +229,7 @@
             address:% = target.address, stage:? = target.stage;
             "target registered"
         );
+        note_version(&mut self.versions, &target, now);
         let id = target.id.clone();
         let candidate = Candidate {
             target,
@@ -277,9 +280,7 @@
     /// Notes the software versions of all registered targets, and forgets those that ended long ago.
     pub fn refresh_versions(&mut self, now: Instant) {
         for registration in self.targets.values() {
-            let target = &registration.candidate.target;
-            let versions = self.versions.entry(target.service.clone()).or_default();
-            versions.insert(target.version.clone(), now);
+            note_version(&mut self.versions, &registration.candidate.target, now);
         }
         self.versions.retain(|_, versions| {
             versions.retain(|_, seen| now - *seen < VERSION_LIFETIME);
@@ -371,3 +372,9 @@
         candidate.sole_of_version = any_more && counts[&candidate.target.version] == 1;
     }
 }
+
+/// Notes that a target of a software version is registered.
+fn note_version(versions: &mut Versions, target: &Target, now: Instant) {
+    let of_service = versions.entry(target.service.clone()).or_default();
+    of_service.insert(target.version.clone(), now);
+}
--- a/crates/gateway/tests/departure.rs
+++ b/crates/gateway/tests/departure.rs
@@ -57,7 +57,7 @@
     directory.apply_peer_snapshot(Revision(2), Vec::new(), now);
     directory.apply_peer_snapshot(Revision(3), vec![target("a", 5)], now);
     assert!(ready(&directory).is_empty());
-    directory.put_target(target("a", 4));
+    directory.put_target(target("a", 4), Instant::now());
     assert!(ready(&directory).is_empty());
 }
 
@@ -65,7 +65,7 @@
 fn a_later_incarnation_of_a_departed_target_gets_requests() {
     let mut directory = directory(vec![target("a", 5)]);
     directory.record_departure(Incarnation::of(&target("a", 5)), Time(0));
-    directory.put_target(target("a", 6));
+    directory.put_target(target("a", 6), Instant::now());
     assert_eq!(ready(&directory), ["a"]);
 }
 
@@ -73,7 +73,7 @@
 fn a_departure_holds_for_a_target_that_is_registered_only_afterwards() {
     let mut directory = Directory::default();
     directory.record_departure(Incarnation::of(&target("a", 5)), Time(0));
-    directory.put_target(target("a", 5));
+    directory.put_target(target("a", 5), Instant::now());
     assert!(ready(&directory).is_empty());
 }
 
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -219,3 +219,15 @@
     directory.apply_peer_snapshot(Revision(6), vec![target], now);
     assert_eq!(directory.services()["s"][0].target.version, None);
 }
+
+/// Guards against a version that counts as the only one because the targets of another one were
+/// registered only for a moment, as right after the start of an entry.
+#[rstest]
+fn a_software_version_counts_from_its_first_registration() {
+    let mut directory = Directory::default();
+    let start = Instant::now();
+    directory.apply_change(&Change::Put(incarnation(1, "v1")), &Plain, start);
+    directory.apply_change(&Change::Put(incarnation(2, "v2")), &Plain, start);
+    directory.refresh_versions(start);
+    assert_eq!(directory.sole_version("s"), None);
+}
