--- a/crates/gateway/src/target/version.rs
+++ b/crates/gateway/src/target/version.rs
@@ -9,14 +9,15 @@
 pub enum Rule {
     #[default]
     Any,
-    /// Other versions only if no untried target of this one is left; its origin is stored already.
+    /// This version, which is stored as the stream's origin, while a target of it is left. Another one
+    /// must be stored first.
     Prefer(SoftwareVersion),
-    /// No other version: the caller has received events of this one.
+    /// This version alone, as the caller has received events of it.
     Only(SoftwareVersion),
 }
 
 impl Rule {
-    /// The rule for a request whose stored origin names a target's version.
+    /// Prefers a target's version, if it is known.
     pub fn preferring(target: &Target) -> Rule {
         match &target.version {
             Some(version) => Rule::Prefer(version.clone()),
