Log and measure how old the knowledge of targets is

Each answer of the object store that brings objects is logged with its revision and the time since the previous answer; teasellever_targets_age_seconds and teasellever_choice_to_send_seconds are histograms over all requests sent. The age bounds the time from the store's acceptance of a change to a sending that doesn't know of it. Debug lines give both for each request, and the headers of each target's answer. No decision changes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod fleet;
 pub mod follow;
+pub mod freshness;
 pub mod gauges;
 pub mod metrics;
 pub mod operators;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     time_to_send: Histogram<f64>,
     time_to_first_event: Histogram<f64>,
     history_call_duration: Histogram<f64>,
+    choice_to_send: Histogram<f64>,
+    targets_age: Histogram<f64>,
 }
 
 /// Number of events and timings of a turn, relative to the arrival of its request.
@@ -98,6 +100,14 @@
                 "teasellever_history_seconds",
                 "Time of a call to the history",
             ),
+            choice_to_send: seconds(
+                "teasellever_choice_to_send_seconds",
+                "Time from the choice of a target until the request is sent",
+            ),
+            targets_age: seconds(
+                "teasellever_targets_age_seconds",
+                "Age of the knowledge of targets when a request is sent",
+            ),
         }
     }
 
@@ -117,6 +127,13 @@
         }
     }
 
+    /// Records that a request is sent to a target that was chosen some time ago, on knowledge of some
+    /// age.
+    pub fn record_sending(&self, since_choice: Duration, targets_age: Duration) {
+        self.choice_to_send.record(since_choice.as_secs_f64(), &[]);
+        self.targets_age.record(targets_age.as_secs_f64(), &[]);
+    }
+
     /// Records a request that the entry refuses itself.
     pub fn record_refusal(&self, cause: &'static str) {
         let cause = KeyValue::new("cause", cause);
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -7,6 +7,7 @@
 use futures::stream::FuturesUnordered;
 use http::Response;
 use http_body_util::BodyExt;
+use tokio::time::Instant;
 
 use crate::adapter::Target;
 use crate::error::Error;
@@ -68,6 +69,7 @@
         body: job.body.clone(),
         urgency: None,
         last_event: None,
+        chosen: Instant::now(),
     };
     let answer = send::send(state, &entry, &attempt).await?;
     match collect(answer, job).await {
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -195,6 +195,7 @@
 ) -> Result<Answer, Refusal> {
     loop {
         let entry = choose_target(state, running)?;
+        let chosen = Instant::now();
         if let Err(error) = store_version(state, running, &entry.target).await {
             return Err(running.retry.abandon(error, &running.job));
         }
@@ -203,6 +204,7 @@
             body: running.body.clone(),
             urgency: running.urgency,
             last_event,
+            chosen,
         };
         let answer = send::send(state, &entry, &attempt).await;
         let answer = match answer {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,6 +29,7 @@
 use crate::config::Version;
 use crate::fleet::peers::Peers;
 use crate::follow::Event;
+use crate::freshness::Freshness;
 use crate::metrics::Instruments;
 use crate::quota::Exceeded;
 use crate::quota::Quotas;
@@ -70,6 +71,7 @@
     pub history: history::client::Client,
     pub pool: Arc<Pool>,
     pub instruments: Instruments,
+    pub freshness: Freshness,
     pub chains: Mutex<chain::Cache>,
     pub programs: Mutex<Programs>,
     pub prefixes: Mutex<Prefixes>,
@@ -110,6 +112,7 @@
             history: history::client::Client::new(losses),
             pool: Arc::default(),
             instruments: Instruments::new(meter),
+            freshness: Freshness::default(),
             chains: Mutex::new(chain::Cache::new(CHAIN_CACHE_BYTES)),
             programs: Mutex::default(),
             prefixes: Mutex::default(),
@@ -306,6 +309,7 @@
 
     /// Applies an event of the object store.
     pub fn apply_event(&self, kind: Kind, event: &Event) {
+        self.record_answer(kind, event);
         match (kind, event) {
             (_, Event::Unavailable) => self.mark_unavailable(),
             (_, Event::Available) => self.mark_available(),
@@ -337,6 +341,23 @@
         }
     }
 
+    /// Records the time of an answer of the object store, and logs what it brought.
+    fn record_answer(&self, kind: Kind, event: &Event) {
+        let (message, objects, revision) = match event {
+            Event::Listed(objects, revision) => ("listed", objects.len(), revision),
+            Event::Changed(changes, revision) => ("changed", changes.len(), revision),
+            Event::Unavailable | Event::Available => return,
+        };
+        let before = self.freshness.record_answer(kind, Instant::now());
+        if objects > 0 {
+            log::info!(
+                step = "learn", peer = "platform", kind:% = kind, objects = objects, revision = revision.0,
+                previous_answer_ms = before.unwrap_or_default().as_millis() as u64;
+                "{message}"
+            );
+        }
+    }
+
     fn mark_unavailable(&self) {
         let now = self.now_ms().max(1);
         let swapped = self.unavailable_since_ms.compare_exchange(
--- a/crates/gateway/src/target/send.rs
+++ b/crates/gateway/src/target/send.rs
@@ -12,6 +12,7 @@
 use http::response::Parts;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use node::object::Kind;
 use tokio::time::Instant;
 
 use crate::adapter::Dispatch;
@@ -52,6 +53,8 @@
     pub urgency: Option<u8>,
     /// Id of the last event that the caller has received, if a broken stream is resumed.
     pub last_event: Option<&'a str>,
+    /// When the target was chosen.
+    pub chosen: Instant,
 }
 
 /// Time until which a target's answer is awaited.
@@ -158,6 +161,7 @@
         .checkout(candidate, pick, limit, job.deadline)
         .await?;
     let request = request(state, candidate, attempt);
+    record_sending(state, candidate, attempt);
     let Some(sender) = lease.sender() else {
         return Err(Error::NotRun("connection was closed".to_owned()));
     };
@@ -176,6 +180,11 @@
     };
     let (parts, body) = response.into_parts();
     let reply = state.adapter.reply(&parts.headers);
+    log::debug!(
+        step = "exchange", peer = candidate.target.id.as_str(), request = job.call.request.as_str(),
+        status = parts.status.as_u16(), headers:? = parts.headers.keys();
+        "target answers"
+    );
     // A misdirected request was answered by another target at the same address.
     if reply.leaving && parts.status != StatusCode::MISDIRECTED_REQUEST {
         state.record_departure(&candidate.target, &job.call.request);
@@ -191,6 +200,20 @@
     })
 }
 
+/// Records when a request is sent, how long ago its target was chosen, and how old the knowledge of the
+/// target is.
+fn record_sending(state: &State, candidate: &Candidate, attempt: &Attempt<'_>) {
+    let age = state.freshness.age(Kind::Targets, Instant::now());
+    let (since_choice, age) = (attempt.chosen.elapsed(), age.unwrap_or_default());
+    state.instruments.record_sending(since_choice, age);
+    log::debug!(
+        step = "send", peer = candidate.target.id.as_str(),
+        request = attempt.job.call.request.as_str(),
+        since_choice_ms = since_choice.as_millis() as u64, targets_age_ms = age.as_millis() as u64;
+        "request is sent"
+    );
+}
+
 fn request(state: &State, candidate: &Candidate, attempt: &Attempt<'_>) -> Request<Full<Bytes>> {
     let job = attempt.job;
     let mut headers = job.headers.clone();
