Ask the object store again when the knowledge of its objects gets old

Callers saw nothing wrong; requests reached targets up to 9.5 s after the store had accepted that they leave. Cause: an entry trusted a waiting watch. One that the store never received, opened while it was silent for a second, looks like one of a store where nothing changes, until it times out after 9.5 s.

Knowledge now has an age: the time since an answer of the store to this entry, or to another one that has followed since an earlier revision and knows of no newer change (fields after the report, which earlier builds ignore). At its limit, 0.6 s at the first entry and later at the others, the store is asked from the same revision while the watch waits; if that finds changes, the watch is dropped. Limits leave 0.8 s of the time in which a change must be in force (settings bounds, from the deploy file's template).

The same cause: the configuration (a withdrawn key worked on) and ordered retirements of history hosts, both with the same mechanism.

--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -30,6 +30,7 @@
 use crate::fleet::usage;
 use crate::follow;
 use crate::follow::Event;
+use crate::freshness::Freshness;
 use crate::gauges;
 use crate::operators;
 use crate::reload;
@@ -66,6 +67,9 @@
 /// Fraction of the disk that stored turns and budgets may fill.
 const DISK_SHARE: f64 = 0.7;
 
+/// Age of a history host's knowledge of ordered retirements at which it asks the object store again.
+const RETIREMENT_CHECK_AGE: Duration = Duration::from_millis(5000);
+
 /// Runs an entry until its graceful shutdown has ended.
 ///
 /// Errors: a required address is missing or can't be bound, or signals can't be handled.
@@ -92,9 +96,14 @@
     for kind in [Kind::Config, Kind::Targets] {
         let (objects, state) = (Arc::clone(&objects), Arc::clone(&state));
         tokio::spawn(async move {
-            follow::run(&*objects, kind, |kind, event| {
-                state.apply_event(kind, event)
-            })
+            let age_limit = || state.knowledge_age_limit(kind);
+            follow::run(
+                &*objects,
+                kind,
+                &state.freshness,
+                age_limit,
+                |kind, event| state.apply_event(kind, event),
+            )
             .await;
         });
     }
@@ -299,11 +308,18 @@
     join::join(&server, &*objects, &config).await;
     let order_sender = watch::Sender::new(false);
     let mut order_receiver = order_sender.subscribe();
-    let following = follow::run(&*objects, Kind::Retirements, |_, event| {
-        if is_retirement_ordered(event, &config.me.host) {
-            order_sender.send_replace(true);
-        }
-    });
+    let freshness = Freshness::default();
+    let following = follow::run(
+        &*objects,
+        Kind::Retirements,
+        &freshness,
+        || RETIREMENT_CHECK_AGE,
+        |_, event| {
+            if is_retirement_ordered(event, &config.me.host) {
+                order_sender.send_replace(true);
+            }
+        },
+    );
     tokio::select! {
         () = following => {}
         _ = order_receiver.wait_for(|ordered| *ordered) => {}
--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -46,6 +46,9 @@
         }
         drop(suspects);
         self.merge_departures(report);
+        for statement in &report.knowledge {
+            self.freshness.merge(*statement, Instant::now());
+        }
         let peer = (hash::hash_parts(&[&report.host]), report.incarnation);
         self.quotas
             .lock()
@@ -106,6 +109,7 @@
             entries: self.peers.lock().fresh_addresses(now),
             departures: self.directory.lock().recent_departures(now),
             failing: failing.collect(),
+            knowledge: self.freshness.statements(Instant::now()),
         };
         (report, self.peers.lock().addresses())
     }
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -10,11 +10,14 @@
 use coord::quota::Total;
 use coord::time::Millis;
 use coord::time::Time;
+use node::object::Kind;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::Map;
+use crate::freshness::Statement;
 use crate::target::departure::Incarnation;
+use crate::target::hash;
 
 /// Time between reports with at most [`INTERVAL_ENTRIES`] entries.
 const BASE_INTERVAL: Duration = Duration::from_millis(100);
@@ -55,13 +58,16 @@
     pub crashes: Vec<(u64, u64)>,
     /// Other entries with recent reports, for receivers that can't read the object store.
     pub entries: Vec<SocketAddr>,
-    /// Targets that announced that they leave. This and the next field are encoded after the report,
+    /// Targets that announced that they leave. This and the next fields are encoded after the report,
     /// where earlier builds ignore them.
     #[serde(skip)]
     pub departures: Vec<Incarnation>,
     /// Targets whose last answer to the sender was a failure, by the hash of the target's id.
     #[serde(skip)]
     pub failing: Vec<u32>,
+    /// What the sender knows of the object store's objects.
+    #[serde(skip)]
+    pub knowledge: Vec<Statement>,
 }
 
 impl Report {
@@ -70,16 +76,21 @@
     /// Errors: none that the fields can cause.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let report = postcard::to_stdvec(self)?;
-        postcard::to_extend(&(&self.departures, &self.failing), report)
+        postcard::to_extend(&(&self.departures, &self.failing, &self.knowledge), report)
     }
 
-    /// Decodes a datagram, also of a build that reports neither departures nor failing targets.
+    /// Decodes a datagram, also of a build that reports fewer of the fields after the report.
     ///
     /// Errors: the datagram is malformed.
     pub fn decode(datagram: &[u8]) -> Result<Report, postcard::Error> {
         let (mut report, rest) = postcard::take_from_bytes::<Report>(datagram)?;
+        if rest.is_empty() {
+            return Ok(report);
+        }
+        let ((departures, failing), rest) = postcard::take_from_bytes(rest)?;
+        (report.departures, report.failing) = (departures, failing);
         if !rest.is_empty() {
-            (report.departures, report.failing) = postcard::from_bytes(rest)?;
+            report.knowledge = postcard::from_bytes(rest)?;
         }
         Ok(report)
     }
@@ -235,6 +246,23 @@
             .map(|(address, _)| address)
     }
 
+    /// Whether this entry is the first of those that the object store answers, in an order that depends
+    /// on the kind of objects.
+    pub fn is_first_to_check(&self, own: SocketAddr, kind: Kind, now: Time) -> bool {
+        let order =
+            |address: SocketAddr| hash::hash_parts(&[&kind.to_string(), &address.to_string()]);
+        let fresh = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.is_fresh(now, self.silence_timeout()));
+        let mut reaching = fresh.filter(|(_, peer)| {
+            peer.last_report
+                .is_some_and(|report| report.store_reachable)
+        });
+        let own_order = order(own);
+        reaching.all(|(address, _)| own_order < order(*address))
+    }
+
     /// Any entry with a recent report.
     pub fn any_fresh(&self, now: Time) -> Option<SocketAddr> {
         let mut fresh = self
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,9 +1,13 @@
 //! Follows objects of one kind: lists them, then watches for changes, and lists again whenever
 //! changes may have been missed.
+//!
+//! A watch that the store never received looks like one that waits. While one waits, the store is
+//! therefore asked again whenever the knowledge gets too old; see [`crate::freshness`].
 
 use std::time::Duration;
 
 use node::object::Change;
+use node::object::Changes;
 use node::object::Error;
 use node::object::Kind;
 use node::object::Object;
@@ -12,10 +16,16 @@
 use sched::retry::Backoff;
 use tokio::time::Instant;
 
+use crate::freshness::Answer;
+use crate::freshness::Freshness;
+
 /// How long the object store holds a watch open. Each watch is a paid call, which favours long
 /// ones, but a dead watch isn't noticed until this time has passed.
 const WATCH_DURATION: Duration = Duration::from_secs(8);
 
+/// Wait of a watch that only asks whether changes were missed; zero would leave out the wait.
+const CHECK_DURATION: Duration = Duration::from_millis(1);
+
 /// Watch duration for kinds that change rarely and tolerate delay.
 const LONG_WATCH_DURATION: Duration = Duration::from_secs(20);
 
@@ -46,16 +56,24 @@
     Available,
 }
 
-/// Calls `on_event` for each event of a kind of objects, until the future is dropped.
-pub async fn run<S: ObjectStore>(objects: &S, kind: Kind, on_event: impl Fn(Kind, &Event)) {
+/// Calls `on_event` for each event of a kind of objects, until the future is dropped. Asks the store
+/// again when the knowledge is older than `age_limit`.
+pub async fn run<S: ObjectStore>(
+    objects: &S,
+    kind: Kind,
+    freshness: &Freshness,
+    age_limit: impl Fn() -> Duration,
+    on_event: impl Fn(Kind, &Event),
+) {
     let mut since: Option<Revision> = None;
     let mut backoff = new_backoff();
     let mut failing_since: Option<Instant> = None;
     let mut unavailable = true;
     loop {
-        let result = list_or_watch(objects, kind, since).await;
+        let result = next_answer(objects, kind, since, freshness, &age_limit).await;
         match result {
             Ok((event, revision)) => {
+                record_answer(freshness, kind, &event, revision);
                 backoff = new_backoff();
                 failing_since = None;
                 if std::mem::replace(&mut unavailable, false) {
@@ -109,10 +127,12 @@
     Backoff::new(coord::time::Millis(first), coord::time::Millis(longest))
 }
 
-async fn list_or_watch<S: ObjectStore>(
+async fn next_answer<S: ObjectStore>(
     objects: &S,
     kind: Kind,
     since: Option<Revision>,
+    freshness: &Freshness,
+    age_limit: &impl Fn() -> Duration,
 ) -> Result<(Event, Revision), Error> {
     match since {
         None => {
@@ -121,9 +141,69 @@
             Ok((Event::Listed(listing.objects, revision), revision))
         }
         Some(since) => {
-            let changes = objects.watch(kind, since, watch_duration(kind)).await?;
+            let changes = watch(objects, kind, since, freshness, age_limit).await?;
             let revision = changes.revision;
             Ok((Event::Changed(changes.changes, revision), revision))
         }
     }
 }
+
+/// Waits for changes by a long watch, and asks for them when the knowledge is too old. The long watch
+/// is dropped if that finds changes that it should have brought.
+async fn watch<S: ObjectStore>(
+    objects: &S,
+    kind: Kind,
+    since: Revision,
+    freshness: &Freshness,
+    age_limit: &impl Fn() -> Duration,
+) -> Result<Changes, Error> {
+    let watch = objects.watch(kind, since, watch_duration(kind));
+    tokio::pin!(watch);
+    loop {
+        let check = async {
+            freshness.overdue(kind, age_limit).await;
+            objects.watch(kind, since, CHECK_DURATION).await
+        };
+        tokio::select! {
+            biased;
+            changes = &mut watch => return changes,
+            changes = check => {
+                let changes = changes?;
+                if !changes.changes.is_empty() {
+                    log::info!(step = "follow", peer = "platform", kind:% = kind; "waiting watch missed changes: watches anew");
+                    return Ok(changes);
+                }
+                freshness.record_answer(kind, Answer::Unchanged, changes.revision, Instant::now());
+            }
+        }
+    }
+}
+
+/// Records an answer of the object store, and logs what it brought and how old the knowledge was.
+fn record_answer(freshness: &Freshness, kind: Kind, event: &Event, revision: Revision) {
+    let (message, objects) = match event {
+        Event::Listed(objects, _) => ("listed", objects.len()),
+        Event::Changed(changes, _) => ("changed", changes.len()),
+        Event::Unavailable | Event::Available => return,
+    };
+    let age = freshness.record_answer(kind, summary(event, revision), revision, Instant::now());
+    if objects > 0 {
+        log::info!(
+            step = "learn", peer = "platform", kind:% = kind, objects = objects, revision = revision.0,
+            previous_age_ms = age.unwrap_or_default().as_millis() as u64;
+            "{message}"
+        );
+    }
+}
+
+/// What an answer brought. Deletions have no revision of their own: the answer's stands for theirs.
+fn summary(event: &Event, revision: Revision) -> Answer {
+    let Event::Changed(changes, _) = event else {
+        return Answer::Listing;
+    };
+    let revisions = changes.iter().map(|change| match change {
+        Change::Put(object) => object.revision,
+        Change::Deleted(_) => revision,
+    });
+    revisions.max().map_or(Answer::Unchanged, Answer::Changes)
+}
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -1,33 +1,175 @@
 //! How current this process's knowledge of the object store is, by kind of object.
 //!
-//! A waiting watch is silent while nothing changes, and also if the store never received it. Only
-//! answers show that nothing was missed.
+//! A waiting watch is silent while nothing changes, and also if the store never received it or the
+//! connection is dead. Only answers show that nothing was missed, so the knowledge has an age: the time
+//! since an answer of the store to this process, or to another one that knows of no newer change. When
+//! the age reaches a limit, the store is asked; [`crate::follow`] does that.
 
 use std::time::Duration;
 
 use node::object::Kind;
+use node::object::Revision;
 use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::Map;
 
-/// When the object store last answered a call about each kind.
+/// Time within which a change that another entry knows of should come by this one's own watch.
+const SETTLE_TIME: Duration = Duration::from_millis(150);
+
+/// What an entry tells others of its knowledge of one kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Statement {
+    pub kind: Kind,
+    /// Revision since which it has seen each change; it may not know of deletions before.
+    pub since: u64,
+    /// Revision of the newest change that it knows.
+    pub changed: u64,
+    /// Time since the store answered it, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// What an answer of the store brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// All objects.
+    Listing,
+    /// All changes since the answer before; the newest one has this revision.
+    Changes(Revision),
+    /// No change since the answer before.
+    Unchanged,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Knowledge {
+    /// When the store last answered this process.
+    answered: Instant,
+    /// Latest time for which it is known that nothing newer was accepted before.
+    confirmed: Instant,
+    /// Revision of the listing since which each change was seen.
+    since: Revision,
+    /// Revision up to which all changes are known.
+    known: Revision,
+    /// Revision of the newest change seen.
+    changed: Revision,
+    /// Newer change that another entry has reported, and when.
+    reported: Option<(Revision, Instant)>,
+}
+
+/// Knowledge of all kinds.
 #[derive(Debug, Default)]
 pub struct Freshness {
-    answered: Mutex<Map<Kind, Instant>>,
+    kinds: Mutex<Map<Kind, Knowledge>>,
+    reported: Notify,
 }
 
 impl Freshness {
-    /// Records an answer that contained all changes up to `now`; returns the age that the knowledge
-    /// had before, none at the first answer.
-    pub fn record_answer(&self, kind: Kind, now: Instant) -> Option<Duration> {
-        let before = self.answered.lock().insert(kind, now);
-        before.map(|before| now - before)
+    /// Records an answer as of a revision. Returns the age that the knowledge had before, none at the
+    /// first answer.
+    pub fn record_answer(
+        &self,
+        kind: Kind,
+        answer: Answer,
+        revision: Revision,
+        now: Instant,
+    ) -> Option<Duration> {
+        let mut kinds = self.kinds.lock();
+        let before = kinds.get(&kind).copied();
+        let (since, changed) = match (answer, before) {
+            (Answer::Listing, _) | (_, None) => (revision, revision),
+            (Answer::Changes(newest), Some(before)) => (before.since, newest.max(before.changed)),
+            (Answer::Unchanged, Some(before)) => (before.since, before.changed),
+        };
+        let known = before.map_or(revision, |before| before.known.max(revision));
+        let reported = before.and_then(|before| before.reported);
+        let knowledge = Knowledge {
+            answered: now,
+            confirmed: now,
+            since,
+            known,
+            changed,
+            reported: reported.filter(|(revision, _)| *revision > known),
+        };
+        kinds.insert(kind, knowledge);
+        before.map(|before| now - before.confirmed)
     }
 
-    /// Time since the last answer; none before the first.
+    /// Merges another entry's statement: it confirms the knowledge, or tells of a change that is missing.
+    pub fn merge(&self, statement: Statement, now: Instant) {
+        let mut kinds = self.kinds.lock();
+        let Some(knowledge) = kinds.get_mut(&statement.kind) else {
+            return;
+        };
+        let changed = Revision(statement.changed);
+        let answered = now.checked_sub(Duration::from_millis(statement.age_ms));
+        // An entry that listed later may not know of a deletion that is missing here.
+        let comparable = Revision(statement.since) <= knowledge.known;
+        match (knowledge.reported, answered) {
+            _ if !comparable => {}
+            (_, Some(answered)) if changed <= knowledge.known => {
+                knowledge.confirmed = knowledge.confirmed.max(answered);
+            }
+            (None, _) if changed > knowledge.known => {
+                knowledge.reported = Some((changed, now));
+                drop(kinds);
+                self.reported.notify_waiters();
+            }
+            (Some((reported, since)), _) => {
+                knowledge.reported = Some((changed.max(reported), since));
+            }
+            _ => {}
+        }
+    }
+
+    /// What to tell other entries. Only answers to this process count, so that entries can't confirm
+    /// each other in a circle.
+    pub fn statements(&self, now: Instant) -> Vec<Statement> {
+        let kinds = self.kinds.lock();
+        let statements = kinds.iter().map(|(kind, knowledge)| Statement {
+            kind: *kind,
+            since: knowledge.since.0,
+            changed: knowledge.changed.0,
+            age_ms: (now - knowledge.answered).as_millis() as u64,
+        });
+        statements.collect()
+    }
+
+    /// Age of the knowledge; none before the first answer.
     pub fn age(&self, kind: Kind, now: Instant) -> Option<Duration> {
-        let answered = self.answered.lock();
-        answered.get(&kind).map(|answered| now - *answered)
+        let kinds = self.kinds.lock();
+        kinds.get(&kind).map(|knowledge| now - knowledge.confirmed)
+    }
+
+    /// Waits until the knowledge is older than `limit`, or a change that another entry knows of is
+    /// missing.
+    pub async fn overdue(&self, kind: Kind, limit: impl Fn() -> Duration) {
+        loop {
+            let reported = self.reported.notified();
+            tokio::pin!(reported);
+            reported.as_mut().enable();
+            let Some(due) = self.due(kind, limit()) else {
+                reported.await;
+                continue;
+            };
+            if due <= Instant::now() {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep_until(due) => {}
+                () = reported => {}
+            }
+        }
+    }
+
+    /// When the store must be asked; none before its first answer.
+    fn due(&self, kind: Kind, limit: Duration) -> Option<Instant> {
+        let kinds = self.kinds.lock();
+        let knowledge = kinds.get(&kind)?;
+        let by_age = knowledge.confirmed + limit;
+        let by_report = knowledge.reported.map(|(_, since)| since + SETTLE_TIME);
+        Some(by_report.map_or(by_age, |by_report| by_report.min(by_age)))
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -33,6 +33,9 @@
     /// Requests by which a customer's rate may be exceeded within a few seconds, over all entries.
     #[serde(default, deserialize_with = "optional")]
     pub rate_excess: Option<u32>,
+    /// Times within which changes must be in force.
+    #[serde(default)]
+    pub bounds: Bounds,
     /// Address of the object store.
     pub object_store: SocketAddr,
     pub resources: Resources,
@@ -48,6 +51,25 @@
     pub operators: Vec<Operator>,
 }
 
+/// Times within which a change that the object store has accepted must be in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Time for which a target that leaves still serves requests, in milliseconds.
+    pub leave_ms: u64,
+    /// Time within which a configuration must be in force, in milliseconds.
+    pub config_ms: u64,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds {
+            leave_ms: 2000,
+            config_ms: 2000,
+        }
+    }
+}
+
 /// Listening addresses of a process.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -105,6 +127,9 @@
                 "peer_ports",
                 "must be a range of at least two ports",
             )),
+            () if self.bounds.leave_ms == 0 || self.bounds.config_ms == 0 => {
+                Err(Invalid::new("bounds", "must be greater than 0"))
+            }
             () if self.stop_s <= 0.0 => Err(Invalid::new("stop_s", "must be greater than 0")),
             () => Ok(()),
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -27,6 +27,7 @@
 use crate::config::Config;
 use crate::config::CustomerLimits;
 use crate::config::Version;
+use crate::fleet::peers;
 use crate::fleet::peers::Peers;
 use crate::follow::Event;
 use crate::freshness::Freshness;
@@ -56,6 +57,13 @@
 /// Maximum number of connections to a target whose service isn't configured.
 const DEFAULT_CONNECTIONS: u32 = 16;
 
+/// Age of the knowledge of the object store at which the first entry asks it again.
+const FIRST_CHECK_AGE: Duration = Duration::from_millis(600);
+
+/// Part of the time within which a change must be in force that is left for the check, the pause after
+/// the change before, and sending.
+const CHANGE_RESERVE: Duration = Duration::from_millis(800);
+
 /// Configuration in force.
 #[derive(Debug)]
 pub struct Snapshot {
@@ -309,7 +317,6 @@
 
     /// Applies an event of the object store.
     pub fn apply_event(&self, kind: Kind, event: &Event) {
-        self.record_answer(kind, event);
         match (kind, event) {
             (_, Event::Unavailable) => self.mark_unavailable(),
             (_, Event::Available) => self.mark_available(),
@@ -341,21 +348,21 @@
         }
     }
 
-    /// Records the time of an answer of the object store, and logs what it brought.
-    fn record_answer(&self, kind: Kind, event: &Event) {
-        let (message, objects, revision) = match event {
-            Event::Listed(objects, revision) => ("listed", objects.len(), revision),
-            Event::Changed(changes, revision) => ("changed", changes.len(), revision),
-            Event::Unavailable | Event::Available => return,
+    /// Age at which the knowledge of a kind must be checked. One entry checks first; the others wait for
+    /// its report, as long as the time within which a change must be in force allows.
+    pub fn knowledge_age_limit(&self, kind: Kind) -> Duration {
+        let (peers, now) = (self.peers.lock(), self.time());
+        let report_interval = peers::interval(peers.fleet(now).entries);
+        let limit = match peers.is_first_to_check(self.settings.peer_address(), kind, now) {
+            true => FIRST_CHECK_AGE,
+            false => FIRST_CHECK_AGE + 2 * report_interval,
         };
-        let before = self.freshness.record_answer(kind, Instant::now());
-        if objects > 0 {
-            log::info!(
-                step = "learn", peer = "platform", kind:% = kind, objects = objects, revision = revision.0,
-                previous_answer_ms = before.unwrap_or_default().as_millis() as u64;
-                "{message}"
-            );
-        }
+        let bound = match kind {
+            Kind::Targets => self.settings.bounds.leave_ms,
+            _ => self.settings.bounds.config_ms,
+        };
+        let bound = Duration::from_millis(bound);
+        limit.min(bound.saturating_sub(CHANGE_RESERVE).max(bound / 4))
     }
 
     fn mark_unavailable(&self) {
--- a/crates/gateway/tests/departure.rs
+++ b/crates/gateway/tests/departure.rs
@@ -7,9 +7,11 @@
 use gateway::adapter::Stage;
 use gateway::adapter::Target;
 use gateway::fleet::peers::Report;
+use gateway::freshness::Statement;
 use gateway::target::departure::Departures;
 use gateway::target::departure::Incarnation;
 use gateway::target::directory::Directory;
+use node::object::Kind;
 use node::object::Revision;
 use rstest::rstest;
 use tokio::time::Instant;
@@ -113,6 +115,15 @@
     assert!(departures.recent(Time(11_000)).is_empty());
 }
 
+fn statement() -> Statement {
+    Statement {
+        kind: Kind::Targets,
+        since: 3,
+        changed: 4,
+        age_ms: 200,
+    }
+}
+
 fn report(departures: Vec<Incarnation>) -> Report {
     let entry: SocketAddr = ([10, 0, 0, 1], 7_780).into();
     Report {
@@ -132,6 +143,7 @@
             .map(|departure| departure.target)
             .collect(),
         departures,
+        knowledge: vec![statement()],
     }
 }
 
@@ -145,7 +157,10 @@
 #[rstest]
 fn reports_are_exchanged_with_builds_that_know_neither() {
     let with_departures = report(vec![Incarnation::of(&target("a", 5))]);
-    let without = report(Vec::new());
+    let without = Report {
+        knowledge: Vec::new(),
+        ..report(Vec::new())
+    };
     // The earlier build encodes the fields before the departures alone.
     let earlier = postcard::to_stdvec(&with_departures).expect("encoded");
     assert_eq!(Report::decode(&earlier).expect("decoded"), without);
@@ -153,3 +168,18 @@
     let read_by_earlier: Report = postcard::from_bytes(&datagram).expect("decoded");
     assert_eq!(read_by_earlier, without);
 }
+
+#[rstest]
+fn reports_are_exchanged_with_builds_that_know_only_departures_and_failing_targets() {
+    let report = report(vec![Incarnation::of(&target("a", 5))]);
+    let start = postcard::to_stdvec(&report).expect("encoded");
+    let appended = (&report.departures, &report.failing);
+    let earlier = postcard::to_extend(&appended, start).expect("encoded");
+    let without = Report {
+        knowledge: Vec::new(),
+        ..report.clone()
+    };
+    assert_eq!(Report::decode(&earlier).expect("decoded"), without);
+    let datagram = report.encode().expect("encoded");
+    assert!(datagram.starts_with(&earlier));
+}
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -5,6 +5,7 @@
 
 use gateway::follow;
 use gateway::follow::Event;
+use gateway::freshness::Freshness;
 use node::object::Change;
 use node::object::Changes;
 use node::object::Error;
@@ -16,11 +17,18 @@
 use rstest::rstest;
 use serde_json::Value;
 
+/// Age of the knowledge at which the store is asked again; longer than these tests' answers take.
+const AGE_LIMIT: Duration = Duration::from_secs(100);
+
 /// Scripted answer of the object store.
 #[derive(Debug)]
 enum Answer {
     List(Result<u64, Error>),
     Watch(Result<u64, Error>),
+    /// A watch whose wait ends at this revision without changes.
+    Unchanged(u64),
+    /// A watch that is never answered.
+    Lost,
 }
 
 /// Object store that gives its answers in order and then no more, and records the calls.
@@ -65,7 +73,7 @@
                 objects: vec![object(revision)],
                 revision: Revision(revision),
             }),
-            Some(Answer::Watch(_)) => panic!("a watch was expected"),
+            Some(answer) => panic!("{answer:?} was expected"),
             None => std::future::pending().await,
         }
     }
@@ -76,8 +84,12 @@
                 changes: vec![Change::Put(object(revision))],
                 revision: Revision(revision),
             }),
+            Some(Answer::Unchanged(revision)) => Ok(Changes {
+                changes: Vec::new(),
+                revision: Revision(revision),
+            }),
             Some(Answer::List(_)) => panic!("a listing was expected"),
-            None => std::future::pending().await,
+            Some(Answer::Lost) | None => std::future::pending().await,
         }
     }
 
@@ -95,15 +107,26 @@
 }
 
 async fn run(store: &ScriptedStore) -> Vec<String> {
+    run_with(store, AGE_LIMIT).await
+}
+
+async fn run_with(store: &ScriptedStore, age_limit: Duration) -> Vec<String> {
     let events = Mutex::new(Vec::new());
-    let following = follow::run(store, Kind::Config, |_, event| {
-        events.lock().expect("lock").push(match event {
-            Event::Listed(_, revision) => format!("listed {revision}"),
-            Event::Changed(_, revision) => format!("changed {revision}"),
-            Event::Unavailable => "lost".to_owned(),
-            Event::Available => "regained".to_owned(),
-        });
-    });
+    let freshness = Freshness::default();
+    let following = follow::run(
+        store,
+        Kind::Config,
+        &freshness,
+        || age_limit,
+        |_, event| {
+            events.lock().expect("lock").push(match event {
+                Event::Listed(_, revision) => format!("listed {revision}"),
+                Event::Changed(_, revision) => format!("changed {revision}"),
+                Event::Unavailable => "lost".to_owned(),
+                Event::Available => "regained".to_owned(),
+            });
+        },
+    );
     let _ = tokio::time::timeout(Duration::from_secs(60), following).await;
     events.into_inner().expect("lock")
 }
@@ -165,3 +188,21 @@
     // The outage lasts a minute; the delay grows to at most 1.2 s, and is half of that on average.
     assert!((40..160).contains(&call_count), "{call_count}");
 }
+
+/// Guards against a watch that the store never received: it looks like one that waits, and its process
+/// hears of no change until it times out.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn changes_that_a_lost_watch_does_not_bring_are_asked_for_at_the_age_limit() {
+    let store = ScriptedStore::new(vec![
+        Answer::List(Ok(5)),
+        Answer::Lost,
+        Answer::Unchanged(6),
+        Answer::Watch(Ok(8)),
+        Answer::Watch(Ok(9)),
+    ]);
+    let events = run_with(&store, Duration::from_millis(600)).await;
+    assert_eq!(events, ["regained", "listed 5", "changed 8", "changed 9"]);
+    let expected = ["list", "watch 5", "watch 5", "watch 5", "watch 8"];
+    assert_eq!(calls(&store)[..5], expected);
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -28,6 +28,7 @@
         entries: Vec::new(),
         departures: Vec::new(),
         failing: Vec::new(),
+        knowledge: Vec::new(),
     }
 }
 
--- a/crates/node/src/object.rs
+++ b/crates/node/src/object.rs
@@ -7,10 +7,12 @@
 use std::fmt;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
 use serde_json::Value;
 
 /// Kind of an object.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Kind {
     /// The operators' configuration.
     Config,
