--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -65,12 +65,12 @@
     age_limit: impl Fn() -> Duration,
     on_event: impl Fn(Kind, &Event),
 ) {
-    let mut since: Option<Revision> = None;
+    let mut position: Option<Position> = None;
     let mut backoff = new_backoff();
     let mut failing_since: Option<Instant> = None;
     let mut unavailable = true;
     loop {
-        let result = next_answer(objects, kind, since, freshness, &age_limit).await;
+        let result = next_answer(objects, kind, position, freshness, &age_limit).await;
         match result {
             Ok((event, revision)) => {
                 record_answer(freshness, kind, &event, revision);
@@ -80,19 +80,19 @@
                     on_event(kind, &Event::Available);
                 }
                 on_event(kind, &event);
-                since = Some(revision);
+                position = Some(Position::after(position, &event, revision));
                 if matches!(event, Event::Changed(changes, _) if !changes.is_empty()) {
                     tokio::time::sleep(batch_delay(kind)).await;
                 }
             }
             Err(Error::Expired) => {
                 log::info!(step = "follow", peer = "platform", kind:% = kind; "changes were missed: lists again");
-                since = None;
+                position = None;
             }
             Err(error) => {
                 // A broken watch may have missed changes, and a new watch may take long to report
                 // this.
-                since = None;
+                position = None;
                 let first_failure = *failing_since.get_or_insert_with(Instant::now);
                 // A call that timed out has already waited for long, so it counts at once.
                 let outage =
@@ -127,20 +127,45 @@
     Backoff::new(coord::time::Millis(first), coord::time::Millis(longest))
 }
 
+/// Where the next watch begins.
+///
+/// After an answer without changes, it begins at the revision of the answer before: a store that loses
+/// its history may leave out changes for a moment, and the overlap shows them.
+#[derive(Debug, Clone, Copy)]
+struct Position {
+    watched: Revision,
+    /// Revision of the newest answer.
+    answered: Revision,
+}
+
+impl Position {
+    fn after(position: Option<Position>, event: &Event, revision: Revision) -> Position {
+        let watched = match (position, event) {
+            (Some(position), Event::Changed(changes, _)) if changes.is_empty() => position.answered,
+            _ => revision,
+        };
+        Position {
+            watched,
+            answered: revision,
+        }
+    }
+}
+
 async fn next_answer<S: ObjectStore>(
     objects: &S,
     kind: Kind,
-    since: Option<Revision>,
+    position: Option<Position>,
     freshness: &Freshness,
     age_limit: &impl Fn() -> Duration,
 ) -> Result<(Event, Revision), Error> {
-    match since {
+    match position {
         None => {
             let listing = objects.list(kind).await?;
             let revision = listing.revision;
             Ok((Event::Listed(listing.objects, revision), revision))
         }
-        Some(since) => {
+        Some(position) => {
+            let since = position.watched;
             let changes = watch(objects, kind, since, freshness, age_limit).await?;
             let revision = changes.revision;
             Ok((Event::Changed(changes.changes, revision), revision))
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -206,3 +206,20 @@
     let expected = ["list", "watch 5", "watch 5", "watch 5", "watch 8"];
     assert_eq!(calls(&store)[..5], expected);
 }
+
+/// Guards against changes that the store left out for a moment before it lost its history: the next
+/// watch begins before the answer without changes.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_watch_after_an_answer_without_changes_overlaps_with_it() {
+    let store = ScriptedStore::new(vec![
+        Answer::List(Ok(5)),
+        Answer::Unchanged(7),
+        Answer::Unchanged(9),
+        Answer::Unchanged(12),
+        Answer::Watch(Ok(13)),
+    ]);
+    run(&store).await;
+    let expected = ["list", "watch 5", "watch 5", "watch 7", "watch 9"];
+    assert_eq!(calls(&store)[..5], expected);
+}
