Book an announcement on the incarnation that made it

An announcement was recorded for the incarnation that was registered when the target was chosen.

An answer doesn't say which incarnation sent it, but whoever started before the announcement had made it. A registration brings requests only if it started after the announcement; within 3 s of it, as far as clocks may differ, it is doubtful and waits for 15 s. Reports between entries keep their format.

--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 
+use history::time::Timestamp;
 use node::object::Revision;
 use tokio::time::Instant;
 
@@ -70,7 +71,7 @@
         }
         let mut directory = self.directory.lock();
         for departure in &report.departures {
-            if directory.record_departure(*departure, self.time()) {
+            if directory.merge_departure(*departure, Timestamp::now(), self.time()) {
                 log::info!(
                     step = "learn target", peer = report.host.as_str(),
                     target_hash = departure.target, born = departure.born;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use coord::quota::Fleet;
 use coord::time::Time;
 use coord::usage::Exchange;
+use history::time::Timestamp;
 use node::object::Change;
 use node::object::Kind;
 use node::object::Object;
@@ -417,7 +418,8 @@
     /// Stops sending requests to a target that announced in an answer that it leaves.
     pub fn record_departure(&self, target: &Target, request: &Request) {
         let mut directory = self.directory.lock();
-        if !directory.record_departure(Incarnation::of(target), self.time()) {
+        let incarnation = Incarnation::of(target);
+        if !directory.record_departure(incarnation, Timestamp::now(), self.time()) {
             return;
         }
         self.publish_services(&directory);
--- a/crates/gateway/src/target/departure.rs
+++ b/crates/gateway/src/target/departure.rs
@@ -3,9 +3,15 @@
 //! An announcement holds for the incarnation that made it, whatever its registration says: a
 //! registration may arrive late, and some targets never change theirs. Only a later incarnation of
 //! the target receives requests again.
+//!
+//! An answer doesn't say which incarnation sent it: a target may have restarted under its id since
+//! the registration that is known here. Whoever started before the announcement had made it, so an
+//! incarnation is a later one only if it started after. Clocks of hosts differ; an incarnation that
+//! started too close to the announcement is doubtful for some time.
 
 use coord::time::Millis;
 use coord::time::Time;
+use history::time::Timestamp;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -21,6 +27,14 @@
 /// come back in an outdated listing.
 const RETENTION: Millis = Millis(600_000);
 
+/// Greatest difference between the clock of a target and this process's: a clock may step by two
+/// seconds.
+const CLOCK_TOLERANCE: Millis = Millis(3_000);
+
+/// Time for which an incarnation that started about when its target announced that it leaves gets no
+/// requests; a target that leaves has ended or its registration has changed by then.
+const DOUBT_TIME: Millis = Millis(15_000);
+
 /// Incarnation of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Incarnation {
@@ -43,13 +57,32 @@
 /// Latest announcement of a target.
 #[derive(Debug, Clone, Copy)]
 struct Departure {
+    /// Incarnation that was known when the announcement came.
     born: u64,
+    /// Time of day at which the target last announced it.
+    announced: Timestamp,
+    /// End of [`DOUBT_TIME`]; none once it has passed.
+    doubtful_until: Option<Time>,
     /// When this entry learned of it.
     learned: Time,
     /// When the target was last known to be registered, or when this entry learned of it.
     registered: Time,
 }
 
+impl Departure {
+    fn covers(&self, born: u64) -> bool {
+        let Timestamp(announced) = self.announced;
+        match born {
+            born if born <= self.born => true,
+            born if born.saturating_add(CLOCK_TOLERANCE.0) <= announced => true,
+            born if born <= announced.saturating_add(CLOCK_TOLERANCE.0) => {
+                self.doubtful_until.is_some()
+            }
+            _ => false,
+        }
+    }
+}
+
 /// Announcements of all targets.
 #[derive(Debug, Default)]
 pub struct Departures {
@@ -57,10 +90,23 @@
 }
 
 impl Departures {
-    /// Records that an incarnation leaves; returns whether that is new.
-    pub fn record(&mut self, incarnation: Incarnation, now: Time) -> bool {
+    /// Records that a target announces in an answer that it leaves, at a time of day; `incarnation` is
+    /// the one that is registered. Returns whether that is new.
+    pub fn record(&mut self, incarnation: Incarnation, announced: Timestamp, now: Time) -> bool {
+        let is_new = self.merge(incarnation, announced, now);
+        if let Some(departure) = self.by_target.get_mut(&incarnation.target) {
+            departure.announced = announced;
+            departure.doubtful_until = Some(now + DOUBT_TIME);
+        }
+        is_new
+    }
+
+    /// Merges another entry's report that a target leaves; returns whether that is new.
+    pub fn merge(&mut self, incarnation: Incarnation, reported: Timestamp, now: Time) -> bool {
         let departure = Departure {
             born: incarnation.born,
+            announced: reported,
+            doubtful_until: Some(now + DOUBT_TIME),
             learned: now,
             registered: now,
         };
@@ -73,10 +119,11 @@
         }
     }
 
-    /// Whether an incarnation, or a later one of the same target, has announced that it leaves.
+    /// Whether an incarnation, or a later one of the same target, has or may have announced that it
+    /// leaves.
     pub fn contains(&self, incarnation: Incarnation) -> bool {
         let departure = self.by_target.get(&incarnation.target);
-        departure.is_some_and(|departure| incarnation.born <= departure.born)
+        departure.is_some_and(|departure| departure.covers(incarnation.born))
     }
 
     /// Incarnations that this entry learned of within [`REPORT_WINDOW`], for reports.
@@ -91,7 +138,8 @@
             .collect()
     }
 
-    /// Forgets announcements of targets that haven't been registered for [`RETENTION`].
+    /// Ends doubts, and forgets announcements of targets that haven't been registered for
+    /// [`RETENTION`].
     pub fn expire<'a>(&mut self, registered: impl Iterator<Item = &'a Target>, now: Time) {
         for target in registered {
             let hash = hash::target_hash(&target.id);
@@ -99,6 +147,9 @@
                 departure.registered = now;
             }
         }
+        for departure in self.by_target.values_mut() {
+            departure.doubtful_until = departure.doubtful_until.filter(|until| now < *until);
+        }
         self.by_target
             .retain(|_, departure| now.since(departure.registered) < RETENTION);
     }
--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -13,6 +13,7 @@
 use compact_str::CompactString;
 use coord::id::SoftwareVersion;
 use coord::time::Time;
+use history::time::Timestamp;
 use node::object::Change;
 use node::object::Object;
 use node::object::Revision;
@@ -308,9 +309,24 @@
         })
     }
 
-    /// Records that a target announced that it leaves; returns whether that is new.
-    pub fn record_departure(&mut self, incarnation: Incarnation, now: Time) -> bool {
-        self.departures.record(incarnation, now)
+    /// Records that a target announced in an answer that it leaves; returns whether that is new.
+    pub fn record_departure(
+        &mut self,
+        incarnation: Incarnation,
+        announced: Timestamp,
+        now: Time,
+    ) -> bool {
+        self.departures.record(incarnation, announced, now)
+    }
+
+    /// Merges another entry's report that a target leaves; returns whether that is new.
+    pub fn merge_departure(
+        &mut self,
+        incarnation: Incarnation,
+        reported: Timestamp,
+        now: Time,
+    ) -> bool {
+        self.departures.merge(incarnation, reported, now)
     }
 
     /// Departures that this entry learned of lately, for reports to other entries.
