Check a target again right before a request is sent to it

A target is chosen, then an origin is stored (up to 0.9 s) and a connection opened (up to 0.9 s), and the request went out whatever had changed meanwhile. On sites with 2 s to leave these alone are most of the bound.

Directory::check is the one place that says whether a target may get a request now: registered, the same start and address as chosen, not leaving, not announced, not missing for longer than registrations may take to return (the last by the clock, no longer up to a second later). The list that is chosen from uses the same rule. A request that isn't sent counts as not run, doesn't count against the target, and is retried elsewhere.

Tests of the rule itself: gateway/tests/directory.rs.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -143,7 +143,7 @@
     /// Records a failed attempt at a target.
     pub fn record_failure(&self, error: &Error) {
         let ran = match error {
-            Error::NotRun(_) => "no",
+            Error::NotSent(_) | Error::NotRun(_) => "no",
             Error::MaybeRun(_) | Error::Timeout => "maybe",
         };
         self.failures.add(1, &[KeyValue::new("ran", ran)]);
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -118,7 +118,7 @@
     pub fn record_failure(&mut self, error: Error, job: &Job) -> Result<(), Refusal> {
         self.last_failure = Some(error.to_string());
         let failure = match error {
-            Error::NotRun(_) => Failure::NotRun,
+            Error::NotSent(_) | Error::NotRun(_) => Failure::NotRun,
             Error::MaybeRun(_) => Failure::MaybeRun,
             Error::Timeout => Failure::Timeout,
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -41,6 +41,7 @@
 use crate::target::departure::Incarnation;
 use crate::target::directory::Directory;
 use crate::target::directory::Services;
+use crate::target::directory::Withdrawal;
 use crate::target::pool::Pool;
 use crate::target::prefix::Prefixes;
 use crate::target::program::Programs;
@@ -405,6 +406,13 @@
         directory.sole_version(service)
     }
 
+    /// Checks that a target that was chosen before may get a request now.
+    ///
+    /// Errors: why it may not.
+    pub fn check_target(&self, target: &Target) -> Result<(), Withdrawal> {
+        self.directory.lock().check(target, Instant::now())
+    }
+
     /// Whether a target has registered again since, as another incarnation or with another software
     /// version.
     pub fn is_superseded(&self, target: &Target) -> bool {
--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -4,6 +4,7 @@
 //! Registrations that expired during an outage of the store are renewed within two seconds of its
 //! recovery, so a registration that is missing after an outage is removed only after that time.
 
+use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -101,6 +102,30 @@
     }
 }
 
+/// Why a target gets no requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Withdrawal {
+    /// It isn't registered.
+    Gone,
+    /// Another incarnation or address is registered under its id.
+    Replaced,
+    /// It has registered as leaving.
+    Leaving,
+    /// It has announced in an answer that it leaves.
+    Announced,
+}
+
+impl fmt::Display for Withdrawal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Withdrawal::Gone => "target is gone",
+            Withdrawal::Replaced => "target was replaced under its id",
+            Withdrawal::Leaving => "target is registered as leaving",
+            Withdrawal::Announced => "target has announced that it leaves",
+        })
+    }
+}
+
 #[derive(Debug)]
 struct Registration {
     candidate: Candidate,
@@ -346,8 +371,7 @@
         let mut services = Services::default();
         for registration in self.targets.values() {
             let candidate = &registration.candidate;
-            let leaves = self.departures.contains(Incarnation::of(&candidate.target));
-            if candidate.target.stage == Stage::Ready && !leaves {
+            if self.withdrawal(&candidate.target).is_none() {
                 let candidates = services
                     .entry(candidate.target.service.clone())
                     .or_default();
@@ -361,6 +385,40 @@
         services
     }
 
+    /// Checks that a target that was chosen before may get a request now.
+    ///
+    /// Errors: why it may not.
+    pub fn check(&self, target: &Target, now: Instant) -> Result<(), Withdrawal> {
+        let registration = self.targets.get(&target.id).ok_or(Withdrawal::Gone)?;
+        let registered = &registration.candidate.target;
+        let is_gone = registration.missing_since.is_some() && !self.may_reregister(now);
+        match self.withdrawal(registered) {
+            _ if is_gone => Err(Withdrawal::Gone),
+            _ if (registered.born, registered.address) != (target.born, target.address) => {
+                Err(Withdrawal::Replaced)
+            }
+            Some(withdrawal) => Err(withdrawal),
+            None => Ok(()),
+        }
+    }
+
+    /// Why a registered target gets no requests; none if it does.
+    fn withdrawal(&self, registered: &Target) -> Option<Withdrawal> {
+        match registered.stage {
+            Stage::Leaving => Some(Withdrawal::Leaving),
+            Stage::Ready if self.departures.contains(Incarnation::of(registered)) => {
+                Some(Withdrawal::Announced)
+            }
+            Stage::Ready => None,
+        }
+    }
+
+    /// Whether missing registrations may still be renewed after an outage of the object store.
+    fn may_reregister(&self, now: Instant) -> bool {
+        let deadline = self.store_recovered.map(|at| at + REREGISTRATION_TIMEOUT);
+        deadline.is_some_and(|deadline| now < deadline)
+    }
+
     /// All targets, for entries that can't read them from the object store.
     pub fn targets(&self) -> impl Iterator<Item = &Target> {
         self.targets
--- a/crates/gateway/src/target/send.rs
+++ b/crates/gateway/src/target/send.rs
@@ -82,6 +82,15 @@
                 suspects.record_answer(crash::request_fingerprint(attempt.job));
             }
         }
+        Err(error @ Error::NotSent(_)) => {
+            state.instruments.record_failure(error);
+            log::info!(
+                step = "send", peer = candidate.target.id.as_str(),
+                request = attempt.job.call.request.as_str(),
+                since_choice_ms = attempt.chosen.elapsed().as_millis() as u64;
+                "{error}"
+            );
+        }
         // The target has answered other requests meanwhile, so only this one is slow.
         Err(Error::Timeout) if candidate.load.answered_ms.load(Ordering::Relaxed) > sent_ms => {}
         Err(error) => {
@@ -126,6 +135,7 @@
         self.finished = true;
         let failed = match result {
             Ok(answer) => answer.parts.status.is_server_error(),
+            Err(Error::NotSent(_)) => return,
             Err(_) => true,
         };
         self.record_result(failed);
@@ -160,6 +170,9 @@
         .pool
         .checkout(candidate, pick, limit, job.deadline)
         .await?;
+    state
+        .check_target(&candidate.target)
+        .map_err(Error::NotSent)?;
     let request = request(state, candidate, attempt);
     record_sending(state, candidate, attempt);
     let Some(sender) = lease.sender() else {
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -12,6 +12,7 @@
 use gateway::config::Config;
 use gateway::target::directory::Directory;
 use gateway::target::directory::REREGISTRATION_TIMEOUT;
+use gateway::target::directory::Withdrawal;
 use http::HeaderMap;
 use node::object::Change;
 use node::object::Object;
@@ -231,3 +232,49 @@
     directory.refresh_versions(start);
     assert_eq!(directory.sole_version("s"), None);
 }
+
+fn chosen(directory: &Directory) -> Target {
+    directory.services()["s"][0].target.clone()
+}
+
+/// Guards against requests that are sent to a target that left after it was chosen, while an origin was
+/// stored or a connection opened.
+#[rstest]
+#[case(Change::Put(object("a", "leaving")), Withdrawal::Leaving)]
+#[case(Change::Put(restarted("a")), Withdrawal::Replaced)]
+#[case(Change::Put(object("a", "odd")), Withdrawal::Gone)]
+#[case(Change::Deleted("a".to_owned()), Withdrawal::Gone)]
+fn a_target_that_changed_after_it_was_chosen_gets_no_request(
+    #[case] change: Change,
+    #[case] withdrawal: Withdrawal,
+) {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    directory.apply_listing(&[object("a", "ready")], &Plain, now);
+    let target = chosen(&directory);
+    assert_eq!(directory.check(&target, now), Ok(()));
+    directory.apply_change(&change, &Plain, now);
+    assert_eq!(directory.check(&target, now), Err(withdrawal));
+}
+
+fn restarted(name: &str) -> Object {
+    let mut restarted = object(name, "ready");
+    restarted.spec["born"] = json!(2);
+    restarted
+}
+
+/// Guards against a target that is kept for longer than registrations may take to return, because
+/// nothing removes it in time.
+#[rstest]
+fn a_missing_target_gets_no_request_once_registrations_should_have_returned() {
+    let mut directory = Directory::default();
+    let recovered = Instant::now();
+    directory.apply_listing(&[object("a", "ready")], &Plain, recovered);
+    let target = chosen(&directory);
+    directory.record_store_recovery(recovered);
+    directory.apply_listing(&[], &Plain, recovered);
+    let deadline = recovered + REREGISTRATION_TIMEOUT;
+    let before = deadline - Duration::from_millis(1);
+    assert_eq!(directory.check(&target, before), Ok(()));
+    assert_eq!(directory.check(&target, deadline), Err(Withdrawal::Gone));
+}
