--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -18,6 +18,7 @@
 
 use crate::freshness::Answer;
 use crate::freshness::Freshness;
+use crate::freshness::SETTLE_TIME;
 
 /// How long the object store holds a watch open. Each watch is a paid call, which favours long
 /// ones, but a dead watch isn't noticed until this time has passed.
@@ -184,8 +185,10 @@
 ) -> Result<Changes, Error> {
     let watch = objects.watch(kind, since, watch_duration(kind));
     tokio::pin!(watch);
+    let settled = Instant::now() + SETTLE_TIME;
     loop {
         let check = async {
+            tokio::time::sleep_until(settled).await;
             freshness.overdue(kind, age_limit).await;
             objects.watch(kind, since, CHECK_DURATION).await
         };
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -18,7 +18,7 @@
 use crate::Map;
 
 /// Time within which a change that another entry knows of should come by this one's own watch.
-const SETTLE_TIME: Duration = Duration::from_millis(150);
+pub const SETTLE_TIME: Duration = Duration::from_millis(150);
 
 /// What an entry tells others of its knowledge of one kind.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/src/target/send.rs
+++ b/crates/gateway/src/target/send.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderName;
 use http::Request;
 use http::StatusCode;
 use http::header;
@@ -195,7 +196,7 @@
     let reply = state.adapter.reply(&parts.headers);
     log::debug!(
         step = "exchange", peer = candidate.target.id.as_str(), request = job.call.request.as_str(),
-        status = parts.status.as_u16(), headers:? = parts.headers.keys();
+        status = parts.status.as_u16(), headers = header_names(&parts.headers);
         "target answers"
     );
     // A misdirected request was answered by another target at the same address.
@@ -283,6 +284,12 @@
     }
 }
 
+/// Names of an answer's headers; their values may concern a customer.
+fn header_names(headers: &HeaderMap) -> String {
+    let names: Vec<&str> = headers.keys().map(HeaderName::as_str).collect();
+    names.join(" ")
+}
+
 /// Idle timeout from the `Connection` and `Keep-Alive` headers; zero if the target closes.
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
