Don't take a target that is gone for one that an outage hides

What is gone when the store is lost is removed then. A target that could still register again is kept through a further outage, as before. a_target_that_was_gone_before_an_outage_does_not_return_with_the_store failed before (the target was served again).

follow::run takes its five parameters as a Follower, with the random numbers of its delays, so that tests repeat. No behaviour changes by that.

--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -28,8 +28,8 @@
 use crate::fleet::gossip;
 use crate::fleet::news;
 use crate::fleet::usage;
-use crate::follow;
 use crate::follow::Event;
+use crate::follow::Follower;
 use crate::freshness::Freshness;
 use crate::gauges;
 use crate::operators;
@@ -96,15 +96,16 @@
     for kind in [Kind::Config, Kind::Targets] {
         let (objects, state) = (Arc::clone(&objects), Arc::clone(&state));
         tokio::spawn(async move {
-            let age_limit = || state.knowledge_age_limit(kind);
-            follow::run(
-                &*objects,
+            let follower = Follower {
+                objects: &*objects,
                 kind,
-                &state.freshness,
-                age_limit,
-                |kind, event| state.apply_event(kind, event),
-            )
-            .await;
+                freshness: &state.freshness,
+                age_limit: || state.knowledge_age_limit(kind),
+                random: rand::random,
+            };
+            follower
+                .run(|kind, event| state.apply_event(kind, event))
+                .await;
         });
     }
     tokio::spawn(fetch_membership(Arc::clone(&objects), Arc::clone(&state)));
@@ -309,17 +310,18 @@
     let order_sender = watch::Sender::new(false);
     let mut order_receiver = order_sender.subscribe();
     let freshness = Freshness::default();
-    let following = follow::run(
-        &*objects,
-        Kind::Retirements,
-        &freshness,
-        || RETIREMENT_CHECK_AGE,
-        |_, event| {
-            if is_retirement_ordered(event, &config.me.host) {
-                order_sender.send_replace(true);
-            }
-        },
-    );
+    let follower = Follower {
+        objects: &*objects,
+        kind: Kind::Retirements,
+        freshness: &freshness,
+        age_limit: || RETIREMENT_CHECK_AGE,
+        random: rand::random,
+    };
+    let following = follower.run(|_, event| {
+        if is_retirement_ordered(event, &config.me.host) {
+            order_sender.send_replace(true);
+        }
+    });
     tokio::select! {
         () = following => {}
         _ = order_receiver.wait_for(|ordered| *ordered) => {}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -57,56 +57,131 @@
     Available,
 }
 
-/// Calls `on_event` for each event of a kind of objects, until the future is dropped. Asks the store
-/// again when the knowledge is older than `age_limit`.
-pub async fn run<S: ObjectStore>(
-    objects: &S,
-    kind: Kind,
-    freshness: &Freshness,
-    age_limit: impl Fn() -> Duration,
-    on_event: impl Fn(Kind, &Event),
-) {
-    let mut position: Option<Position> = None;
-    let mut backoff = new_backoff();
-    let mut failing_since: Option<Instant> = None;
-    let mut unavailable = true;
-    loop {
-        let result = next_answer(objects, kind, position, freshness, &age_limit).await;
-        match result {
-            Ok((event, revision)) => {
-                record_answer(freshness, kind, &event, revision);
-                backoff = new_backoff();
-                failing_since = None;
-                if std::mem::replace(&mut unavailable, false) {
-                    on_event(kind, &Event::Available);
+/// Follows one kind of objects.
+#[derive(Debug)]
+pub struct Follower<'a, S, L, R> {
+    pub objects: &'a S,
+    pub kind: Kind,
+    pub freshness: &'a Freshness,
+    /// Age of the knowledge at which the store is asked again.
+    pub age_limit: L,
+    /// Random number from 0 to 1, for the delays of retries.
+    pub random: R,
+}
+
+impl<S, L, R> Follower<'_, S, L, R>
+where
+    S: ObjectStore,
+    L: Fn() -> Duration,
+    R: Fn() -> f64,
+{
+    /// Calls `on_event` for each event, until the future is dropped.
+    pub async fn run(&self, on_event: impl Fn(Kind, &Event)) {
+        let mut position: Option<Position> = None;
+        let mut backoff = new_backoff();
+        let mut failing_since: Option<Instant> = None;
+        let mut unavailable = true;
+        let kind = self.kind;
+        loop {
+            match self.next_answer(position).await {
+                Ok((event, revision)) => {
+                    self.record_answer(&event, revision);
+                    backoff = new_backoff();
+                    failing_since = None;
+                    if std::mem::replace(&mut unavailable, false) {
+                        on_event(kind, &Event::Available);
+                    }
+                    on_event(kind, &event);
+                    position = Some(Position::after(position, &event, revision));
+                    if matches!(event, Event::Changed(changes, _) if !changes.is_empty()) {
+                        tokio::time::sleep(batch_delay(kind)).await;
+                    }
                 }
-                on_event(kind, &event);
-                position = Some(Position::after(position, &event, revision));
-                if matches!(event, Event::Changed(changes, _) if !changes.is_empty()) {
-                    tokio::time::sleep(batch_delay(kind)).await;
+                Err(Error::Expired) => {
+                    log::info!(step = "follow", peer = "platform", kind:% = kind; "changes were missed: lists again");
+                    position = None;
                 }
+                Err(error) => {
+                    // A broken watch may have missed changes, and a new watch may take long to report
+                    // this.
+                    position = None;
+                    let first_failure = *failing_since.get_or_insert_with(Instant::now);
+                    // A call that timed out has already waited for long, so it counts at once.
+                    let outage =
+                        error == Error::Unknown || first_failure.elapsed() >= UNAVAILABLE_AFTER;
+                    log::info!(step = "follow", peer = "platform", kind:% = kind; "{error}");
+                    if outage && !std::mem::replace(&mut unavailable, true) {
+                        on_event(kind, &Event::Unavailable);
+                    }
+                    let delay = backoff.next_delay((self.random)());
+                    tokio::time::sleep(Duration::from_millis(delay.0)).await;
+                }
+            }
+        }
+    }
+
+    async fn next_answer(&self, position: Option<Position>) -> Result<(Event, Revision), Error> {
+        match position {
+            None => {
+                let listing = self.objects.list(self.kind).await?;
+                let revision = listing.revision;
+                Ok((Event::Listed(listing.objects, revision), revision))
             }
-            Err(Error::Expired) => {
-                log::info!(step = "follow", peer = "platform", kind:% = kind; "changes were missed: lists again");
-                position = None;
+            Some(position) => {
+                let changes = self.watch(position.watched).await?;
+                let revision = changes.revision;
+                Ok((Event::Changed(changes.changes, revision), revision))
             }
-            Err(error) => {
-                // A broken watch may have missed changes, and a new watch may take long to report
-                // this.
-                position = None;
-                let first_failure = *failing_since.get_or_insert_with(Instant::now);
-                // A call that timed out has already waited for long, so it counts at once.
-                let outage =
-                    error == Error::Unknown || first_failure.elapsed() >= UNAVAILABLE_AFTER;
-                log::info!(step = "follow", peer = "platform", kind:% = kind; "{error}");
-                if outage && !std::mem::replace(&mut unavailable, true) {
-                    on_event(kind, &Event::Unavailable);
+        }
+    }
+
+    /// Waits for changes by a long watch, and asks for them when the knowledge is too old. The long watch
+    /// is dropped if that finds changes that it should have brought.
+    async fn watch(&self, since: Revision) -> Result<Changes, Error> {
+        let (objects, kind) = (self.objects, self.kind);
+        let watch = objects.watch(kind, since, watch_duration(kind));
+        tokio::pin!(watch);
+        let settled = Instant::now() + SETTLE_TIME;
+        loop {
+            let check = async {
+                tokio::time::sleep_until(settled).await;
+                self.freshness.overdue(kind, &self.age_limit).await;
+                objects.watch(kind, since, CHECK_DURATION).await
+            };
+            tokio::select! {
+                biased;
+                changes = &mut watch => return changes,
+                changes = check => {
+                    let changes = changes?;
+                    if !changes.changes.is_empty() {
+                        log::info!(step = "follow", peer = "platform", kind:% = kind; "waiting watch missed changes: watches anew");
+                        return Ok(changes);
+                    }
+                    self.freshness.record_answer(kind, Answer::Unchanged, changes.revision, Instant::now());
                 }
-                let delay = backoff.next_delay(rand::random());
-                tokio::time::sleep(Duration::from_millis(delay.0)).await;
             }
         }
     }
+
+    /// Records an answer of the object store, and logs what it brought and how old the knowledge was.
+    fn record_answer(&self, event: &Event, revision: Revision) {
+        let (message, objects) = match event {
+            Event::Listed(objects, _) => ("listed", objects.len()),
+            Event::Changed(changes, _) => ("changed", changes.len()),
+            Event::Unavailable | Event::Available => return,
+        };
+        let answer = summary(event, revision);
+        let age = self
+            .freshness
+            .record_answer(self.kind, answer, revision, Instant::now());
+        if objects > 0 {
+            log::info!(
+                step = "learn", peer = "platform", kind:% = self.kind, objects = objects,
+                revision = revision.0, previous_age_ms = age.unwrap_or_default().as_millis() as u64;
+                "{message}"
+            );
+        }
+    }
 }
 
 fn batch_delay(kind: Kind) -> Duration {
@@ -152,78 +227,6 @@
     }
 }
 
-async fn next_answer<S: ObjectStore>(
-    objects: &S,
-    kind: Kind,
-    position: Option<Position>,
-    freshness: &Freshness,
-    age_limit: &impl Fn() -> Duration,
-) -> Result<(Event, Revision), Error> {
-    match position {
-        None => {
-            let listing = objects.list(kind).await?;
-            let revision = listing.revision;
-            Ok((Event::Listed(listing.objects, revision), revision))
-        }
-        Some(position) => {
-            let since = position.watched;
-            let changes = watch(objects, kind, since, freshness, age_limit).await?;
-            let revision = changes.revision;
-            Ok((Event::Changed(changes.changes, revision), revision))
-        }
-    }
-}
-
-/// Waits for changes by a long watch, and asks for them when the knowledge is too old. The long watch
-/// is dropped if that finds changes that it should have brought.
-async fn watch<S: ObjectStore>(
-    objects: &S,
-    kind: Kind,
-    since: Revision,
-    freshness: &Freshness,
-    age_limit: &impl Fn() -> Duration,
-) -> Result<Changes, Error> {
-    let watch = objects.watch(kind, since, watch_duration(kind));
-    tokio::pin!(watch);
-    let settled = Instant::now() + SETTLE_TIME;
-    loop {
-        let check = async {
-            tokio::time::sleep_until(settled).await;
-            freshness.overdue(kind, age_limit).await;
-            objects.watch(kind, since, CHECK_DURATION).await
-        };
-        tokio::select! {
-            biased;
-            changes = &mut watch => return changes,
-            changes = check => {
-                let changes = changes?;
-                if !changes.changes.is_empty() {
-                    log::info!(step = "follow", peer = "platform", kind:% = kind; "waiting watch missed changes: watches anew");
-                    return Ok(changes);
-                }
-                freshness.record_answer(kind, Answer::Unchanged, changes.revision, Instant::now());
-            }
-        }
-    }
-}
-
-/// Records an answer of the object store, and logs what it brought and how old the knowledge was.
-fn record_answer(freshness: &Freshness, kind: Kind, event: &Event, revision: Revision) {
-    let (message, objects) = match event {
-        Event::Listed(objects, _) => ("listed", objects.len()),
-        Event::Changed(changes, _) => ("changed", changes.len()),
-        Event::Unavailable | Event::Available => return,
-    };
-    let age = freshness.record_answer(kind, summary(event, revision), revision, Instant::now());
-    if objects > 0 {
-        log::info!(
-            step = "learn", peer = "platform", kind:% = kind, objects = objects, revision = revision.0,
-            previous_age_ms = age.unwrap_or_default().as_millis() as u64;
-            "{message}"
-        );
-    }
-}
-
 /// What an answer brought. Deletions have no revision of their own: the answer's stands for theirs.
 fn summary(event: &Event, revision: Revision) -> Answer {
     let Event::Changed(changes, _) = event else {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -377,6 +377,7 @@
         );
         if swapped.is_ok() {
             log::warn!(step = "follow", peer = "platform"; "object store doesn't answer");
+            self.directory.lock().record_store_loss(Instant::now());
         }
     }
 
--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -153,6 +153,12 @@
 pub type Services = Map<Service, Vec<Candidate>>;
 
 impl Directory {
+    /// Records that the object store doesn't answer. Targets that were already gone by then aren't
+    /// among those whose registrations may return after the outage.
+    pub fn record_store_loss(&mut self, now: Instant) {
+        self.expire(now);
+    }
+
     /// Records that the object store answers again after an outage.
     pub fn record_store_recovery(&mut self, now: Instant) {
         self.store_recovered = Some(now);
@@ -282,8 +288,7 @@
     /// Removes targets whose registration is missing. During [`REREGISTRATION_TIMEOUT`] it keeps them
     /// and returns the end of that time if there are any.
     pub fn expire(&mut self, now: Instant) -> Option<Instant> {
-        let deadline = self.store_recovered.map(|at| at + REREGISTRATION_TIMEOUT);
-        match deadline {
+        match self.reregistration_deadline() {
             Some(until) if now < until => {
                 let any_missing = self
                     .targets
@@ -371,7 +376,7 @@
         let mut services = Services::default();
         for registration in self.targets.values() {
             let candidate = &registration.candidate;
-            if self.withdrawal(&candidate.target).is_none() {
+            if self.withdrawal(registration).is_none() {
                 let candidates = services
                     .entry(candidate.target.service.clone())
                     .or_default();
@@ -392,7 +397,7 @@
         let registration = self.targets.get(&target.id).ok_or(Withdrawal::Gone)?;
         let registered = &registration.candidate.target;
         let is_gone = registration.missing_since.is_some() && !self.may_reregister(now);
-        match self.withdrawal(registered) {
+        match self.withdrawal(registration) {
             _ if is_gone => Err(Withdrawal::Gone),
             _ if (registered.born, registered.address) != (target.born, target.address) => {
                 Err(Withdrawal::Replaced)
@@ -403,10 +408,11 @@
     }
 
     /// Why a registered target gets no requests; none if it does.
-    fn withdrawal(&self, registered: &Target) -> Option<Withdrawal> {
-        match registered.stage {
+    fn withdrawal(&self, registration: &Registration) -> Option<Withdrawal> {
+        let target = &registration.candidate.target;
+        match target.stage {
             Stage::Leaving => Some(Withdrawal::Leaving),
-            Stage::Ready if self.departures.contains(Incarnation::of(registered)) => {
+            Stage::Ready if self.departures.contains(Incarnation::of(target)) => {
                 Some(Withdrawal::Announced)
             }
             Stage::Ready => None,
@@ -415,10 +421,14 @@
 
     /// Whether missing registrations may still be renewed after an outage of the object store.
     fn may_reregister(&self, now: Instant) -> bool {
-        let deadline = self.store_recovered.map(|at| at + REREGISTRATION_TIMEOUT);
+        let deadline = self.reregistration_deadline();
         deadline.is_some_and(|deadline| now < deadline)
     }
 
+    fn reregistration_deadline(&self) -> Option<Instant> {
+        self.store_recovered.map(|at| at + REREGISTRATION_TIMEOUT)
+    }
+
     /// All targets, for entries that can't read them from the object store.
     pub fn targets(&self) -> impl Iterator<Item = &Target> {
         self.targets
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -3,68 +3,19 @@
 use std::time::Duration;
 
 use gateway::adapter::Adapter;
-use gateway::adapter::Call;
-use gateway::adapter::Dispatch;
-use gateway::adapter::Malformed;
-use gateway::adapter::Reply;
-use gateway::adapter::Stage;
 use gateway::adapter::Target;
-use gateway::config::Config;
 use gateway::target::directory::Directory;
 use gateway::target::directory::REREGISTRATION_TIMEOUT;
 use gateway::target::directory::Withdrawal;
-use http::HeaderMap;
 use node::object::Change;
 use node::object::Object;
 use node::object::Revision;
 use rstest::rstest;
 use serde_json::json;
+use support::Plain;
 use tokio::time::Instant;
 
-/// Reads a target's service and stage from `spec`.
-struct Plain;
-
-impl Adapter for Plain {
-    fn ready_path(&self) -> &str {
-        "/"
-    }
-
-    fn config(&self, _: &Object) -> Result<Config, Malformed> {
-        Err(Malformed("no configuration".to_owned()))
-    }
-
-    fn target(&self, object: &Object) -> Result<Target, Malformed> {
-        let stage = match object.spec["stage"].as_str() {
-            Some("ready") => Stage::Ready,
-            Some("leaving") => Stage::Leaving,
-            _ => return Err(Malformed("stage".to_owned())),
-        };
-        Ok(Target {
-            id: object.name.as_str().into(),
-            service: "s".into(),
-            address: ([127, 0, 0, 1], 80).into(),
-            data_centre: "a".parse().expect("name"),
-            stage,
-            slots: 6,
-            born: object.spec["born"].as_u64(),
-            version: object.spec["version"]
-                .as_str()
-                .and_then(|version| version.parse().ok()),
-        })
-    }
-
-    fn call(&self, _: &HeaderMap) -> Result<Call, Malformed> {
-        Err(Malformed("no call".to_owned()))
-    }
-
-    fn dispatch(&self, _: &mut HeaderMap, _: &Dispatch<'_>) {}
-
-    fn reply(&self, _: &HeaderMap) -> Reply {
-        Reply::default()
-    }
-
-    fn set_request_id(&self, _: &mut HeaderMap, _: &str) {}
-}
+mod support;
 
 fn object(name: &str, stage: &str) -> Object {
     Object {
@@ -278,3 +229,39 @@
     assert_eq!(directory.check(&target, before), Ok(()));
     assert_eq!(directory.check(&target, deadline), Err(Withdrawal::Gone));
 }
+
+/// Guards against requests to a target that was gone before an outage of the object store: it counted
+/// as one whose registration may return, as nothing had removed it yet.
+#[rstest]
+fn a_target_that_was_gone_before_an_outage_does_not_return_with_the_store() {
+    let mut directory = Directory::default();
+    let start = Instant::now();
+    directory.apply_listing(&[object("a", "ready")], &Plain, start);
+    let target = chosen(&directory);
+    directory.record_store_recovery(start);
+    directory.apply_change(&Change::Deleted("a".to_owned()), &Plain, start);
+    let lost = start + REREGISTRATION_TIMEOUT;
+    directory.record_store_loss(lost);
+    let recovered = lost + Duration::from_secs(1);
+    directory.record_store_recovery(recovered);
+    assert_eq!(directory.check(&target, recovered), Err(Withdrawal::Gone));
+    assert!(directory.services().is_empty());
+}
+
+/// Guards against an outage right after another one, in which no target could register again.
+#[rstest]
+fn a_target_that_may_still_register_again_is_kept_through_a_further_outage() {
+    let mut directory = Directory::default();
+    let start = Instant::now();
+    directory.apply_listing(&[object("a", "ready")], &Plain, start);
+    let target = chosen(&directory);
+    directory.record_store_recovery(start);
+    directory.apply_listing(&[], &Plain, start);
+    let lost = start + REREGISTRATION_TIMEOUT / 2;
+    directory.record_store_loss(lost);
+    let recovered = lost + 2 * REREGISTRATION_TIMEOUT;
+    directory.record_store_recovery(recovered);
+    assert_eq!(directory.check(&target, recovered), Ok(()));
+    let deadline = recovered + REREGISTRATION_TIMEOUT;
+    assert_eq!(directory.check(&target, deadline), Err(Withdrawal::Gone));
+}
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -3,8 +3,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use gateway::follow;
 use gateway::follow::Event;
+use gateway::follow::Follower;
 use gateway::freshness::Freshness;
 use node::object::Change;
 use node::object::Changes;
@@ -113,20 +113,21 @@
 async fn run_with(store: &ScriptedStore, age_limit: Duration) -> Vec<String> {
     let events = Mutex::new(Vec::new());
     let freshness = Freshness::default();
-    let following = follow::run(
-        store,
-        Kind::Config,
-        &freshness,
-        || age_limit,
-        |_, event| {
-            events.lock().expect("lock").push(match event {
-                Event::Listed(_, revision) => format!("listed {revision}"),
-                Event::Changed(_, revision) => format!("changed {revision}"),
-                Event::Unavailable => "lost".to_owned(),
-                Event::Available => "regained".to_owned(),
-            });
-        },
-    );
+    let follower = Follower {
+        objects: store,
+        kind: Kind::Config,
+        freshness: &freshness,
+        age_limit: || age_limit,
+        random: || 0.5,
+    };
+    let following = follower.run(|_, event| {
+        events.lock().expect("lock").push(match event {
+            Event::Listed(_, revision) => format!("listed {revision}"),
+            Event::Changed(_, revision) => format!("changed {revision}"),
+            Event::Unavailable => "lost".to_owned(),
+            Event::Available => "regained".to_owned(),
+        });
+    });
     let _ = tokio::time::timeout(Duration::from_secs(60), following).await;
     events.into_inner().expect("lock")
 }
