Use targets that are missing after an outage only while most are

A target left without notice 10 ms before the store fell silent, so that no entry heard it. Its entries noticed the store's return 1.1 s late, when their lost call timed out, and took the missing target for one whose registration had expired in the outage: for two seconds more, 4.3 s after the acceptance, when they counted as in touch again.

Weighed: a shorter timeout (answers of a slow store take 0.26 s, and retries back off to 1.2 s; the sum stays above 3 s), and counting the two seconds from the lost call (live targets would be dropped before they can register). A target that is missing is now used only while over half of its service's registrations are missing, as after an outage in which they expired.

--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -2,7 +2,9 @@
 //!
 //! A target whose registration disappears while the object store is reachable is removed at once.
 //! Registrations that expired during an outage of the store are renewed within two seconds of its
-//! recovery, so a registration that is missing after an outage is removed only after that time.
+//! recovery, so a registration that is missing after an outage is removed only after that time. Some
+//! may be missing for good, of targets that left shortly before the outage; so they are used only while
+//! most targets of their service are missing.
 
 use std::fmt;
 use std::sync::Arc;
@@ -410,15 +412,29 @@
     /// Why a registered target gets no requests; none if it does.
     fn withdrawal(&self, registration: &Registration) -> Option<Withdrawal> {
         let target = &registration.candidate.target;
+        let is_missing = registration.missing_since.is_some();
         match target.stage {
             Stage::Leaving => Some(Withdrawal::Leaving),
             Stage::Ready if self.departures.contains(Incarnation::of(target)) => {
                 Some(Withdrawal::Announced)
             }
+            Stage::Ready if is_missing && !self.is_mostly_missing(&target.service) => {
+                Some(Withdrawal::Gone)
+            }
             Stage::Ready => None,
         }
     }
 
+    /// Whether the registrations of over half of a service's targets are missing.
+    fn is_mostly_missing(&self, service: &str) -> bool {
+        let registrations = self.targets.values();
+        let of_service =
+            registrations.filter(|registration| registration.candidate.target.service == service);
+        let (missing, present): (Vec<_>, Vec<_>) =
+            of_service.partition(|registration| registration.missing_since.is_some());
+        missing.len() > present.len()
+    }
+
     /// Whether missing registrations may still be renewed after an outage of the object store.
     fn may_reregister(&self, now: Instant) -> bool {
         let deadline = self.reregistration_deadline();
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -265,3 +265,21 @@
     let deadline = recovered + REREGISTRATION_TIMEOUT;
     assert_eq!(directory.check(&target, deadline), Err(Withdrawal::Gone));
 }
+
+/// Guards against requests to a target that left without notice shortly before an outage of the object
+/// store: it looks like one whose registration expired meanwhile.
+#[rstest]
+fn a_target_that_is_missing_after_an_outage_is_not_used_while_most_others_are_registered() {
+    let mut directory = Directory::default();
+    let recovered = Instant::now();
+    let objects = ["a", "b", "c"].map(|name| object(name, "ready"));
+    directory.apply_listing(&objects, &Plain, recovered);
+    let target = chosen(&directory);
+    directory.record_store_recovery(recovered);
+    directory.apply_listing(&objects[1..], &Plain, recovered);
+    assert_eq!(ready(&directory), ["b", "c"]);
+    assert_eq!(directory.check(&target, recovered), Err(Withdrawal::Gone));
+    directory.apply_listing(&objects[2..], &Plain, recovered);
+    assert_eq!(ready(&directory), ["a", "b", "c"]);
+    assert_eq!(directory.check(&target, recovered), Ok(()));
+}
