Bound the bytes that are read of a target's answer

A whole answer is bounded at 4 MB, and long ones share an eighth of the memory; the bytes before the head of an answer at 256 KB, read buffers at 64 KB; the output of a stored turn at 4 MB. Callers get 502 or 504, or a stream that visibly breaks off; what may be repeated is.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod body;
 pub mod chain;
+pub mod collect;
 pub mod event;
 pub mod header;
 pub mod origin;
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -2,11 +2,9 @@
 
 use std::sync::Arc;
 
-use bytes::BytesMut;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use http::Response;
-use http_body_util::BodyExt;
 use tokio::time::Instant;
 
 use crate::adapter::Target;
@@ -72,7 +70,7 @@
         chosen: Instant::now(),
     };
     let answer = send::send(state, &entry, &attempt).await?;
-    match collect(answer, job).await {
+    match collect(state, answer, job).await {
         Ok(response) => Ok((response, entry.target)),
         Err(error) => {
             entry.load.health.lock().record_result(true, state.time());
@@ -88,27 +86,18 @@
 
 /// Reads the whole body of an answer.
 ///
-/// Errors: the body ends early, or the deadline has passed.
-pub async fn collect(answer: Answer, job: &Job) -> Result<Response<Body>, Error> {
+/// Errors: the body ends early or is too long, or the deadline has passed.
+pub async fn collect(state: &State, answer: Answer, job: &Job) -> Result<Response<Body>, Error> {
     let Answer {
         mut parts,
-        mut body,
+        body,
         lease,
         idle,
         ..
     } = answer;
-    let read = async {
-        let mut bytes = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            if let Ok(data) = frame?.into_data() {
-                bytes.extend_from_slice(&data);
-            }
-        }
-        Ok::<_, hyper::Error>(bytes.freeze())
-    };
+    let read = state.answer_memory.collect(body);
     let bytes = match tokio::time::timeout_at(send::response_deadline(job), read).await {
-        Ok(Ok(bytes)) => bytes,
-        Ok(Err(error)) => return Err(Error::MaybeRun(format!("body is cut short: {error}"))),
+        Ok(bytes) => bytes?,
         Err(_) => return Err(Error::Timeout),
     };
     lease.release(idle);
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -26,6 +26,7 @@
 use crate::error::Error;
 use crate::metrics::HistoryCall;
 use crate::metrics::TurnTiming;
+use crate::serve::collect::MAX_ANSWER_BYTES;
 use crate::serve::event;
 use crate::serve::event::CompleteEvents;
 use crate::serve::event::Scanner;
@@ -192,6 +193,9 @@
             if running.stream.stores_turns {
                 event::append_data(&bytes, &mut self.output);
             }
+            if self.output.len() > MAX_ANSWER_BYTES {
+                return Err(Broken("answer is too long".to_owned()));
+            }
             if running.stream.resumable
                 && let Some(id) = event::last_id(&bytes)
             {
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -142,7 +142,7 @@
     let answer = dispatch(state, &mut running, None).await?;
     match answer.parts.status.is_success() {
         true => Ok(relay(state, running, answer)),
-        false => relay_error(running, answer).await,
+        false => relay_error(state, running, answer).await,
     }
 }
 
@@ -173,9 +173,13 @@
 }
 
 /// Relays an engine's error response, which is not a stream.
-async fn relay_error(running: Running, answer: Answer) -> Result<Response<Body>, Refusal> {
+async fn relay_error(
+    state: &State,
+    running: Running,
+    answer: Answer,
+) -> Result<Response<Body>, Refusal> {
     let status = answer.parts.status;
-    let response = plain::collect(answer, &running.job).await;
+    let response = plain::collect(state, answer, &running.job).await;
     let response = response.map_err(|error| Refusal::Lost(error.to_string()))?;
     let outcome = format!("engine answers {status}");
     running
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,6 +36,7 @@
 use crate::quota::Exceeded;
 use crate::quota::Quotas;
 use crate::serve::chain;
+use crate::serve::collect::Memory;
 use crate::settings::Settings;
 use crate::table::Table;
 use crate::target::departure::Incarnation;
@@ -59,6 +60,9 @@
 /// Maximum number of connections to a target whose service isn't configured.
 const DEFAULT_CONNECTIONS: u32 = 16;
 
+/// Part of the process's memory that long answers may occupy together.
+const ANSWER_MEMORY_DIVISOR: u64 = 8;
+
 /// Age of the knowledge of the object store at which the first entry asks it again.
 const FIRST_CHECK_AGE: Duration = Duration::from_millis(600);
 
@@ -82,6 +86,8 @@
     pub pool: Arc<Pool>,
     pub instruments: Instruments,
     pub freshness: Freshness,
+    /// For answers that are collected whole.
+    pub answer_memory: Memory,
     pub chains: Mutex<chain::Cache>,
     pub programs: Mutex<Programs>,
     pub prefixes: Mutex<Prefixes>,
@@ -116,6 +122,7 @@
     pub fn new(settings: Settings, adapter: Arc<dyn Adapter>, meter: &Meter) -> Arc<State> {
         let losses = settings.tolerated_losses;
         let rate_excess = settings.rate_excess.unwrap_or(0);
+        let answer_bytes = settings.resources.memory_mb * 1024 * 1024 / ANSWER_MEMORY_DIVISOR;
         Arc::new(State {
             settings,
             adapter,
@@ -123,6 +130,7 @@
             pool: Arc::default(),
             instruments: Instruments::new(meter),
             freshness: Freshness::default(),
+            answer_memory: Memory::new(answer_bytes as usize),
             chains: Mutex::new(chain::Cache::new(CHAIN_CACHE_BYTES)),
             programs: Mutex::default(),
             prefixes: Mutex::default(),
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -5,6 +5,7 @@
 pub mod departure;
 pub mod directory;
 pub mod hash;
+pub mod meter;
 pub mod pool;
 pub mod prefix;
 pub mod program;
--- a/crates/gateway/src/target/pool.rs
+++ b/crates/gateway/src/target/pool.rs
@@ -25,6 +25,8 @@
 use crate::error::Error;
 use crate::target::directory::Candidate;
 use crate::target::directory::Load;
+use crate::target::meter::Allowance;
+use crate::target::meter::Metered;
 
 /// Time to open a connection; less than the second after which a lost SYN is sent again.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
@@ -32,6 +34,9 @@
 /// Idle time of a connection if its target doesn't state one.
 const IDLE_DEFAULT: Duration = Duration::from_secs(4);
 
+/// Maximum size of a connection's read buffer, which bounds the head of an answer, in bytes.
+const BUFFER_BYTES: usize = 64 * 1024;
+
 /// Time before the target's idle timeout at which a connection is closed here.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -55,8 +60,14 @@
     Oldest,
 }
 
-struct Idle {
+/// An open connection.
+struct Connection {
     sender: Sender,
+    allowance: Allowance,
+}
+
+struct Idle {
+    connection: Connection,
     expires: Instant,
 }
 
@@ -85,7 +96,7 @@
     pool: Arc<Pool>,
     key: (CompactString, SocketAddr),
     load: Arc<Load>,
-    sender: Option<Sender>,
+    connection: Option<Connection>,
     /// Whether the connection has served a request before.
     pub reused: bool,
 }
@@ -113,14 +124,14 @@
             pool: Arc::clone(self),
             key,
             load: Arc::clone(&candidate.load),
-            sender: None,
+            connection: None,
             reused: false,
         };
         lease.load.running.fetch_add(1, Ordering::Relaxed);
-        while let Some(mut sender) = self.take_idle(&lease.key, pick) {
-            let ready = tokio::time::timeout(READY_TIMEOUT, sender.ready()).await;
+        while let Some(mut connection) = self.take_idle(&lease.key, pick) {
+            let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                lease.sender = Some(sender);
+                lease.connection = Some(connection);
                 lease.reused = true;
                 return Ok(lease);
             }
@@ -132,8 +143,8 @@
         }
         let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         match tokio::time::timeout_at(connect_deadline, self.connect(&lease.key)).await {
-            Ok(Ok(sender)) => {
-                lease.sender = Some(sender);
+            Ok(Ok(connection)) => {
+                lease.connection = Some(connection);
                 Ok(lease)
             }
             Ok(Err(error)) => Err(Error::NotRun(format!("connection failed: {error}"))),
@@ -141,7 +152,7 @@
         }
     }
 
-    fn take_idle(&self, key: &(CompactString, SocketAddr), pick: Pick) -> Option<Sender> {
+    fn take_idle(&self, key: &(CompactString, SocketAddr), pick: Pick) -> Option<Connection> {
         let mut targets = self.targets.lock();
         let idle = &mut targets.get_mut(key)?.idle;
         let now = Instant::now();
@@ -150,8 +161,8 @@
                 Pick::Newest => idle.pop_back(),
                 Pick::Oldest => idle.pop_front(),
             }?;
-            if now < next.expires && !next.sender.is_closed() {
-                return Some(next.sender);
+            if now < next.expires && !next.connection.sender.is_closed() {
+                return Some(next.connection);
             }
         }
     }
@@ -162,18 +173,28 @@
         connections.open < limit
     }
 
-    async fn connect(self: &Arc<Self>, key: &(CompactString, SocketAddr)) -> eyre::Result<Sender> {
+    async fn connect(
+        self: &Arc<Self>,
+        key: &(CompactString, SocketAddr),
+    ) -> eyre::Result<Connection> {
         let open_count = OpenCount::new(Arc::clone(self), key.clone());
         let stream = TcpStream::connect(key.1).await?;
         socket::configure(&stream)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let allowance = Allowance::default();
+        let stream = Metered {
+            stream,
+            allowance: allowance.clone(),
+        };
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER_BYTES);
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(step = "exchange", peer:% = open_count.key.1; "connection to target ended: {error}");
             }
             drop(open_count);
         });
-        Ok(sender)
+        Ok(Connection { sender, allowance })
     }
 
     /// Closes expired idle connections and removes targets without connections.
@@ -183,7 +204,7 @@
         targets.retain(|_, connections| {
             connections
                 .idle
-                .retain(|idle| now < idle.expires && !idle.sender.is_closed());
+                .retain(|idle| now < idle.expires && !idle.connection.sender.is_closed());
             connections.open > 0
         });
     }
@@ -219,7 +240,16 @@
 impl Lease {
     /// Connection on which to send a request.
     pub fn sender(&mut self) -> Option<&mut Sender> {
-        self.sender.as_mut()
+        let connection = self.connection.as_mut()?;
+        connection.allowance.expect_head();
+        Some(&mut connection.sender)
+    }
+
+    /// Allows the body of the answer whose head has come.
+    pub fn expect_body(&self) {
+        if let Some(connection) = &self.connection {
+            connection.allowance.expect_body();
+        }
     }
 
     /// Returns the connection to the pool until the target's idle timeout, or closes it if the
@@ -228,15 +258,18 @@
         let lifetime = idle_timeout
             .unwrap_or(IDLE_DEFAULT)
             .saturating_sub(IDLE_MARGIN);
-        let Some(sender) = self.sender.take() else {
+        let Some(connection) = self.connection.take() else {
             return;
         };
-        if lifetime.is_zero() || sender.is_closed() {
+        if lifetime.is_zero() || connection.sender.is_closed() {
             return;
         }
         let expires = Instant::now() + lifetime;
         if let Some(connections) = self.pool.targets.lock().get_mut(&self.key) {
-            connections.idle.push_back(Idle { sender, expires });
+            connections.idle.push_back(Idle {
+                connection,
+                expires,
+            });
         }
     }
 
--- a/crates/gateway/src/target/send.rs
+++ b/crates/gateway/src/target/send.rs
@@ -192,6 +192,7 @@
         Ok(Err(error)) => return Err(Error::MaybeRun(format!("no answer: {}", error.error()))),
         Ok(Ok(response)) => response,
     };
+    lease.expect_body();
     let (parts, body) = response.into_parts();
     let reply = state.adapter.reply(&parts.headers);
     log::debug!(
