Compute the age at which knowledge is checked in one function

The parts of the time in which a change must be in force (limit, pause after the change before, settling, a slow store's answer, sending) are constants in gateway::freshness, and a test adds them up for 1 to 330 entries and the bounds of all sites. Settings with a shorter time are accepted with a warning at start. No behaviour changes, save that bounds under 1 s get checks every 0.2 s.

--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -30,11 +30,13 @@
 use crate::fleet::usage;
 use crate::follow::Event;
 use crate::follow::Follower;
+use crate::freshness;
 use crate::freshness::Freshness;
 use crate::gauges;
 use crate::operators;
 use crate::reload;
 use crate::serve::server;
+use crate::settings::Bounds;
 use crate::settings::Settings;
 use crate::state::State;
 
@@ -92,6 +94,7 @@
     gauges::observe_entry(&metrics.meter(), &state);
     let objects = Arc::new(objects);
     log::info!(step = "start", peer = "self"; "entry starts");
+    warn_of_short_bounds(&state.settings);
     tokio::spawn(server::serve_readiness(ready, Arc::clone(&state)));
     for kind in [Kind::Config, Kind::Targets] {
         let (objects, state) = (Arc::clone(&objects), Arc::clone(&state));
@@ -160,6 +163,22 @@
     Ok(())
 }
 
+/// Warns if changes can't be known in time once a watch is lost.
+fn warn_of_short_bounds(settings: &Settings) {
+    let Bounds {
+        leave_ms,
+        config_ms,
+    } = settings.bounds;
+    let needed = freshness::FIRST_CHECK_AGE + freshness::CHANGE_RESERVE;
+    if Duration::from_millis(leave_ms.min(config_ms)) < needed {
+        log::warn!(
+            step = "check settings", peer = "self", leave_ms = leave_ms, config_ms = config_ms,
+            needed_ms = needed.as_millis() as u64;
+            "bounds are too short for the checks of the object store"
+        );
+    }
+}
+
 /// Reads the membership of the history hosts from the object store until it names enough of them;
 /// later changes come from the history hosts.
 async fn fetch_membership<S: ObjectStore>(objects: Arc<S>, state: Arc<State>) {
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -17,9 +17,37 @@
 
 use crate::Map;
 
+/// Shortest age at which the store is asked, whatever the time within which a change must be in force.
+const MIN_AGE: Duration = Duration::from_millis(200);
+
 /// Time within which a change that another entry knows of should come by this one's own watch.
 pub const SETTLE_TIME: Duration = Duration::from_millis(150);
 
+/// Age of the knowledge at which the first entry asks the store again.
+pub const FIRST_CHECK_AGE: Duration = Duration::from_millis(600);
+
+/// Part of the time within which a change must be in force that is left after the check is due: the
+/// pause after the change before, [`SETTLE_TIME`], the answer of a slow store, and sending.
+pub const CHANGE_RESERVE: Duration = Duration::from_millis(800);
+
+/// When an entry checks, among those that exchange reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    First,
+    /// After the first one, whose reports come at this interval.
+    After(Duration),
+}
+
+/// Age at which knowledge must be checked, so that a change is in force within `bound`. The first entry
+/// checks early; the others wait for its report as long as `bound` allows.
+pub fn age_limit(order: Order, bound: Duration) -> Duration {
+    let limit = match order {
+        Order::First => FIRST_CHECK_AGE,
+        Order::After(interval) => FIRST_CHECK_AGE + 2 * interval,
+    };
+    limit.min(bound.saturating_sub(CHANGE_RESERVE).max(MIN_AGE))
+}
+
 /// What an entry tells others of its knowledge of one kind.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Statement {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -31,7 +31,9 @@
 use crate::fleet::peers;
 use crate::fleet::peers::Peers;
 use crate::follow::Event;
+use crate::freshness;
 use crate::freshness::Freshness;
+use crate::freshness::Order;
 use crate::metrics::Instruments;
 use crate::quota::Exceeded;
 use crate::quota::Quotas;
@@ -63,13 +65,6 @@
 /// Part of the process's memory that long answers may occupy together.
 const ANSWER_MEMORY_DIVISOR: u64 = 8;
 
-/// Age of the knowledge of the object store at which the first entry asks it again.
-const FIRST_CHECK_AGE: Duration = Duration::from_millis(600);
-
-/// Part of the time within which a change must be in force that is left for the check, the pause after
-/// the change before, and sending.
-const CHANGE_RESERVE: Duration = Duration::from_millis(800);
-
 /// Configuration in force.
 #[derive(Debug)]
 pub struct Snapshot {
@@ -358,21 +353,19 @@
         }
     }
 
-    /// Age at which the knowledge of a kind must be checked. One entry checks first; the others wait for
-    /// its report, as long as the time within which a change must be in force allows.
+    /// Age at which the knowledge of a kind must be checked.
     pub fn knowledge_age_limit(&self, kind: Kind) -> Duration {
         let (peers, now) = (self.peers.lock(), self.time());
         let report_interval = peers::interval(peers.fleet(now).entries);
-        let limit = match peers.is_first_to_check(self.settings.peer_address(), kind, now) {
-            true => FIRST_CHECK_AGE,
-            false => FIRST_CHECK_AGE + 2 * report_interval,
+        let order = match peers.is_first_to_check(self.settings.peer_address(), kind, now) {
+            true => Order::First,
+            false => Order::After(report_interval),
         };
         let bound = match kind {
             Kind::Targets => self.settings.bounds.leave_ms,
             _ => self.settings.bounds.config_ms,
         };
-        let bound = Duration::from_millis(bound);
-        limit.min(bound.saturating_sub(CHANGE_RESERVE).max(bound / 4))
+        freshness::age_limit(order, Duration::from_millis(bound))
     }
 
     fn mark_unavailable(&self) {
--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
+use gateway::fleet::peers;
+use gateway::freshness;
 use gateway::freshness::Answer;
+use gateway::freshness::CHANGE_RESERVE;
 use gateway::freshness::Freshness;
+use gateway::freshness::Order;
 use gateway::freshness::Statement;
 use node::object::Kind;
 use node::object::Revision;
@@ -107,3 +111,36 @@
     freshness.merge(statement(3, 4, 0), Instant::now());
     assert_eq!(freshness.age(Kind::Targets, Instant::now()), None);
 }
+
+/// Guards against a sum of the parts, from the store's acceptance to the sending, above the time in
+/// which a change must be in force.
+#[rstest]
+fn the_age_limit_leaves_the_reserve_at_every_size_and_bound() {
+    for entries in 1..=330 {
+        let order = Order::After(peers::interval(entries));
+        for bound_ms in [1_400, 2_000, 3_000, 4_000] {
+            let bound = Duration::from_millis(bound_ms);
+            for order in [Order::First, order] {
+                let limit = freshness::age_limit(order, bound);
+                assert!(
+                    limit + CHANGE_RESERVE <= bound,
+                    "{entries} entries: {limit:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against calls of every entry where the first one's report could do.
+#[rstest]
+#[case(3, 2_000)]
+#[case(26, 3_000)]
+#[case(91, 4_000)]
+fn the_other_entries_wait_for_the_report_of_the_first(
+    #[case] entries: usize,
+    #[case] bound_ms: u64,
+) {
+    let interval = peers::interval(entries);
+    let limit = freshness::age_limit(Order::After(interval), Duration::from_millis(bound_ms));
+    assert_eq!(limit, freshness::FIRST_CHECK_AGE + 2 * interval);
+}
