Log failed connections of the tests' forwarding address

For the finding in KNOWN-RED.txt (stop.rs): the forwarding address stopped for good at the first connection that it couldn't accept, and said nothing of a far side that it couldn't reach. It now goes on and says so. The cause isn't known; the entry stays.

--- a/tests/src/cut.rs
+++ b/tests/src/cut.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
@@ -16,6 +18,12 @@
 /// Bytes read at once.
 const BUFFER: usize = 16 * 1024;
 
+/// Time after which a connection to the far side is reported as slow.
+const SLOW_CONNECT: Duration = Duration::from_millis(200);
+
+/// Delay after a connection that couldn't be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// Ports tried at most.
 const BIND_TRIES: u32 = 8;
 
@@ -39,8 +47,16 @@
         let watched = open.clone();
         let counted = carried.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(forward(stream, to, watched.subscribe(), counted.clone()));
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => {
+                        tokio::spawn(forward(stream, to, watched.subscribe(), counted.clone()));
+                    }
+                    Err(error) => {
+                        eprintln!("forwarding to {to}: accept failed: {error}");
+                        tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                    }
+                }
             }
         });
         Ok(Cut {
@@ -85,9 +101,20 @@
     if *open.borrow() {
         return;
     }
-    let Ok(onward) = TcpStream::connect(to).await else {
-        return;
+    let begun = Instant::now();
+    let onward = match TcpStream::connect(to).await {
+        Ok(onward) => onward,
+        Err(error) => {
+            eprintln!(
+                "forwarding to {to}: connection failed after {:?}: {error}",
+                begun.elapsed()
+            );
+            return;
+        }
     };
+    if begun.elapsed() > SLOW_CONNECT {
+        eprintln!("forwarding to {to}: connection took {:?}", begun.elapsed());
+    }
     let _ = from.set_nodelay(true);
     let _ = onward.set_nodelay(true);
     let (from_read, from_write) = from.into_split();
