Limits of targets as a table without I/O: statements, division, use

Not used yet. coord::limit orders what answers and reports say; coord::allotment divides a limit into units of about one request a second, each of which belongs to one entry by weighted rendezvous hashing; target::limits keeps both for each target's incarnation and counts requests over four seconds.

Weighed: each entry with a bucket of the whole limit, corrected by reports, as for customers' rates (n entries may each send before they hear of each other); one owner that grants requests (a message each, and a gap when it is lost); shares of n equal buckets (a burst of n).

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -8,6 +8,7 @@
 mod redact;
 mod sweep;
 
+pub mod allotment;
 pub mod bucket;
 pub mod bytes;
 pub mod config;
@@ -17,6 +18,7 @@
 pub mod key;
 pub mod lease;
 pub mod ledger;
+pub mod limit;
 pub mod newest;
 pub mod observer;
 pub mod program;
--- /dev/null
+++ b/crates/gateway/src/target/limits.rs
@@ -0,0 +1,505 @@
+//! Limits that targets name in their answers, and this entry's part of them.
+//!
+//! A limit holds for the incarnation that named it. What answers say reaches the other entries by
+//! reports, so that an entry knows the limits of targets that it hasn't asked itself. Each entry sends
+//! no more than its units of a limit allow; see [`coord::allotment`]. Reports also have the number of
+//! requests sent to limited targets, so that each entry sees what all of them send.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use coord::allotment;
+use coord::allotment::Allotment;
+use coord::allotment::Demand;
+use coord::allotment::Holder;
+use coord::id::Rate;
+use coord::limit::Statement;
+use coord::time::Millis;
+use coord::time::Time;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Map;
+use crate::target::departure::Incarnation;
+use crate::target::window;
+use crate::target::window::Window;
+
+/// Time for which it is kept that a limit has ended, so that a late report doesn't bring it back.
+const ENDED_RETENTION: Millis = Millis(15_000);
+
+/// Time between two lines about the limit of one target.
+const LOG_INTERVAL: Millis = Millis(1_000);
+
+/// Longest time after which a refused caller may come back.
+const MAX_RETRY_AFTER: Millis = Millis(5_000);
+
+/// Share of this entry's units whose tokens are kept for programs under way.
+const RESERVED_SHARE: f64 = 0.25;
+
+/// A limit, or the end of one, in a report to another entry. Times are ages, as clocks of hosts
+/// differ.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Notice {
+    pub incarnation: Incarnation,
+    /// None if the limit has ended.
+    pub limit: Option<Rate>,
+    pub asked_ms_ago: u64,
+    pub answered_ms_ago: u64,
+}
+
+impl Notice {
+    /// The statement in the receiver's time.
+    fn statement(&self, now: Time) -> Statement {
+        let at = |ago: u64| Time(now.0.saturating_sub(ago));
+        Statement {
+            limit: self.limit,
+            asked: at(self.asked_ms_ago),
+            answered: at(self.answered_ms_ago),
+        }
+    }
+}
+
+/// Who told this entry of a limit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// An answer of the target with this id.
+    Answer(CompactString),
+    /// The report of the entry on this host.
+    Report(CompactString),
+}
+
+impl Source {
+    fn name(&self) -> &str {
+        match self {
+            Source::Answer(name) | Source::Report(name) => name,
+        }
+    }
+}
+
+/// Requests that were sent to a limited target.
+#[derive(Debug, Default)]
+struct Sendings {
+    here: Window,
+    everywhere: Window,
+    /// Total of this entry, for reports.
+    total: u32,
+    last: Time,
+    excess_logged: Option<Time>,
+    /// Incarnation and last reported total of other entries.
+    reported: Map<u64, (u64, u32)>,
+}
+
+/// What is known of a target's limit, and this entry's part of it.
+#[derive(Debug)]
+struct Limited {
+    born: u64,
+    statement: Statement,
+    source: Source,
+    /// When the present value became known here.
+    changed: Time,
+    logged: Option<Time>,
+    malformed_logged: bool,
+    held_units: u32,
+    allotment: Allotment,
+    sendings: Sendings,
+}
+
+impl Limited {
+    fn new(born: u64, statement: Statement, source: Source, now: Time) -> Limited {
+        Limited {
+            born,
+            statement,
+            source,
+            changed: now,
+            logged: None,
+            malformed_logged: false,
+            held_units: 0,
+            allotment: Allotment::new(now),
+            sendings: Sendings::default(),
+        }
+    }
+
+    fn assign(&mut self, target: u32, entry: u64, holders: &[Holder], now: Time) {
+        if let Some(limit) = self.statement.limit {
+            self.held_units = allotment::held_units(target, limit, entry, holders);
+            self.allotment.assign(limit, self.held_units, now);
+        }
+    }
+
+    fn log(&mut self, target: u32, former: Option<Rate>, now: Time) {
+        let is_due = self
+            .logged
+            .is_none_or(|logged| now.since(logged) >= LOG_INTERVAL);
+        if !is_due {
+            return;
+        }
+        self.logged = Some(now);
+        let message = match (former, self.statement.limit) {
+            (None, _) => "target names a limit",
+            (Some(_), Some(_)) => "target's limit changes",
+            (Some(_), None) => "target's limit ends",
+        };
+        log::info!(
+            step = "learn limit", peer = self.source.name(), target_hash = target, born = self.born,
+            limit = self.statement.limit.map_or(0.0, Rate::per_second),
+            former = former.map_or(0.0, Rate::per_second),
+            age_ms = now.since(self.statement.answered).0;
+            "{message}"
+        );
+    }
+
+    /// Returns [`Self::use_percent`], and logs it if it is too large.
+    fn check_use(&mut self, now: Time) -> u64 {
+        let use_percent = self.use_percent(now);
+        let sendings = &mut self.sendings;
+        let is_due = sendings
+            .excess_logged
+            .is_none_or(|logged| now.since(logged) >= window::SPAN);
+        if use_percent > 100 && is_due {
+            sendings.excess_logged = Some(now);
+            log::warn!(
+                step = "check limit", peer = self.source.name(), born = self.born,
+                limit = self.statement.limit.map_or(0.0, Rate::per_second),
+                age_ms = now.since(self.statement.answered).0, held_units = self.held_units,
+                sent_here = sendings.here.sum(now), sent_by_all = sendings.everywhere.sum(now),
+                use_percent = use_percent;
+                "target got more requests in four seconds than its limit allows"
+            );
+        }
+        use_percent
+    }
+
+    /// Requests sent within [`window::SPAN`] by all entries, in percent of what the limit allows with
+    /// the burst of its units.
+    fn use_percent(&self, now: Time) -> u64 {
+        let Some(limit) = self.statement.limit else {
+            return 0;
+        };
+        let span_s = window::SPAN.0 as f64 / 1000.0;
+        let allowed = limit.per_second() * span_s + f64::from(allotment::units(limit));
+        (f64::from(self.sendings.everywhere.sum(now)) / allowed * 100.0).round() as u64
+    }
+}
+
+/// State of a target's limit for the dump.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct View {
+    pub requests_per_second: f64,
+    /// Time since an answer last named it, in milliseconds.
+    pub age_ms: u64,
+    /// Target whose answer, or host of the entry whose report, brought it.
+    pub learned_from: CompactString,
+    /// Units that this entry holds, of all units.
+    pub held_units: u32,
+    pub units: u32,
+    /// Requests that this entry may send now.
+    pub tokens: f64,
+    /// Requests sent in the last four seconds.
+    pub sent_here: u32,
+    pub sent_by_all: u32,
+    pub use_percent: u64,
+}
+
+/// Limits of all targets, by the hash of the target's id.
+#[derive(Debug, Default)]
+pub struct Limits {
+    targets: Map<u32, Limited>,
+    /// This entry, as [`Self::holders`] names it.
+    entry: u64,
+    /// Entries among which limits are divided.
+    holders: Vec<Holder>,
+    demand: Demand,
+    /// Largest use of a limit since the start, in percent.
+    largest_use_percent: u64,
+    /// Time at which the last refused caller may come back.
+    last_slot: Time,
+}
+
+impl Limits {
+    /// Counts a request for targets of any service, whether or not it is sent.
+    pub fn record_demand(&mut self) {
+        self.demand.record();
+    }
+
+    /// Updates the demand that this entry reports.
+    pub fn update_demand(&mut self, now: Time) -> u8 {
+        self.demand.update(now)
+    }
+
+    /// Divides all limits among these entries; `entry` is this one.
+    pub fn divide(&mut self, entry: u64, holders: Vec<Holder>, now: Time) {
+        (self.entry, self.holders) = (entry, holders);
+        for (target, limited) in &mut self.targets {
+            limited.assign(*target, entry, &self.holders, now);
+        }
+    }
+
+    /// Merges what an answer or a report says of a target; returns whether its limit is another one now.
+    pub fn merge(
+        &mut self,
+        incarnation: Incarnation,
+        statement: Statement,
+        source: Source,
+        now: Time,
+    ) -> bool {
+        let Incarnation { target, born } = incarnation;
+        let is_known = self
+            .targets
+            .get(&target)
+            .is_some_and(|known| known.born >= born);
+        if !is_known {
+            // The limit of an earlier incarnation has ended with it.
+            self.targets.remove(&target);
+            if statement.limit.is_none() {
+                return false;
+            }
+            let mut limited = Limited::new(born, statement, source, now);
+            limited.assign(target, self.entry, &self.holders, now);
+            limited.log(target, None, now);
+            self.targets.insert(target, limited);
+            return true;
+        }
+        let Some(limited) = self.targets.get_mut(&target) else {
+            return false;
+        };
+        if limited.born != born {
+            return false;
+        }
+        let former = limited.statement.limit;
+        limited.statement = limited.statement.merge(statement);
+        if limited.statement.limit == former {
+            return false;
+        }
+        (limited.source, limited.changed) = (source, now);
+        limited.assign(target, self.entry, &self.holders, now);
+        limited.log(target, former, now);
+        true
+    }
+
+    /// Merges what another entry's report says of limits and of requests sent; returns whether a limit
+    /// is another one now.
+    pub fn merge_report(
+        &mut self,
+        (peer, incarnation): (u64, u64),
+        host: &CompactString,
+        notices: &[Notice],
+        sent: &[(u32, u32)],
+        now: Time,
+    ) -> bool {
+        let mut any_changed = false;
+        for notice in notices {
+            let source = Source::Report(host.clone());
+            let statement = notice.statement(now);
+            any_changed |= self.merge(notice.incarnation, statement, source, now);
+        }
+        for (target, total) in sent {
+            let Some(limited) = self.targets.get_mut(target) else {
+                continue;
+            };
+            let former = limited
+                .sendings
+                .reported
+                .insert(peer, (incarnation, *total));
+            let former = match former {
+                Some((known, former)) if known == incarnation => former,
+                _ => 0,
+            };
+            let sent = total.saturating_sub(former);
+            limited.sendings.everywhere.add(sent, now);
+            self.largest_use_percent = self.largest_use_percent.max(limited.check_use(now));
+        }
+        any_changed
+    }
+
+    /// Logs the first malformed limit of a target's incarnation that has named a valid one, and any
+    /// other at most once a second.
+    pub fn record_malformed(&mut self, incarnation: Incarnation, target: &str, cause: &str) {
+        let known = self.targets.get_mut(&incarnation.target);
+        if known.is_some_and(|limited| std::mem::replace(&mut limited.malformed_logged, true)) {
+            return;
+        }
+        log::warn!(
+            step = "learn limit", peer = target, born = incarnation.born;
+            "malformed limit is ignored: {cause}"
+        );
+    }
+
+    /// The limit of a target's incarnation, if it is in force.
+    pub fn limit(&self, incarnation: Incarnation) -> Option<Rate> {
+        self.limited(incarnation)?.statement.limit
+    }
+
+    fn limited(&self, incarnation: Incarnation) -> Option<&Limited> {
+        let limited = self.targets.get(&incarnation.target)?;
+        let in_force = limited.statement.limit.is_some() && limited.born == incarnation.born;
+        in_force.then_some(limited)
+    }
+
+    fn limited_mut(&mut self, incarnation: Incarnation) -> Option<&mut Limited> {
+        let limited = self.targets.get_mut(&incarnation.target)?;
+        let in_force = limited.statement.limit.is_some() && limited.born == incarnation.born;
+        in_force.then_some(limited)
+    }
+
+    /// Whether no target has or had a limit lately.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Number of targets with a limit.
+    pub fn count(&self) -> usize {
+        let limits = self.targets.values();
+        limits
+            .filter(|limited| limited.statement.limit.is_some())
+            .count()
+    }
+
+    /// Whether this entry may send a target a request now.
+    pub fn is_open(&self, incarnation: Incarnation, now: Time) -> bool {
+        let limited = self.limited(incarnation);
+        limited.is_none_or(|limited| limited.allotment.available(now) >= 1.0)
+    }
+
+    /// Whether programs that begin may use limited targets among these; the last tokens are kept for
+    /// programs under way.
+    pub fn has_spare(&self, targets: impl Iterator<Item = Incarnation>, now: Time) -> bool {
+        let limited = targets.filter_map(|incarnation| self.limited(incarnation));
+        let (available, held) = limited.fold((0.0, 0), |(available, held), limited| {
+            let tokens = limited.allotment.available(now).max(0.0).floor();
+            (available + tokens, held + limited.held_units)
+        });
+        available > f64::from(held) * RESERVED_SHARE
+    }
+
+    /// Reserves the right to send a request to a target with a limit; returns whether there was one.
+    pub fn reserve(&mut self, incarnation: Incarnation, now: Time) -> bool {
+        let limited = self.limited_mut(incarnation);
+        limited.is_some_and(|limited| limited.allotment.reserve(now))
+    }
+
+    /// Gives back a right that was reserved.
+    pub fn release(&mut self, incarnation: Incarnation) {
+        if let Some(limited) = self.limited_mut(incarnation) {
+            limited.allotment.release();
+        }
+    }
+
+    /// Charges a request that is sent now; returns whether the target's limit allows it.
+    pub fn take(&mut self, incarnation: Incarnation, now: Time) -> bool {
+        let Some(limited) = self.limited_mut(incarnation) else {
+            return true;
+        };
+        let granted = limited.allotment.take(now);
+        if granted {
+            self.record_sending(incarnation, now);
+        }
+        granted
+    }
+
+    /// Counts a request that is sent to a target.
+    pub fn record_sending(&mut self, incarnation: Incarnation, now: Time) {
+        let Some(limited) = self.limited_mut(incarnation) else {
+            return;
+        };
+        let sendings = &mut limited.sendings;
+        sendings.here.add(1, now);
+        sendings.everywhere.add(1, now);
+        sendings.total = sendings.total.wrapping_add(1);
+        sendings.last = now;
+        let use_percent = limited.check_use(now);
+        self.largest_use_percent = self.largest_use_percent.max(use_percent);
+    }
+
+    /// Gives back the charge of a request that certainly wasn't sent.
+    pub fn refund(&mut self, incarnation: Incarnation) {
+        if let Some(limited) = self.limited_mut(incarnation) {
+            limited.allotment.refund();
+        }
+    }
+
+    /// Time after which a refused caller may come back to limited targets among these: callers that
+    /// were refused before come back first, at the rate of this entry's part of the limits.
+    pub fn retry_after(
+        &mut self,
+        targets: impl Iterator<Item = Incarnation>,
+        now: Time,
+    ) -> Duration {
+        let (mut rate, mut total, mut earliest) = (0.0, 0.0, MAX_RETRY_AFTER);
+        for limited in targets.filter_map(|incarnation| self.limited(incarnation)) {
+            rate += limited.allotment.rate();
+            total += limited.statement.limit.map_or(0.0, Rate::per_second);
+            let wait = limited.allotment.wait(now);
+            earliest = earliest.min(wait.unwrap_or(MAX_RETRY_AFTER));
+        }
+        if rate == 0.0 {
+            // The caller comes back to any entry.
+            rate = total / self.holders.len().max(1) as f64;
+        }
+        let length = Millis((1000.0 / rate).min(MAX_RETRY_AFTER.0 as f64) as u64);
+        let latest = now + MAX_RETRY_AFTER;
+        let slot = (now + earliest).max(self.last_slot + length).min(latest);
+        self.last_slot = slot;
+        Duration::from_millis(slot.since(now).0)
+    }
+
+    /// Limits, and ends of limits, for a report: those that changed since a time, or all whose units
+    /// this entry holds, for an entry that has just started.
+    pub fn notices(&self, changed_since: Time, any_newcomer: bool, now: Time) -> Vec<Notice> {
+        let reported = self.targets.iter().filter(|(_, limited)| {
+            limited.changed >= changed_since || any_newcomer && limited.held_units > 0
+        });
+        let notices = reported.map(|(target, limited)| Notice {
+            incarnation: Incarnation {
+                target: *target,
+                born: limited.born,
+            },
+            limit: limited.statement.limit,
+            asked_ms_ago: now.since(limited.statement.asked).0,
+            answered_ms_ago: now.since(limited.statement.answered).0,
+        });
+        notices.collect()
+    }
+
+    /// Totals of the requests sent to limited targets, where they changed since a time.
+    pub fn sendings(&self, since: Time) -> Vec<(u32, u32)> {
+        let sent = self.targets.iter();
+        sent.filter(|(_, limited)| limited.sendings.total > 0 && limited.sendings.last >= since)
+            .map(|(target, limited)| (*target, limited.sendings.total))
+            .collect()
+    }
+
+    /// Forgets limits that ended long ago, and those of targets that aren't registered any more.
+    pub fn expire(&mut self, is_registered: impl Fn(u32) -> bool, now: Time) {
+        self.targets.retain(|target, limited| {
+            let is_current = now.since(limited.statement.answered) < ENDED_RETENTION;
+            let in_force = limited.statement.limit.is_some();
+            is_current || in_force && is_registered(*target)
+        });
+    }
+
+    /// Largest use of a limit now and since the start, in percent of what the limit allows.
+    pub fn use_percent(&self, now: Time) -> (u64, u64) {
+        let uses = self
+            .targets
+            .values()
+            .map(|limited| limited.use_percent(now));
+        (uses.max().unwrap_or(0), self.largest_use_percent)
+    }
+
+    /// State of a target's limit; none if none is in force.
+    pub fn view(&self, incarnation: Incarnation, now: Time) -> Option<View> {
+        let limited = self.limited(incarnation)?;
+        let limit = limited.statement.limit?;
+        Some(View {
+            requests_per_second: limit.per_second(),
+            age_ms: now.since(limited.statement.answered).0,
+            learned_from: limited.source.name().into(),
+            held_units: limited.held_units,
+            units: allotment::units(limit),
+            tokens: limited.allotment.available(now),
+            sent_here: limited.sendings.here.sum(now),
+            sent_by_all: limited.sendings.everywhere.sum(now),
+            use_percent: limited.use_percent(now),
+        })
+    }
+}
