Observe the limits that targets name, without heeding them

The adapter decodes the header; entries log when a limit is learned, changes or ends and where from, report limits and sent requests to each other, and show in dump, metrics and a warning what all of them sent in four seconds. A limit that changed is reported within 100 ms.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -9,6 +9,7 @@
 use coord::id::Customer;
 use coord::id::DataCentre;
 use coord::id::Program;
+use coord::id::Rate;
 use coord::id::Request;
 use coord::id::SoftwareVersion;
 use http::HeaderMap;
@@ -117,6 +118,18 @@
     pub not_run: bool,
     /// Whether the target announces that it leaves.
     pub leaving: bool,
+    /// How many requests the target takes from all entries together.
+    pub limit: Limit,
+}
+
+/// What a target's answer says of the requests that it takes from all entries together.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub enum Limit {
+    /// Nothing.
+    #[default]
+    Absent,
+    Rate(Rate),
+    Malformed(Malformed),
 }
 
 /// Whether a target accepts new requests.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,6 +2,7 @@
 
 pub mod exchange;
 pub mod gossip;
+pub mod limits;
 pub mod news;
 pub mod peers;
 pub mod usage;
--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -47,6 +47,7 @@
         }
         drop(suspects);
         self.merge_departures(report);
+        self.merge_limits(report);
         for statement in &report.knowledge {
             self.freshness.merge(*statement, Instant::now());
         }
@@ -96,6 +97,7 @@
             .flatten()
             .filter(|candidate| candidate.load.fails_here(now.0))
             .map(|candidate| hash::target_hash(&candidate.target.id));
+        let (limits, limited_sendings, demand) = self.limit_report(since);
         let report = Report {
             host: self.settings.host.clone(),
             incarnation: self.incarnation,
@@ -111,6 +113,9 @@
             departures: self.directory.lock().recent_departures(now),
             failing: failing.collect(),
             knowledge: self.freshness.statements(Instant::now()),
+            limits,
+            limited_sendings,
+            demand,
         };
         (report, self.peers.lock().addresses())
     }
--- a/crates/gateway/src/fleet/gossip.rs
+++ b/crates/gateway/src/fleet/gossip.rs
@@ -32,6 +32,9 @@
 /// Range by which the time between reports varies.
 const INTERVAL_JITTER: std::ops::Range<f64> = 0.5..1.5;
 
+/// Shortest time between two reports, if something must be known soon.
+const MIN_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Time before a failed registration is retried.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(700);
 
@@ -47,14 +50,19 @@
     }
     let mut buffer = vec![0; DATAGRAM_LIMIT];
     let mut next_report = tokio::time::Instant::now();
+    let mut last_report = next_report;
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((size, from)) => handle_datagram(&state, &buffer[..size], from.ip(), port),
                 Err(error) => log::debug!(step = "receive report", peer = "entries"; "{error}"),
             },
+            () = state.limits_changed.notified() => {
+                next_report = next_report.min(last_report + MIN_INTERVAL);
+            }
             () = tokio::time::sleep_until(next_report) => {
-                next_report = tokio::time::Instant::now() + send_reports(&state, &socket).await;
+                last_report = tokio::time::Instant::now();
+                next_report = last_report + send_reports(&state, &socket).await;
             }
         }
     }
--- /dev/null
+++ b/crates/gateway/src/fleet/limits.rs
@@ -0,0 +1,80 @@
+//! Limits that targets name: what answers say, its exchange with the other entries, and the division
+//! of limits among all entries; see [`crate::target::limits`].
+
+use coord::allotment;
+use coord::allotment::Holder;
+use coord::limit::Statement;
+use coord::time::Time;
+use http::StatusCode;
+
+use crate::adapter::Limit;
+use crate::adapter::Reply;
+use crate::adapter::Target;
+use crate::fleet::peers;
+use crate::fleet::peers::Report;
+use crate::state::State;
+use crate::target::departure::Incarnation;
+use crate::target::hash;
+use crate::target::limits::Notice;
+use crate::target::limits::Source;
+
+impl State {
+    /// Records what a target's answer to a request that was sent at `asked` says of its limit. Only a
+    /// success without a limit ends one: other answers may come from a part of the target that doesn't
+    /// know the limit.
+    pub fn record_limit(&self, target: &Target, reply: &Reply, status: StatusCode, asked: Time) {
+        let incarnation = Incarnation::of(target);
+        let limit = match &reply.limit {
+            Limit::Rate(limit) => Some(*limit),
+            Limit::Absent if status.is_success() => None,
+            Limit::Absent => return,
+            Limit::Malformed(malformed) => {
+                let mut limits = self.limits.lock();
+                return limits.record_malformed(incarnation, &target.id, &malformed.0);
+            }
+        };
+        let now = self.time();
+        let statement = Statement {
+            limit,
+            asked,
+            answered: now,
+        };
+        let source = Source::Answer(target.id.clone());
+        let changed = self
+            .limits
+            .lock()
+            .merge(incarnation, statement, source, now);
+        if changed {
+            self.limits_changed.notify_one();
+        }
+    }
+
+    /// Merges the part of another entry's report that concerns limits.
+    pub(crate) fn merge_limits(&self, report: &Report) {
+        let peer = (hash::hash_parts(&[&report.host]), report.incarnation);
+        let (notices, sent) = (&report.limits, &report.limited_sendings);
+        let mut limits = self.limits.lock();
+        limits.merge_report(peer, &report.host, notices, sent, self.time());
+    }
+
+    /// Divides limits anew, and returns the part of this entry's report that concerns them: limits,
+    /// requests sent to targets with limits, and demand.
+    pub(crate) fn limit_report(&self, since: Time) -> (Vec<Notice>, Vec<(u32, u32)>, u8) {
+        let now = self.time();
+        let peers = self.peers.lock();
+        let any_newcomer = peers.any_newcomer(since);
+        let mut limits = self.limits.lock();
+        let demand = limits.update_demand(now);
+        let mut holders = peers.holders(demand);
+        drop(peers);
+        let entry = peers::holder_id(self.settings.peer_address());
+        // The others divide the limits without an entry that announces that it stops.
+        if !self.is_draining() || holders.is_empty() {
+            let weight = allotment::weight(demand);
+            holders.push(Holder { entry, weight });
+        }
+        limits.divide(entry, holders, now);
+        let notices = limits.notices(since, any_newcomer, now);
+        (notices, limits.sendings(since), demand)
+    }
+}
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use coord::allotment;
+use coord::allotment::Holder;
 use coord::id::Customer;
 use coord::quota;
 use coord::quota::Fleet;
@@ -18,6 +20,7 @@
 use crate::freshness::Statement;
 use crate::target::departure::Incarnation;
 use crate::target::hash;
+use crate::target::limits::Notice;
 
 /// Time between reports with at most [`INTERVAL_ENTRIES`] entries.
 const BASE_INTERVAL: Duration = Duration::from_millis(100);
@@ -68,6 +71,16 @@
     /// What the sender knows of the object store's objects.
     #[serde(skip)]
     pub knowledge: Vec<Statement>,
+    /// Limits that targets have named.
+    #[serde(skip)]
+    pub limits: Vec<Notice>,
+    /// Requests sent to targets with limits: hash of the target's id, and total since the sender's
+    /// start.
+    #[serde(skip)]
+    pub limited_sendings: Vec<(u32, u32)>,
+    /// Step of the sender's demand; see [`coord::allotment::Demand`].
+    #[serde(skip)]
+    pub demand: u8,
 }
 
 impl Report {
@@ -76,7 +89,10 @@
     /// Errors: none that the fields can cause.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let report = postcard::to_stdvec(self)?;
-        postcard::to_extend(&(&self.departures, &self.failing, &self.knowledge), report)
+        let report =
+            postcard::to_extend(&(&self.departures, &self.failing, &self.knowledge), report)?;
+        let limits = (&self.limits, &self.limited_sendings, self.demand);
+        postcard::to_extend(&limits, report)
     }
 
     /// Decodes a datagram, also of a build that reports fewer of the fields after the report.
@@ -89,8 +105,14 @@
         }
         let ((departures, failing), rest) = postcard::take_from_bytes(rest)?;
         (report.departures, report.failing) = (departures, failing);
+        if rest.is_empty() {
+            return Ok(report);
+        }
+        let (knowledge, rest) = postcard::take_from_bytes(rest)?;
+        report.knowledge = knowledge;
         if !rest.is_empty() {
-            report.knowledge = postcard::from_bytes(rest)?;
+            let (limits, sendings, demand) = postcard::from_bytes(rest)?;
+            (report.limits, report.limited_sendings, report.demand) = (limits, sendings, demand);
         }
         Ok(report)
     }
@@ -109,6 +131,10 @@
 struct Peer {
     /// When the entry was added.
     added: Time,
+    /// When the first report of its present incarnation came.
+    joined: Option<Time>,
+    /// Last reported step of its demand.
+    demand: Option<u8>,
     last_report: Option<LastReport>,
     running: Vec<(u32, u32)>,
 }
@@ -132,6 +158,8 @@
         }
         self.peers.entry(address).or_insert_with(|| Peer {
             added: now,
+            joined: None,
+            demand: None,
             last_report: None,
             running: Vec::new(),
         });
@@ -155,6 +183,10 @@
         let last_seen = peer
             .last_report
             .map_or(peer.added, |report| report.received);
+        let known = peer.last_report.map(|report| report.incarnation);
+        if known != Some(report.incarnation) {
+            peer.joined = Some(now);
+        }
         peer.last_report = Some(LastReport {
             received: now,
             version: report.version,
@@ -163,11 +195,16 @@
             incarnation: report.incarnation,
         });
         peer.running.clone_from(&report.running);
+        peer.demand = Some(report.demand);
         Millis(now.since(last_seen).0.saturating_sub(timeout.0))
     }
 
-    /// Removes entries without a report for [`REMOVE_TIMEOUT`].
+    /// Removes entries without a report for [`REMOVE_TIMEOUT`]; an entry that hears none of them may be
+    /// cut off, and keeps them.
     pub fn expire(&mut self, now: Time) {
+        if self.is_isolated(now) {
+            return;
+        }
         self.peers.retain(|_, peer| {
             let last_seen = peer
                 .last_report
@@ -178,6 +215,23 @@
             .retain(|_, at| now.since(*at) < DEPARTED_LIFETIME);
     }
 
+    /// Whether an entry has started since a time.
+    pub fn any_newcomer(&self, since: Time) -> bool {
+        let mut joined = self.peers.values().filter_map(|peer| peer.joined);
+        joined.any(|joined| joined >= since)
+    }
+
+    /// Entries among which limits are divided, silent ones included: they may be cut off and go on. An
+    /// entry that hasn't reported its demand is taken to have that of this one, `own_demand`.
+    pub fn holders(&self, own_demand: u8) -> Vec<Holder> {
+        let peers = self.peers.iter();
+        let holders = peers.map(|(address, peer)| Holder {
+            entry: holder_id(*address),
+            weight: allotment::weight(peer.demand.unwrap_or(own_demand)),
+        });
+        holders.collect()
+    }
+
     /// Counts all entries, this one included, and the silent ones, for the division of rates.
     pub fn fleet(&self, now: Time) -> Fleet {
         let silent = self
@@ -290,6 +344,11 @@
     }
 }
 
+/// Name of an entry in the division of limits.
+pub fn holder_id(address: SocketAddr) -> u64 {
+    hash::hash_parts(&[&address.to_string()])
+}
+
 impl Peer {
     fn is_fresh(&self, now: Time, timeout: Millis) -> bool {
         self.last_report
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -34,6 +34,21 @@
     gauge("teasellever_entries", "Entries known", |state| {
         state.entry_count() as u64
     });
+    gauge(
+        "teasellever_targets_limited",
+        "Targets with limits",
+        |state| state.limits.lock().count() as u64,
+    );
+    gauge(
+        "teasellever_limit_use_percent",
+        "Requests of all entries to a target in four seconds, relative to its limit: largest now",
+        |state| state.limits.lock().use_percent(state.time()).0,
+    );
+    gauge(
+        "teasellever_limit_use_max_percent",
+        "The same: largest since the start",
+        |state| state.limits.lock().use_percent(state.time()).1,
+    );
     gauge(
         "teasellever_object_store_lost",
         "Whether the object store doesn't answer",
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 
 use crate::state::State;
+use crate::target::departure::Incarnation;
 
 /// Process whose state is shown.
 #[derive(Debug)]
@@ -72,6 +73,7 @@
                 "failures_in_a_row": entry.load.consecutive_failures.load(Ordering::Relaxed),
                 "failing_share": health.failing_share(now),
                 "event_us": health.event_interval_us(),
+                "limit": state.limits.lock().view(Incarnation::of(&entry.target), now),
             })
         })
         .collect();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,8 +21,10 @@
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use sched::suspect::Suspects;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::Set;
 use crate::adapter::Adapter;
 use crate::adapter::Target;
 use crate::config::Config;
@@ -45,6 +47,8 @@
 use crate::target::directory::Directory;
 use crate::target::directory::Services;
 use crate::target::directory::Withdrawal;
+use crate::target::hash;
+use crate::target::limits::Limits;
 use crate::target::pool::Pool;
 use crate::target::prefix::Prefixes;
 use crate::target::program::Programs;
@@ -87,6 +91,9 @@
     pub programs: Mutex<Programs>,
     pub prefixes: Mutex<Prefixes>,
     pub suspects: Mutex<Suspects>,
+    pub limits: Arc<Mutex<Limits>>,
+    /// Notified when a target's limit has changed, so that it is reported soon.
+    pub limits_changed: Notify,
     started: Instant,
     pub(crate) config: RwLock<Newest<Version, Arc<Snapshot>>>,
     pub(crate) directory: Mutex<Directory>,
@@ -130,6 +137,8 @@
             programs: Mutex::default(),
             prefixes: Mutex::default(),
             suspects: Mutex::default(),
+            limits: Arc::default(),
+            limits_changed: Notify::new(),
             started: Instant::now(),
             config: RwLock::default(),
             directory: Mutex::default(),
@@ -448,7 +457,14 @@
         directory.expire(Instant::now());
         directory.expire_departures(self.time());
         self.publish_services(&directory);
+        let registered: Set<u32> = directory
+            .targets()
+            .map(|target| hash::target_hash(&target.id))
+            .collect();
         drop(directory);
+        let mut limits = self.limits.lock();
+        limits.expire(|target| registered.contains(&target), self.time());
+        drop(limits);
         self.pool.expire();
         self.peers.lock().expire(self.time());
         self.usage.lock().expire(self.time());
--- a/crates/gateway/src/target/send.rs
+++ b/crates/gateway/src/target/send.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coord::time::Time;
 use http::HeaderMap;
 use http::HeaderName;
 use http::Request;
@@ -23,6 +24,7 @@
 use crate::serve::request::Job;
 use crate::state::State;
 use crate::target::crash;
+use crate::target::departure::Incarnation;
 use crate::target::directory::Candidate;
 use crate::target::pool;
 use crate::target::pool::Lease;
@@ -176,6 +178,9 @@
         .map_err(Error::NotSent)?;
     let request = request(state, candidate, attempt);
     record_sending(state, candidate, attempt);
+    let asked = state.time();
+    let incarnation = Incarnation::of(&candidate.target);
+    state.limits.lock().record_sending(incarnation, asked);
     let Some(sender) = lease.sender() else {
         return Err(Error::NotRun("connection was closed".to_owned()));
     };
@@ -201,8 +206,8 @@
         "target answers"
     );
     // A misdirected request was answered by another target at the same address.
-    if reply.leaving && parts.status != StatusCode::MISDIRECTED_REQUEST {
-        state.record_departure(&candidate.target, &job.call.request);
+    if parts.status != StatusCode::MISDIRECTED_REQUEST {
+        record_condition(state, candidate, attempt, &reply, parts.status, asked);
     }
     check_answer(&parts.status, &parts.headers, &reply, job)?;
     let idle = idle_timeout(&parts.headers);
@@ -215,6 +220,25 @@
     })
 }
 
+/// Records what a target's answer says of the target itself. A late answer to another request says
+/// nothing of its limit now.
+fn record_condition(
+    state: &State,
+    candidate: &Candidate,
+    attempt: &Attempt<'_>,
+    reply: &Reply,
+    status: StatusCode,
+    asked: Time,
+) {
+    let request = &attempt.job.call.request;
+    if reply.leaving {
+        state.record_departure(&candidate.target, request);
+    }
+    if reply.request.as_deref() == Some(request.as_str()) {
+        state.record_limit(&candidate.target, reply, status, asked);
+    }
+}
+
 /// Records when a request is sent, how long ago its target was chosen, and how old the knowledge of the
 /// target is.
 fn record_sending(state: &State, candidate: &Candidate, attempt: &Attempt<'_>) {
--- a/crates/gateway/tests/departure.rs
+++ b/crates/gateway/tests/departure.rs
@@ -196,6 +196,9 @@
             .collect(),
         departures,
         knowledge: vec![statement()],
+        limits: Vec::new(),
+        limited_sendings: Vec::new(),
+        demand: 0,
     }
 }
 
@@ -211,6 +214,9 @@
     let with_departures = report(vec![Incarnation::of(&target("a", 5))]);
     let without = Report {
         knowledge: Vec::new(),
+        limits: Vec::new(),
+        limited_sendings: Vec::new(),
+        demand: 0,
         ..report(Vec::new())
     };
     // The earlier build encodes the fields before the departures alone.
@@ -229,6 +235,9 @@
     let earlier = postcard::to_extend(&appended, start).expect("encoded");
     let without = Report {
         knowledge: Vec::new(),
+        limits: Vec::new(),
+        limited_sendings: Vec::new(),
+        demand: 0,
         ..report.clone()
     };
     assert_eq!(Report::decode(&earlier).expect("decoded"), without);
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -29,6 +29,9 @@
         departures: Vec::new(),
         failing: Vec::new(),
         knowledge: Vec::new(),
+        limits: Vec::new(),
+        limited_sendings: Vec::new(),
+        demand: 0,
     }
 }
 
