Bound the load of targets without a limit while others of their service have one

A target without a limit now gets first turns up to three times its slots and other requests up to four times; beyond, the request is refused at once. Only while a target of the service has a limit.

--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -1,7 +1,6 @@
 //! Selects targets for the attempts of one request and decides whether to retry.
 
 use compact_str::CompactString;
-use coord::time::Time;
 use sched::attempt::Action;
 use sched::attempt::Attempts;
 use sched::attempt::Failure;
@@ -20,8 +19,8 @@
 use crate::target::balance::Prompt;
 use crate::target::departure::Incarnation;
 use crate::target::directory::Candidate;
-use crate::target::limits::Limits;
 use crate::target::permit::Choice;
+use crate::target::room;
 use crate::target::version;
 
 /// Targets tried for one request and the state of its attempts.
@@ -82,7 +81,7 @@
         let is_first_turn = is_first_turn(state, job);
         let mut limits = state.limits.lock();
         let candidate = {
-            let within_limit = within_limit(&limits, entries, is_first_turn, state.time());
+            let has_room = room::has_room(&limits, entries, is_first_turn, state.time());
             let criteria = Criteria {
                 prompt,
                 is_cached: &is_cached,
@@ -91,7 +90,7 @@
                 idempotent: job.is_idempotent(),
                 resumable: job.is_resumable(),
                 versions: &self.versions,
-                within_limit: &within_limit,
+                has_room: &has_room,
                 entries: state.entry_count(),
                 now_ms: state.now_ms(),
             };
@@ -189,26 +188,3 @@
     let program = job.call.program.as_ref();
     is_turn && job.call.previous.is_none() && !program.is_some_and(is_known)
 }
-
-/// Returns whether the limit of a target, if it has one, allows a request. The last requests that limits
-/// allow are kept for programs under way.
-fn within_limit<'a>(
-    limits: &'a Limits,
-    targets: &[Candidate],
-    is_first_turn: bool,
-    now: Time,
-) -> impl Fn(&Candidate) -> bool + use<'a> {
-    let any_limit = !limits.is_empty();
-    let incarnations = targets
-        .iter()
-        .map(|candidate| Incarnation::of(&candidate.target));
-    let may_use_limited = !any_limit || !is_first_turn || limits.has_spare(incarnations, now);
-    move |candidate: &Candidate| {
-        let incarnation = || Incarnation::of(&candidate.target);
-        match () {
-            () if !any_limit => true,
-            () if may_use_limited => limits.is_open(incarnation(), now),
-            () => limits.limit(incarnation()).is_none(),
-        }
-    }
-}
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -11,6 +11,7 @@
 pub mod pool;
 pub mod prefix;
 pub mod program;
+pub mod room;
 pub mod send;
 pub mod version;
 pub mod window;
--- a/crates/gateway/src/target/balance.rs
+++ b/crates/gateway/src/target/balance.rs
@@ -68,8 +68,8 @@
     pub resumable: bool,
     /// Software versions that may run the request.
     pub versions: &'a version::Rule,
-    /// Whether the limit that a target names, if any, allows the request.
-    pub within_limit: &'a dyn Fn(&Candidate) -> bool,
+    /// Whether a target has room for the request, by the limits that targets name.
+    pub has_room: &'a dyn Fn(&Candidate) -> bool,
     /// Number of entries; the more there are, the later they learn of each other's requests.
     pub entries: usize,
     /// Milliseconds since this process started.
@@ -88,7 +88,7 @@
     pub own_tokens: u64,
 }
 
-/// Returns the target for a request, or `None` if all were tried or their limits are used up. Ejected targets are chosen only if
+/// Returns the target for a request, or `None` if all were tried or have no room. Ejected targets are chosen only if
 /// no other is left.
 pub fn choose<'a>(
     targets: &'a [Candidate],
@@ -100,7 +100,7 @@
         .iter()
         .filter(|candidate| !tried.contains(&candidate.target.id.as_str()))
         .filter(|candidate| criteria.versions.permits(&candidate.target))
-        .filter(|candidate| (criteria.within_limit)(candidate));
+        .filter(|candidate| (criteria.has_room)(candidate));
     let untried: Vec<&Candidate> = untried.collect();
     let healthy: Vec<&Candidate> = untried
         .iter()
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -195,7 +195,7 @@
             idempotent: true,
             resumable: true,
             versions: &Rule::Any,
-            within_limit: &|_| true,
+            has_room: &|_| true,
             entries: 1,
             now_ms: now as u64,
         };
@@ -354,7 +354,7 @@
         idempotent: true,
         resumable: true,
         versions: &Rule::Any,
-        within_limit: &|_| true,
+        has_room: &|_| true,
         entries: 1,
         now_ms: 0,
     }
@@ -432,7 +432,7 @@
         idempotent: true,
         resumable: true,
         versions: &Rule::Any,
-        within_limit: &|_| true,
+        has_room: &|_| true,
         entries: 1,
         now_ms: 0,
     };
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -237,7 +237,7 @@
             idempotent: true,
             resumable: true,
             versions: &Rule::Any,
-            within_limit: &|_| true,
+            has_room: &|_| true,
             entries: ENTRIES,
             now_ms: time.0,
         };
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -59,7 +59,7 @@
         idempotent: true,
         resumable,
         versions: rule,
-        within_limit: &|_| true,
+        has_room: &|_| true,
         entries: 1,
         now_ms: 0,
     };
