Answer requests that have arrived when a planned stop closes connections

Callers saw their connection reset without an answer if their request arrived just before an entry stopped listening. Cause: at the stop the listener was dropped with connections in its queue, and connections without a request that had been read were closed at once, also those that had just been accepted.

The queue is now accepted for 100 ms, and idle connections are closed 100 ms after it. callers::requests_that_arrive_just_before_a_planned_stop_are_answered failed before (no byte on any of 20 connections) and passes.

--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -32,16 +32,27 @@
 /// Smallest buffer size that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
-/// Serves callers until `stop` is true, then completes the requests in flight.
+/// Time at a stop for which connections that wait in the listener's queue are accepted, and time after
+/// it until idle connections are closed, so that requests that have arrived on them are read.
+const STOP_GRACE: Duration = Duration::from_millis(100);
+
+/// Serves callers until `stop` is true, then completes the requests that have arrived by then.
 pub async fn serve(listener: TcpListener, state: Arc<State>, mut stop: watch::Receiver<bool>) {
     let connections = GracefulShutdown::new();
+    let accepting = listener::accept(&listener, "callers", |stream, peer| {
+        spawn_connection(stream, peer, &state, &connections)
+    });
+    let stopping = async {
+        // An error means that the sender is gone, which is a stop too.
+        let _ = stop.wait_for(|stop| *stop).await;
+        tokio::time::sleep(STOP_GRACE).await;
+    };
     tokio::select! {
-        () = listener::accept(&listener, "callers", |stream, peer| {
-            spawn_connection(stream, peer, &state, &connections)
-        }) => {}
-        _ = stop.wait_for(|stop| *stop) => {}
+        () = accepting => {}
+        () = stopping => {}
     }
     drop(listener);
+    tokio::time::sleep(STOP_GRACE).await;
     connections.shutdown().await;
 }
 
