Refuse requests whose body doesn't arrive before their deadline

A caller that sends a byte of its body now and then held a request, and its memory, for ever: the time-out was on the head only. Such a request is now answered 408, as not run, at its deadline (the caller's or the route's). callers::a_body_that_does_not_end_within_the_timeout_of_its_route_is_refused_as_not_run failed before (no answer 0.5 s after the route's timeout) and passes.

--- a/crates/gateway/src/serve/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -127,8 +127,9 @@
         state.check_rate(customer)?;
     }
     let limit = snapshot.table.config.limits.body_bytes;
-    let body = read_body(body, limit).await?;
     let deadline = deadline(&route, &call, received);
+    let body = tokio::time::timeout_at(deadline, read_body(body, limit)).await;
+    let body = body.map_err(|_| Refusal::SlowBody)??;
     let job = Job {
         service: choose_service(&route, &call)?,
         version: snapshot.table.config.version,
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -21,6 +21,8 @@
     Malformed(String),
     /// The body exceeds the configured limit.
     TooLong,
+    /// The body didn't arrive before the request's deadline.
+    SlowBody,
     /// This entry has no configuration yet, or its configuration may be outdated.
     NotConfigured,
     NoRoute,
@@ -87,6 +89,7 @@
         match self {
             Refusal::Malformed(_) => StatusCode::BAD_REQUEST,
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Refusal::NotConfigured
             | Refusal::Unavailable { .. }
             | Refusal::Limited { .. }
@@ -105,6 +108,7 @@
         match self {
             Refusal::Malformed(_) => "malformed",
             Refusal::TooLong => "too_long",
+            Refusal::SlowBody => "slow_body",
             Refusal::NotConfigured => "not_configured",
             Refusal::NoRoute => "no_route",
             Refusal::NoKey => "no_key",
@@ -161,6 +165,7 @@
         match self {
             Refusal::Malformed(cause) => write!(f, "malformed request: {cause}"),
             Refusal::TooLong => f.write_str("body too long"),
+            Refusal::SlowBody => f.write_str("not run: the body didn't arrive in time"),
             Refusal::NotConfigured => f.write_str("not run: no configuration yet"),
             Refusal::NoRoute => f.write_str("no such route"),
             Refusal::NoKey => f.write_str("no such key"),
