--- a/crates/gateway/src/fleet/limits.rs
+++ b/crates/gateway/src/fleet/limits.rs
@@ -18,6 +18,10 @@
 use crate::target::limits::Notice;
 use crate::target::limits::Source;
 
+/// Among many entries, one report in this many has the requests sent to targets with limits: nothing is
+/// decided by them.
+const SENDINGS_PERIOD: u64 = 4;
+
 impl State {
     /// Records what a target's answer to a request that was sent at `asked` says of its limit. Only a
     /// success without a limit ends one: other answers may come from a part of the target that doesn't
@@ -73,8 +77,21 @@
             let weight = allotment::weight(demand);
             holders.push(Holder { entry, weight });
         }
+        let holder_count = holders.len();
         limits.divide(entry, holders, now);
         let notices = limits.notices(since, any_newcomer, now);
-        (notices, limits.sendings(since), demand)
+        let sendings = match sendings_since(holder_count, now) {
+            Some(since) => limits.sendings(since),
+            None => Vec::new(),
+        };
+        (notices, sendings, demand)
     }
 }
+
+/// Time since which requests to targets with limits are in a report that is sent now; none if this one
+/// has none.
+fn sendings_since(entries: usize, now: Time) -> Option<Time> {
+    let interval_ms = peers::interval(entries).as_millis() as u64;
+    let is_due = peers::is_small(entries) || (now.0 / interval_ms).is_multiple_of(SENDINGS_PERIOD);
+    is_due.then(|| Time(now.0.saturating_sub(2 * SENDINGS_PERIOD * interval_ms)))
+}
