--- a/crates/gateway/src/target/room.rs
+++ b/crates/gateway/src/target/room.rs
@@ -44,7 +44,10 @@
         let incarnation = Incarnation::of(&candidate.target);
         match limits.limit(incarnation) {
             Some(_) => may_use_limited && limits.is_open(incarnation, now),
-            None => f64::from(candidate.running()) < f64::from(candidate.target.slots) * load_limit,
+            None => {
+                f64::from(candidate.running())
+                    < f64::from(candidate.target.slots.max(1)) * load_limit
+            }
         }
     }
 }
