Log a target's malformed limit once for each incarnation

A target that names only malformed limits got a log line for each answer: what had been logged was kept with its valid limit, of which it has none. The comment said that such lines were bounded. Found by reading the change again. The log's budget was the only bound, so that other lines could be left out.

limits::a_malformed_limit_is_logged_once_for_each_incarnation needs the returned value, so that it wasn't run on the code before.

--- a/crates/gateway/src/fleet/limits.rs
+++ b/crates/gateway/src/fleet/limits.rs
@@ -34,7 +34,8 @@
             Limit::Absent => return,
             Limit::Malformed(malformed) => {
                 let mut limits = self.limits.lock();
-                return limits.record_malformed(incarnation, &target.id, &malformed.0);
+                limits.record_malformed(incarnation, &target.id, &malformed.0);
+                return;
             }
         };
         let now = self.time();
--- a/crates/gateway/src/target/limits.rs
+++ b/crates/gateway/src/target/limits.rs
@@ -98,7 +98,6 @@
     /// When the present value became known here.
     changed: Time,
     logged: Option<Time>,
-    malformed_logged: bool,
     held_units: u32,
     allotment: Allotment,
     sendings: Sendings,
@@ -112,7 +111,6 @@
             source,
             changed: now,
             logged: None,
-            malformed_logged: false,
             held_units: 0,
             allotment: Allotment::new(now),
             sendings: Sendings::default(),
@@ -204,6 +202,8 @@
 #[derive(Debug, Default)]
 pub struct Limits {
     targets: Map<u32, Limited>,
+    /// Incarnations whose malformed limits were logged: start, by target.
+    malformed: Map<u32, u64>,
     /// This entry, as [`Self::holders`] names it.
     entry: u64,
     /// Entries among which limits are divided.
@@ -311,17 +311,22 @@
         any_changed
     }
 
-    /// Logs the first malformed limit of a target's incarnation that has named a valid one, and any
-    /// other at most once a second.
-    pub fn record_malformed(&mut self, incarnation: Incarnation, target: &str, cause: &str) {
-        let known = self.targets.get_mut(&incarnation.target);
-        if known.is_some_and(|limited| std::mem::replace(&mut limited.malformed_logged, true)) {
-            return;
+    /// Logs the first malformed limit of a target's incarnation; returns whether it is the first.
+    pub fn record_malformed(
+        &mut self,
+        incarnation: Incarnation,
+        target: &str,
+        cause: &str,
+    ) -> bool {
+        let former = self.malformed.insert(incarnation.target, incarnation.born);
+        let is_first = former != Some(incarnation.born);
+        if is_first {
+            log::warn!(
+                step = "learn limit", peer = target, born = incarnation.born;
+                "malformed limit is ignored: {cause}"
+            );
         }
-        log::warn!(
-            step = "learn limit", peer = target, born = incarnation.born;
-            "malformed limit is ignored: {cause}"
-        );
+        is_first
     }
 
     /// The limit of a target's incarnation, if it is in force.
@@ -473,6 +478,7 @@
 
     /// Forgets limits that ended long ago, and those of targets that aren't registered any more.
     pub fn expire(&mut self, is_registered: impl Fn(u32) -> bool, now: Time) {
+        self.malformed.retain(|target, _| is_registered(*target));
         self.targets.retain(|target, limited| {
             let is_current = now.since(limited.statement.answered) < ENDED_RETENTION;
             let in_force = limited.statement.limit.is_some();
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -223,3 +223,20 @@
     assert_eq!(window.sum(Time(100_000)), 1);
     assert_eq!(window.sum(Time(200_000)), 0);
 }
+
+/// Guards against a log line for each answer of a target that never names a valid limit.
+#[rstest]
+fn a_malformed_limit_is_logged_once_for_each_incarnation() {
+    let mut limits = limits(0);
+    assert!(limits.record_malformed(TARGET, "t", "no number"));
+    assert!(!limits.record_malformed(TARGET, "t", "no number"));
+    answer(&mut limits, TARGET, Some(2.0), 1_000);
+    assert!(!limits.record_malformed(TARGET, "t", "no number"));
+    let restarted = Incarnation {
+        born: 2_000,
+        ..TARGET
+    };
+    assert!(limits.record_malformed(restarted, "t", "no number"));
+    limits.expire(|_| false, Time(600_000));
+    assert!(limits.record_malformed(restarted, "t", "no number"));
+}
