Requests under way wait for their customer's rate; refused ones return one after the other

Cause: every request refused at the same moment was told the time until the bucket holds one request, 1 to 70 ms; all came back together, one was taken, and the others had used up the one retry that their callers make. Change 1: a request of a program under way that the rate allows within 500 ms, and a quarter of its time left, is taken from the bucket at once and sent when its turn comes; later ones get retry slots 1/rate apart. Change 2: first turns leave a fifth of the burst to programs under way.

--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -30,9 +30,21 @@
 /// Time between two notes of the total that [`Quota::earlier`] returns.
 const EARLIER_INTERVAL: Millis = Millis(500);
 
-/// Largest debt that other entries' reports can leave, in seconds of rate.
+/// Largest debt that other entries' reports can leave, in seconds of rate, besides what requests wait
+/// for.
 const MAX_DEBT_S: f64 = 1.0;
 
+/// Longest time for which a request may wait until it is available.
+pub const MAX_PATIENCE: Millis = Millis(500);
+
+/// Number of entries up to which requests may wait. More entries learn later of each other's requests,
+/// and what waits at all of them would add up beyond the allowed excess.
+const PATIENT_ENTRIES: usize = 8;
+
+/// Share of the burst, or of a second's rate if that is less, that first turns leave to programs under
+/// way.
+const UNDER_WAY_RESERVE: f64 = 0.2;
+
 /// What a request is charged with.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Charge {
@@ -46,6 +58,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Take {
     Granted,
+    /// The request is taken but must not be sent before this time has passed.
+    GrantedAfter(Millis),
     /// Time after which the request is worth retrying.
     Wait(Millis),
 }
@@ -176,21 +190,27 @@
         self.cap(fleet);
     }
 
-    /// Takes one request.
-    pub fn take(&mut self, charge: Charge, fleet: Fleet, now: Time) -> Take {
+    /// Takes one request. A request of a program under way may be taken before it is available, if it
+    /// becomes available within `patience`; requests that wait thus do so one after the other.
+    pub fn take(&mut self, charge: Charge, patience: Millis, fleet: Fleet, now: Time) -> Take {
         self.refill(fleet, now);
         self.note_total(now);
         let refill_rate = self.refill_rate(fleet);
         let allowance = match charge {
             Charge::Request => self.usable_allowance(fleet),
-            Charge::FirstTurn(_) => 0.0,
+            Charge::FirstTurn(_) => -self.burst.min(self.rate) * UNDER_WAY_RESERVE,
         };
         let available = self.request_balance + allowance;
-        if available < 1.0 {
-            return Take::Wait(wait_time(1.0 - available, refill_rate));
-        }
+        let wait = match available < 1.0 {
+            true => wait_time(1.0 - available, refill_rate),
+            false => Millis(0),
+        };
         match charge {
+            Charge::Request if wait > patience.min(max_patience(fleet)) => {
+                return Take::Wait(wait);
+            }
             Charge::Request => {}
+            Charge::FirstTurn(_) if wait > Millis(0) => return Take::Wait(wait),
             Charge::FirstTurn(_) if self.program_balance < 1.0 => {
                 return Take::Wait(wait_time(1.0 - self.program_balance, refill_rate));
             }
@@ -201,14 +221,19 @@
         }
         self.request_balance -= 1.0;
         self.admitted.requests += 1;
-        Take::Granted
+        match wait {
+            Millis(0) => Take::Granted,
+            wait => Take::GrantedAfter(wait),
+        }
     }
 
-    /// Time after which a request of a program under way would be granted; `None` if it would be now.
-    pub fn request_wait(&mut self, fleet: Fleet, now: Time) -> Option<Millis> {
+    /// Time after which a request of a program under way would be granted; `None` if it would be now, or
+    /// after a wait of at most `patience`.
+    pub fn request_wait(&mut self, patience: Millis, fleet: Fleet, now: Time) -> Option<Millis> {
         self.refill(fleet, now);
         let missing = 1.0 - self.request_balance - self.usable_allowance(fleet);
-        (missing > 0.0).then(|| wait_time(missing, self.refill_rate(fleet)))
+        let wait = (missing > 0.0).then(|| wait_time(missing, self.refill_rate(fleet)));
+        wait.filter(|wait| *wait > patience.min(max_patience(fleet)))
     }
 
     /// Returns the total that this entry reports to the others.
@@ -305,7 +330,7 @@
         let requests = total.requests.saturating_sub(known.reported.requests) as f64;
         let started = (total.started - known.reported.started).max(0.0);
         known.reported = known.reported.max(total);
-        let floor = -self.rate * MAX_DEBT_S - self.allowance;
+        let floor = -self.rate * (MAX_DEBT_S + MAX_PATIENCE.0 as f64 / 1000.0) - self.allowance;
         self.request_balance = (self.request_balance - (requests - assumed).max(0.0)).max(floor);
         self.program_balance = (self.program_balance - (started - assumed).max(0.0)).max(floor);
     }
@@ -343,6 +368,14 @@
     }
 }
 
+/// Longest time for which a request may wait among this many entries.
+fn max_patience(fleet: Fleet) -> Millis {
+    match fleet.entries <= PATIENT_ENTRIES {
+        true => MAX_PATIENCE,
+        false => Millis(0),
+    }
+}
+
 /// Whether all other entries are silent.
 fn is_cut_off(fleet: Fleet) -> bool {
     fleet.entries > 1 && fleet.silent + 1 >= fleet.entries
--- a/crates/coord/tests/quota.rs
+++ b/crates/coord/tests/quota.rs
@@ -5,6 +5,7 @@
 use coord::id::Rate;
 use coord::quota::Charge;
 use coord::quota::Fleet;
+use coord::quota::MAX_PATIENCE;
 use coord::quota::Quota;
 use coord::quota::SILENCE_TIMEOUT;
 use coord::quota::Take;
@@ -47,8 +48,10 @@
     burst: u32,
     entries: Vec<Entry>,
     reports: Vec<Report>,
-    /// Times at which requests were admitted.
-    admitted: Vec<u64>,
+    /// Times at which requests were sent, and by which entry.
+    admitted: Vec<(u64, usize)>,
+    /// Time for which requests wait instead of being refused.
+    patience: Millis,
     random: StdRng,
     cut: Option<usize>,
     loss: f64,
@@ -73,6 +76,7 @@
             entries: (0..entries).map(|number| entry(number as u64)).collect(),
             reports: Vec::new(),
             admitted: Vec::new(),
+            patience: Millis(0),
             random: StdRng::seed_from_u64(seed),
             cut: None,
             loss: 0.0,
@@ -97,11 +101,11 @@
         let extra = u64::from(self.random.random_bool(mean.fract()));
         let fleet = self.fleet(at, now);
         for _ in 0..whole + extra {
-            let taken = self.entries[at]
-                .quota
-                .take(Charge::Request, fleet, Time(now));
-            if taken == Take::Granted {
-                self.admitted.push(now);
+            let quota = &mut self.entries[at].quota;
+            match quota.take(Charge::Request, self.patience, fleet, Time(now)) {
+                Take::Granted => self.admitted.push((now, at)),
+                Take::GrantedAfter(wait) => self.admitted.push((now + wait.0, at)),
+                Take::Wait(_) => {}
             }
         }
     }
@@ -153,7 +157,10 @@
         );
     }
 
+    /// Restarts an entry; the requests that wait there are lost.
     fn restart(&mut self, at: usize, now: u64) {
+        self.admitted
+            .retain(|(sent, entry)| *entry != at || *sent <= now);
         let fleet = Fleet {
             entries: self.entries.len(),
             silent: 0,
@@ -164,12 +171,14 @@
         entry.last_report = vec![now; entry.last_report.len()];
     }
 
-    /// Largest number of requests admitted in any window.
+    /// Largest number of requests sent in any window.
     fn worst_window(&self) -> usize {
+        let mut sent: Vec<u64> = self.admitted.iter().map(|(sent, _)| *sent).collect();
+        sent.sort_unstable();
         let mut start = 0;
         let mut worst = 0;
-        for (end, at) in self.admitted.iter().enumerate() {
-            while self.admitted[start] + WINDOW_MS < *at {
+        for (end, at) in sent.iter().enumerate() {
+            while sent[start] + WINDOW_MS < *at {
                 start += 1;
             }
             worst = worst.max(end + 1 - start);
@@ -191,9 +200,11 @@
 fn no_window_exceeds_the_bound_while_reports_are_late_or_lost(
     #[values(1, 4, 18)] entries: usize,
     #[values(0.0, 0.3)] loss: f64,
+    #[values(Millis(0), MAX_PATIENCE)] patience: Millis,
     #[values(1, 2, 3, 4)] seed: u64,
 ) {
     let mut world = World::new(entries, 135.0, 135, seed);
+    world.patience = patience;
     world.loss = loss;
     world.lag_ms = 80;
     for now in steps(20) {
@@ -202,15 +213,18 @@
         }
         world.exchange(now);
     }
-    assert!((world.worst_window() as f64) <= world.bound());
+    let (worst, bound) = (world.worst_window() as f64, world.bound());
+    assert!(worst <= bound, "{worst} > {bound}");
 }
 
 #[rstest]
 fn no_window_exceeds_the_bound_while_an_entry_is_cut_off(
     #[values(3, 4)] entries: usize,
+    #[values(Millis(0), MAX_PATIENCE)] patience: Millis,
     #[values(1, 2, 3, 4, 5, 6)] seed: u64,
 ) {
     let mut world = World::new(entries, 80.0, 80, seed);
+    world.patience = patience;
     let cut_start = world.random.random_range(500..9_000);
     let cut_end = cut_start + world.random.random_range(500..9_000);
     for now in steps(25) {
@@ -220,12 +234,17 @@
         }
         world.exchange(now);
     }
-    assert!((world.worst_window() as f64) <= world.bound());
+    let (worst, bound) = (world.worst_window() as f64, world.bound());
+    assert!(worst <= bound, "{worst} > {bound}");
 }
 
 #[rstest]
-fn no_window_exceeds_the_bound_while_entries_restart(#[values(1, 2, 3, 4)] seed: u64) {
+fn no_window_exceeds_the_bound_while_entries_restart(
+    #[values(Millis(0), MAX_PATIENCE)] patience: Millis,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
     let mut world = World::new(4, 80.0, 80, seed);
+    world.patience = patience;
     for now in steps(20) {
         if now.is_multiple_of(4_000) {
             let at = world.random.random_range(0..4);
@@ -236,7 +255,8 @@
         }
         world.exchange(now);
     }
-    assert!((world.worst_window() as f64) <= world.bound());
+    let (worst, bound) = (world.worst_window() as f64, world.bound());
+    assert!(worst <= bound, "{worst} > {bound}");
 }
 
 #[rstest]
@@ -276,8 +296,8 @@
     let mut started = 0;
     for now in steps(10) {
         for _ in 0..3 {
-            started +=
-                u32::from(quota.take(Charge::FirstTurn(10.0), fleet, Time(now)) == Take::Granted);
+            let taken = quota.take(Charge::FirstTurn(10.0), MAX_PATIENCE, fleet, Time(now));
+            started += u32::from(taken == Take::Granted);
         }
     }
     // Ten requests a program: the rate finishes 100 programs in 10 s, the burst 10 more.
@@ -293,11 +313,46 @@
     let mut quota = Quota::new(rate(100.0), Burst(100), fleet, Time(0));
     quota.set_limits(rate(10.0), Burst(5), fleet, Time(1_000));
     let granted = (0..50)
-        .filter(|_| quota.take(Charge::Request, fleet, Time(1_000)) == Take::Granted)
+        .filter(|_| quota.take(Charge::Request, Millis(0), fleet, Time(1_000)) == Take::Granted)
         .count();
     assert_eq!(granted, 5);
-    let Take::Wait(wait) = quota.take(Charge::Request, fleet, Time(1_000)) else {
+    let Take::Wait(wait) = quota.take(Charge::Request, Millis(0), fleet, Time(1_000)) else {
         panic!("granted beyond the burst");
     };
     assert_eq!(wait, Millis(100));
 }
+
+#[rstest]
+fn requests_that_wait_are_sent_one_after_the_other_at_the_rate() {
+    let fleet = Fleet {
+        entries: 1,
+        silent: 0,
+    };
+    let mut quota = Quota::new(rate(50.0), Burst(4), fleet, Time(0));
+    let mut take = || quota.take(Charge::Request, MAX_PATIENCE, fleet, Time(0));
+    let waits: Vec<Take> = (0..30).map(|_| take()).collect();
+    assert_eq!(waits[..4], [Take::Granted; 4]);
+    let expected: Vec<Take> = (1..=25)
+        .map(|place| Take::GrantedAfter(Millis(place * 20)))
+        .collect();
+    assert_eq!(waits[4..29], expected);
+    assert_eq!(waits[29], Take::Wait(Millis(520)));
+}
+
+#[rstest]
+fn first_turns_neither_wait_nor_take_what_programs_under_way_need() {
+    let fleet = Fleet {
+        entries: 1,
+        silent: 0,
+    };
+    let mut quota = Quota::new(rate(50.0), Burst(50), fleet, Time(0));
+    let mut started = 0;
+    while quota.take(Charge::FirstTurn(1.0), MAX_PATIENCE, fleet, Time(0)) == Take::Granted {
+        started += 1;
+    }
+    assert_eq!(started, 40);
+    for _ in 0..10 {
+        let taken = quota.take(Charge::Request, Millis(0), fleet, Time(0));
+        assert_eq!(taken, Take::Granted);
+    }
+}
--- a/crates/coord/tests/usage.rs
+++ b/crates/coord/tests/usage.rs
@@ -9,9 +9,11 @@
 use coord::quota::Charge;
 use coord::quota::Entry;
 use coord::quota::Fleet;
+use coord::quota::MAX_PATIENCE;
 use coord::quota::Quota;
 use coord::quota::Take;
 use coord::quota::Usage;
+use coord::time::Millis;
 use coord::time::Time;
 use coord::usage::Exchange;
 use coord::usage::INTERVAL;
@@ -71,8 +73,11 @@
     lost_since: u64,
     loss: Loss,
     dropped_share: f64,
-    admitted: Vec<u64>,
+    /// Times at which requests were sent, and by which entry.
+    admitted: Vec<(u64, usize)>,
     refused: usize,
+    /// Time for which requests wait instead of being refused.
+    patience: Millis,
     random: StdRng,
 }
 
@@ -101,6 +106,7 @@
             dropped_share: 0.0,
             admitted: Vec::new(),
             refused: 0,
+            patience: Millis(0),
             random: StdRng::seed_from_u64(seed),
         }
     }
@@ -120,26 +126,31 @@
         }
         self.loss = loss;
         self.lost_since = now;
+        // Requests that wait at a killed entry are lost.
+        let killed: Vec<bool> = (0..self.lost.len()).map(|at| self.is_killed(at)).collect();
+        self.admitted
+            .retain(|(sent, entry)| !killed[*entry] || *sent <= now);
     }
 
     fn is_killed(&self, at: usize) -> bool {
         self.lost[at] && self.loss == Loss::Killed
     }
 
-    fn request(&mut self, at: usize, now: u64) -> bool {
+    /// Returns the time at which a request is sent, unless it is refused.
+    fn request(&mut self, at: usize, now: u64) -> Option<u64> {
         let fleet = self.fleet(at, now);
-        let taken = self.quotas[at].take(Charge::Request, fleet, Time(now));
-        match taken {
-            Take::Granted => {
-                self.admitted.push(now);
-                self.exchanges[at].record_admission(&customer());
-                true
-            }
+        let taken = self.quotas[at].take(Charge::Request, self.patience, fleet, Time(now));
+        let wait = match taken {
+            Take::Granted => 0,
+            Take::GrantedAfter(wait) => wait.0,
             Take::Wait(_) => {
                 self.refused += 1;
-                false
+                return None;
             }
-        }
+        };
+        self.admitted.push((now + wait, at));
+        self.exchanges[at].record_admission(&customer());
+        Some(now + wait)
     }
 
     fn exchange(&mut self, now: u64) {
@@ -225,21 +236,27 @@
     }
 
     fn step(&mut self, program: &mut Program, now: u64) {
-        program.next = now + self.random.random_range(50..250);
+        let pause = self.random.random_range(50..250);
         match self.request(program.at, now) {
-            true => {
+            Some(sent) => {
+                program.next = sent + pause;
                 program.requests_left -= 1;
                 program.tries_left = TRIES;
             }
-            false => program.tries_left -= 1,
+            None => {
+                program.next = now + pause;
+                program.tries_left -= 1;
+            }
         }
     }
 
     fn worst_window(&self) -> f64 {
+        let mut sent: Vec<u64> = self.admitted.iter().map(|(sent, _)| *sent).collect();
+        sent.sort_unstable();
         let mut start = 0;
         let mut worst = 0;
-        for (end, at) in self.admitted.iter().enumerate() {
-            while self.admitted[start] + WINDOW_MS < *at {
+        for (end, at) in sent.iter().enumerate() {
+            while sent[start] + WINDOW_MS < *at {
                 start += 1;
             }
             worst = worst.max(end + 1 - start);
@@ -256,16 +273,22 @@
 fn a_flood_over_ninety_entries_stays_within_the_bound(
     #[values(5.0, 10.0, 25.0, 100.0, 400.0)] per_second: f64,
     #[values(0.0, 0.02)] dropped_share: f64,
+    #[values(Millis(0), MAX_PATIENCE)] patience: Millis,
     #[values(1, 2, 3)] seed: u64,
 ) {
     let mut world = World::new(91, per_second, seed);
+    world.patience = patience;
     world.dropped_share = dropped_share;
     world.play(per_second * 0.06, 2_000, 6_000);
     world.play(per_second * 0.47, 6_000, 14_000);
     let worst = world.worst_window();
     assert!(worst <= bound(per_second), "{worst}");
     // The customer still gets most of its rate.
-    let flood = world.admitted.iter().filter(|at| **at >= 6_000).count();
+    let flood = world
+        .admitted
+        .iter()
+        .filter(|(sent, _)| *sent >= 6_000)
+        .count();
     assert!(flood as f64 >= 0.8 * per_second * 8.0, "{flood}");
 }
 
@@ -273,9 +296,11 @@
 fn a_flood_stays_within_the_bound_while_entries_are_lost(
     #[values(5.0, 10.0, 25.0, 100.0, 400.0)] per_second: f64,
     #[values(Loss::Killed, Loss::CutOff)] loss: Loss,
+    #[values(Millis(0), MAX_PATIENCE)] patience: Millis,
     #[values(1, 2, 3, 4)] seed: u64,
 ) {
     let mut world = World::new(91, per_second, seed);
+    world.patience = patience;
     world.play(per_second * 0.47, 2_000, 6_000);
     world.lose(15, loss, 6_000);
     world.play(per_second * 0.47, 6_000, 10_000);
@@ -310,9 +335,9 @@
     };
     let mut busy = Quota::new(rate(10.0), Burst(10), fleet, Time(0));
     for now in (0..20_000).step_by(200) {
-        busy.take(Charge::Request, fleet, Time(now));
+        busy.take(Charge::Request, Millis(0), fleet, Time(now));
     }
-    busy.take(Charge::Request, fleet, Time(60_000));
+    busy.take(Charge::Request, Millis(0), fleet, Time(60_000));
     let usage = Usage {
         entry: Entry {
             id: 1,
@@ -324,7 +349,7 @@
     let mut other = Quota::new(rate(10.0), Burst(10), fleet, Time(0));
     other.merge_usage(&usage, fleet, Time(60_000));
     let granted = (0..20)
-        .filter(|_| other.take(Charge::Request, fleet, Time(60_000)) == Take::Granted)
+        .filter(|_| other.take(Charge::Request, Millis(0), fleet, Time(60_000)) == Take::Granted)
         .count();
     assert_eq!(granted, 9);
     assert_eq!(other.total().requests, 9);
@@ -349,7 +374,7 @@
     quota.merge_usage(&usage(2, 1), fleet, Time(5_000));
     quota.merge_usage(&usage(1, 500), fleet, Time(5_000));
     let granted = (0..20)
-        .filter(|_| quota.take(Charge::Request, fleet, Time(5_000)) == Take::Granted)
+        .filter(|_| quota.take(Charge::Request, Millis(0), fleet, Time(5_000)) == Take::Granted)
         .count();
     assert_eq!(granted, 9);
 }
@@ -361,7 +386,7 @@
         silent: 0,
     };
     let mut quota = Quota::new(rate(5.0), Burst(5), alone, Time(0)).with_allowance(10.0);
-    let mut take = |charge, now| quota.take(charge, alone, Time(now)) == Take::Granted;
+    let mut take = |charge, now| quota.take(charge, Millis(0), alone, Time(now)) == Take::Granted;
     assert!(take(Charge::FirstTurn(5.0), 0));
     let granted = (0..30).filter(|_| take(Charge::Request, 0)).count();
     assert_eq!(granted, 14);
@@ -374,8 +399,10 @@
 #[rstest]
 fn a_flood_stays_within_the_bound_while_half_of_the_entries_are_killed(
     #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20)] seed: u64,
+    #[values(Millis(0), MAX_PATIENCE)] patience: Millis,
 ) {
     let mut world = World::new(91, 100.0, seed);
+    world.patience = patience;
     world.play(47.0, 2_000, 6_000);
     world.lose(46, Loss::Killed, 6_000);
     world.play(47.0, 6_000, 10_000);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     history_call_duration: Histogram<f64>,
     choice_to_send: Histogram<f64>,
     targets_age: Histogram<f64>,
+    rate_wait: Histogram<f64>,
 }
 
 /// Number of events and timings of a turn, relative to the arrival of its request.
@@ -108,6 +109,10 @@
                 "teasellever_targets_age_seconds",
                 "Age of the knowledge of targets when a request is sent",
             ),
+            rate_wait: seconds(
+                "teasellever_rate_wait_seconds",
+                "Time for which a request waits for its customer's rate",
+            ),
         }
     }
 
@@ -134,6 +139,11 @@
         self.targets_age.record(targets_age.as_secs_f64(), &[]);
     }
 
+    /// Records a request that waits for its customer's rate.
+    pub fn record_rate_wait(&self, wait: Duration) {
+        self.rate_wait.record(wait.as_secs_f64(), &[]);
+    }
+
     /// Records a request that the entry refuses itself.
     pub fn record_refusal(&self, cause: &'static str) {
         let cause = KeyValue::new("cause", cause);
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -45,6 +45,8 @@
     last_admitted: Time,
     /// Time at which the last refused program may retry.
     last_slot: Time,
+    /// Time at which the last refused request of a program under way may retry.
+    last_request_slot: Time,
 }
 
 /// Part of the allowed excess over a rate that programs under way may use; the rest covers requests
@@ -94,50 +96,58 @@
         self.customers.retain(|name, _| limited.contains(name));
     }
 
-    /// Admits a request and charges it to its customer's rate. A first turn is also charged
-    /// with the expected requests of its whole program.
+    /// Admits a request and charges it to its customer's rate; returns the time for which the request
+    /// must wait before it is sent. A first turn doesn't wait, and is also charged with the expected
+    /// requests of its whole program; others wait for at most `patience`.
     ///
     /// Errors: the request exceeds the rate.
     pub fn admit(
         &mut self,
         limits: &CustomerLimits,
         first_turn: bool,
+        patience: Duration,
         fleet: Fleet,
         now: Time,
-    ) -> Result<(), Exceeded> {
+    ) -> Result<Duration, Exceeded> {
         let charge = match first_turn {
             true => Charge::FirstTurn(self.program_requests),
             false => Charge::Request,
         };
         let Some(bucket) = self.bucket(limits, fleet, now) else {
             self.count_request(first_turn);
-            return Ok(());
+            return Ok(Duration::ZERO);
         };
-        match (bucket.quota.take(charge, fleet, now), charge) {
-            (Take::Granted, _) => {
-                bucket.last_admitted = now;
-                self.count_request(first_turn);
-                Ok(())
+        let taken = bucket.quota.take(charge, millis(patience), fleet, now);
+        let delay = match (taken, charge) {
+            (Take::Granted, _) => Millis(0),
+            (Take::GrantedAfter(delay), _) => delay,
+            (Take::Wait(wait), Charge::Request) => {
+                return Err(Exceeded(bucket.reserve_request_slot(wait, now)));
             }
-            (Take::Wait(wait), Charge::Request) => Err(Exceeded(retry_after(wait))),
             (Take::Wait(wait), Charge::FirstTurn(cost)) => {
-                Err(Exceeded(bucket.reserve_retry_slot(wait, cost, now)))
+                return Err(Exceeded(bucket.reserve_program_slot(wait, cost, now)));
             }
-        }
+        };
+        bucket.last_admitted = now;
+        self.count_request(first_turn);
+        Ok(Duration::from_millis(delay.0))
     }
 
-    /// Checks whether a customer's rate is exhausted, without charging a request.
+    /// Checks whether a request would have to wait longer than `patience`, without charging it.
     ///
-    /// Errors: the rate is exhausted.
+    /// Errors: it would.
     pub fn check(
         &mut self,
         limits: &CustomerLimits,
+        patience: Duration,
         fleet: Fleet,
         now: Time,
     ) -> Result<(), Exceeded> {
-        let bucket = self.bucket(limits, fleet, now);
-        match bucket.and_then(|bucket| bucket.quota.request_wait(fleet, now)) {
-            Some(wait) => Err(Exceeded(retry_after(wait))),
+        let Some(bucket) = self.bucket(limits, fleet, now) else {
+            return Ok(());
+        };
+        match bucket.quota.request_wait(millis(patience), fleet, now) {
+            Some(wait) => Err(Exceeded(bucket.reserve_request_slot(wait, now))),
             None => Ok(()),
         }
     }
@@ -213,6 +223,7 @@
             limits: new_limits,
             last_admitted: now,
             last_slot: now,
+            last_request_slot: now,
         });
         if bucket.limits != new_limits {
             bucket.limits = new_limits;
@@ -236,18 +247,36 @@
 impl Bucket {
     /// Reserves a retry slot for a refused program, after the slots of those refused before but at
     /// most [`MAX_RETRY_AFTER`] from now; returns the time until the slot.
-    fn reserve_retry_slot(&mut self, wait: Millis, cost: f64, now: Time) -> Duration {
-        let (rate, _) = self.limits;
-        let slot_length = Millis((cost / rate.max(f64::MIN_POSITIVE) * 1000.0) as u64);
-        let earliest = now + wait;
-        let next_free = self.last_slot + slot_length;
-        let latest = now + Millis(MAX_RETRY_AFTER.as_millis() as u64);
-        let slot = earliest.max(next_free).min(latest);
+    fn reserve_program_slot(&mut self, wait: Millis, cost: f64, now: Time) -> Duration {
+        let slot = next_slot(self.last_slot, wait, self.slot_length(cost), now);
         self.last_slot = slot;
         retry_after(slot.since(now))
     }
+
+    /// The same for a refused request of a program under way.
+    fn reserve_request_slot(&mut self, wait: Millis, now: Time) -> Duration {
+        let slot = next_slot(self.last_request_slot, wait, self.slot_length(1.0), now);
+        self.last_request_slot = slot;
+        retry_after(slot.since(now))
+    }
+
+    /// Time in which the rate allows this many requests.
+    fn slot_length(&self, requests: f64) -> Millis {
+        let (rate, _) = self.limits;
+        Millis((requests / rate.max(f64::MIN_POSITIVE) * 1000.0) as u64)
+    }
+}
+
+/// The earliest slot after a wait that doesn't overlap the slot before.
+fn next_slot(previous: Time, wait: Millis, length: Millis, now: Time) -> Time {
+    let latest = now + Millis(MAX_RETRY_AFTER.as_millis() as u64);
+    (now + wait).max(previous + length).min(latest)
 }
 
 fn retry_after(wait: Millis) -> Duration {
     Duration::from_millis(wait.0).min(MAX_RETRY_AFTER)
 }
+
+fn millis(duration: Duration) -> Millis {
+    Millis(duration.as_millis() as u64)
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,5 +1,6 @@
 //! Serves callers' requests, from accepting a connection to relaying the last byte of the answer.
 
+pub mod admission;
 pub mod answer;
 pub mod body;
 pub mod chain;
--- a/crates/gateway/src/serve/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -20,6 +20,7 @@
 use crate::config::Route;
 use crate::config::Service;
 use crate::config::Version;
+use crate::serve::admission;
 use crate::serve::body::Body;
 use crate::serve::plain;
 use crate::serve::refusal::Refusal;
@@ -123,11 +124,11 @@
     context.program = call.program.clone();
     let customer = authenticate(state, &snapshot, &route, &call)?;
     context.customer = customer.clone();
+    let deadline = deadline(&route, &call, received);
     if let Some(customer) = &customer {
-        state.check_rate(customer)?;
+        admission::check(state, customer, deadline)?;
     }
     let limit = snapshot.table.config.limits.body_bytes;
-    let deadline = deadline(&route, &call, received);
     let body = tokio::time::timeout_at(deadline, read_body(body, limit)).await;
     let body = body.map_err(|_| Refusal::SlowBody)??;
     let job = Job {
@@ -147,9 +148,7 @@
     match job.route.kind {
         RequestKind::Stream(stream) => turn::answer(state, job, stream).await,
         RequestKind::Idempotent | RequestKind::NonIdempotent => {
-            if let Some(customer) = &job.customer {
-                state.admit(customer, false)?;
-            }
+            admission::admit(state, &job, false).await?;
             let (response, target) = plain::answer(state, &job).await?;
             state
                 .instruments
--- a/crates/gateway/src/serve/reservation.rs
+++ b/crates/gateway/src/serve/reservation.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::config::Stream;
+use crate::serve::admission;
 use crate::serve::origin;
 use crate::serve::refusal::Refusal;
 use crate::serve::request::Job;
@@ -78,9 +79,7 @@
     let (Some(program), Some(budget), Some(tokens)) =
         (&job.call.program, job.call.budget, job.call.tokens)
     else {
-        if let Some(customer) = &job.customer {
-            state.admit(customer, false)?;
-        }
+        admission::admit(state, job, false).await?;
         if let Some(origin) = &origin {
             let stored = origin::store(state, job, origin, deadline).await;
             stored.map_err(|error| Refusal::Unavailable {
@@ -110,9 +109,7 @@
     };
     match state.history.reserve(&guard.reservation, deadline).await {
         Ok(Grant::Granted { first, target }) => {
-            if let Some(customer) = &job.customer {
-                state.admit(customer, first)?;
-            }
+            admission::admit(state, job, first).await?;
             Ok((Some(guard), target))
         }
         Ok(Grant::Spent(taken)) => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -252,24 +252,35 @@
         Time(self.now_ms())
     }
 
-    /// Charges a request to its customer's rate; `first` marks the first turn of a program.
+    /// Charges a request to its customer's rate; `first` marks the first turn of a program. Returns the
+    /// time for which the request must wait before it is sent, at most `patience`.
     ///
     /// Errors: the rate is exceeded.
-    pub fn admit(&self, customer: &CustomerLimits, first: bool) -> Result<(), Exceeded> {
+    pub fn admit(
+        &self,
+        customer: &CustomerLimits,
+        first: bool,
+        patience: Duration,
+    ) -> Result<Duration, Exceeded> {
         let (fleet, now) = (self.fleet(), self.time());
-        self.quotas.lock().admit(customer, first, fleet, now)?;
+        let mut quotas = self.quotas.lock();
+        let delay = quotas.admit(customer, first, patience, fleet, now)?;
         if customer.rate.is_some() {
             self.usage.lock().record_admission(&customer.name);
         }
-        Ok(())
+        Ok(delay)
     }
 
     /// Refuses a request that certainly exceeds its customer's rate; charges nothing.
     ///
-    /// Errors: the rate is exhausted.
-    pub fn check_rate(&self, customer: &CustomerLimits) -> Result<(), Exceeded> {
+    /// Errors: it would have to wait longer than `patience`.
+    pub fn check_rate(
+        &self,
+        customer: &CustomerLimits,
+        patience: Duration,
+    ) -> Result<(), Exceeded> {
         let (fleet, now) = (self.fleet(), self.time());
-        self.quotas.lock().check(customer, fleet, now)
+        self.quotas.lock().check(customer, patience, fleet, now)
     }
 
     /// Numbers of all entries and of silent ones; all others are silent if this one hears none.
