Platform client: log why an exchange failed

The known red test failed once with 'platform unavailable', which stands for refused connections, connect timeouts and any other failure to connect; the cause was dropped. A line now carries it, with the time taken.

--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use coord::id::Version;
@@ -360,14 +361,21 @@
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<(Version, Bytes), Error> {
-        let response =
-            self.client
-                .request(request)
-                .await
-                .map_err(|error| match error.is_connect() {
-                    true => Error::Unavailable,
-                    false => Error::Unknown,
-                })?;
+        let begun = Instant::now();
+        let response = self.client.request(request).await.map_err(|error| {
+            let elapsed_ms = begun.elapsed().as_millis() as u64;
+            let connected = !error.is_connect();
+            let cause = eyre::Report::new(error);
+            log::warn!(
+                step = "call platform", peer = self.base.as_str(), connected = connected,
+                elapsed_ms = elapsed_ms;
+                "{cause:#}"
+            );
+            match connected {
+                true => Error::Unknown,
+                false => Error::Unavailable,
+            }
+        })?;
         let version = version(&response);
         match response.status() {
             StatusCode::OK => (),
