--- a/crates/coord/tests/usage.rs
+++ b/crates/coord/tests/usage.rs
@@ -409,3 +409,24 @@
     let worst = world.worst_window();
     assert!(worst <= bound(100.0), "{worst}");
 }
+
+/// Seeds with which more than the bound was sent, found by playing more seeds than above.
+#[rstest]
+fn a_flood_stays_within_the_bound_with_seeds_that_exceeded_it() {
+    let cases = [
+        (10.0, 15, Loss::Killed, 14),
+        (10.0, 15, Loss::CutOff, 14),
+        (25.0, 15, Loss::CutOff, 10),
+        (100.0, 46, Loss::Killed, 28),
+    ];
+    let exceeding = cases.map(|(per_second, lost, loss, seed)| {
+        let mut world = World::new(91, per_second, seed);
+        world.play(per_second * 0.47, 2_000, 6_000);
+        world.lose(lost, loss, 6_000);
+        world.play(per_second * 0.47, 6_000, 10_000);
+        let worst = world.worst_window();
+        (worst > bound(per_second)).then_some((per_second, seed, worst))
+    });
+    let exceeding: Vec<_> = exceeding.into_iter().flatten().collect();
+    assert!(exceeding.is_empty(), "{exceeding:?}");
+}
