--- a/crates/gateway/tests/room.rs
+++ b/crates/gateway/tests/room.rs
@@ -13,7 +13,9 @@
 use gateway::target::directory::Candidate;
 use gateway::target::limits::Limits;
 use gateway::target::limits::Source;
+use gateway::target::permit::Choice;
 use gateway::target::room;
+use parking_lot::Mutex;
 use rstest::rstest;
 
 /// A target with six slots.
@@ -97,3 +99,22 @@
         assert_eq!(has_room(&targets[0]), expected, "{at}");
     }
 }
+
+/// Guards against limits that are used up by requests that were never sent.
+#[rstest]
+fn a_choice_that_is_dropped_gives_its_request_back_to_the_limit() {
+    let target = candidate("t0", 0);
+    let incarnation = Incarnation::of(&target.target);
+    let limits = Arc::new(Mutex::new(limits(std::slice::from_ref(&target))));
+    let now = Time(1_500);
+    for _ in 0..3 {
+        assert!(limits.lock().is_open(incarnation, now));
+        let choice = {
+            let mut locked = limits.lock();
+            Choice::reserve(target.clone(), &limits, &mut locked, now)
+        };
+        assert!(!limits.lock().is_open(incarnation, now));
+        drop(choice);
+    }
+    assert!(limits.lock().is_open(incarnation, now));
+}
