Refuse to resume streams whose software version isn't certain

Reported from a similar system: after all entries were killed during or after a release, resumed streams were joined from two versions.

Cause: where the stored origin was missing, ambiguous or not named, an entry resumed the stream at the only version that it knew. What it knew of versions that had left was lost with the process. Within one answer, an entry went on at its target's earlier version although the target had restarted before it answered.

Weighed: to infer it after a minute of uninterrupted knowledge; serves only builds that stored no origin, and a gap must never be missed.

--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -3,7 +3,8 @@
 //! The version is stored at the history hosts, together with the turn's reservation, before the
 //! request is sent to a target. Until the first event is relayed the request may move to another
 //! version, which is stored before the request is sent there. A caller that resumes the stream
-//! names the request that brought the first event, so any entry can read the version.
+//! names the request that brought the first event, so any entry can read the version. A stream whose
+//! version isn't stored, or is ambiguous, isn't resumed.
 
 use std::time::Duration;
 
@@ -56,19 +57,18 @@
         }
         None => None,
     };
+    log_resumption(job, resumption, stored.as_ref());
     let source = match stored {
-        Some(Stored::Chosen(choice)) => Some(Source {
+        Some(Stored::Chosen(choice)) => Source {
             service: choice.service,
             version: choice.version,
-        }),
-        // Streams of earlier builds have no origin. While there is only one version, it began them.
-        Some(Stored::Ambiguous) | None => state.sole_version(&job.service).map(|version| Source {
-            service: job.service.clone(),
-            version,
-        }),
+        },
+        // That only one version is known now doesn't show that another one didn't begin the stream: its
+        // targets may have left before this entry started.
+        Some(Stored::Ambiguous) | None => {
+            return Err(Refusal::NotResumable(Unresumable::OriginUnknown));
+        }
     };
-    log_resumption(job, resumption, source.as_ref());
-    let source = source.ok_or(Refusal::NotResumable(Unresumable::OriginUnknown))?;
     let is_served = job
         .route
         .shares
@@ -82,16 +82,23 @@
     }
 }
 
-fn log_resumption(job: &Job, resumption: &Resumption, source: Option<&Source>) {
+fn log_resumption(job: &Job, resumption: &Resumption, stored: Option<&Stored>) {
     let first_request = resumption.first_request.as_ref();
+    let (origin, choice) = match (first_request, stored) {
+        (None, _) => ("first request isn't named", None),
+        (Some(_), None) => ("not stored", None),
+        (Some(_), Some(Stored::Ambiguous)) => ("ambiguous", None),
+        (Some(_), Some(Stored::Chosen(choice))) => ("stored", Some(choice)),
+    };
     log::info!(
         step = "resume", peer = "caller", request = job.call.request.as_str(),
         program = job.call.program.as_ref().map_or("", |program| program.as_str()),
         route = job.route.name.as_str(),
         first_request = first_request.map_or("", |request| request.as_str()),
         last_event = resumption.last_event.as_deref().unwrap_or(""),
-        service = source.map_or("", |source| source.service.as_str()),
-        target_version = source.map_or("", |source| source.version.as_str());
+        origin = origin,
+        service = choice.map_or("", |choice| choice.service.as_str()),
+        target_version = choice.map_or("", |choice| choice.version.as_str());
         "caller resumes a stream"
     );
 }
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -55,7 +55,7 @@
 /// Reason why a stream can't go on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Unresumable {
-    /// It isn't known which software version began it, and several serve.
+    /// It isn't known which software version began it.
     OriginUnknown,
     /// No target of the software version that began it is left.
     VersionGone(SoftwareVersion),
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -229,7 +229,7 @@
         let last_event_id = self.last_event_id.clone();
         let pinned = match self.events {
             0 => Ok(()),
-            _ => running.pin_version(&self.state),
+            _ => running.pin_version(),
         };
         let state = Arc::clone(&self.state);
         self.phase = Phase::Resuming(Box::pin(async move {
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -9,6 +9,7 @@
 use coord::id::Customer;
 use coord::id::Request;
 use history::origin::Origin;
+use history::origin::State as Stored;
 use history::record::Account;
 use history::record::Turn;
 use http::Response;
@@ -75,10 +76,13 @@
     /// Restricts further attempts to the software version whose events the caller has received.
     ///
     /// Errors: the version isn't known.
-    pub fn pin_version(&mut self, state: &State) -> Result<(), Refusal> {
-        let target = self.target.as_ref();
+    pub fn pin_version(&mut self) -> Result<(), Refusal> {
+        let is_ambiguous = self
+            .origin
+            .as_ref()
+            .is_some_and(|origin| origin.state == Stored::Ambiguous);
+        let target = self.target.as_ref().filter(|_| !is_ambiguous);
         let version = target.and_then(|target| target.version.clone());
-        let version = version.or_else(|| state.sole_version(&self.job.service));
         let unknown = Refusal::NotResumable(Unresumable::OriginUnknown);
         self.retry.versions = Rule::Only(version.ok_or(unknown)?);
         Ok(())
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use coord::id::Request;
-use coord::id::SoftwareVersion;
 use coord::newest::Newest;
 use coord::quota::Fleet;
 use coord::time::Time;
@@ -421,13 +420,6 @@
         }
     }
 
-    /// The only software version that a service's targets have had lately; none if there were several.
-    pub fn sole_version(&self, service: &str) -> Option<SoftwareVersion> {
-        let mut directory = self.directory.lock();
-        directory.refresh_versions(Instant::now());
-        directory.sole_version(service)
-    }
-
     /// Checks that a target that was chosen before may get a request now.
     ///
     /// Errors: why it may not.
@@ -464,7 +456,6 @@
     /// Removes expired targets, idle connections, peers, prompt prefixes and crash suspects.
     pub fn expire(&self) {
         let mut directory = self.directory.lock();
-        directory.refresh_versions(Instant::now());
         directory.expire(Instant::now());
         directory.expire_departures(self.time());
         self.publish_services(&directory);
--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -44,10 +44,6 @@
 /// time between the reports of a hundred entries.
 const REPORT_LIFETIME_MS: u64 = 2_000;
 
-/// Time for which a software version counts as serving after its last target was registered; longer
-/// than a caller waits for a stream.
-const VERSION_LIFETIME: Duration = Duration::from_secs(60);
-
 /// Load and health of a target as observed by this process.
 #[derive(Debug, Default)]
 pub struct Load {
@@ -138,16 +134,12 @@
     missing_since: Option<Instant>,
 }
 
-/// Software versions of each service, and when a target of each was last registered.
-type Versions = Map<Service, Map<Option<SoftwareVersion>, Instant>>;
-
 /// All registered targets.
 #[derive(Debug, Default)]
 pub struct Directory {
     targets: Map<CompactString, Registration>,
     /// Targets that announced that they leave.
     departures: Departures,
-    versions: Versions,
     /// When the object store last recovered.
     store_recovered: Option<Instant>,
     /// Revision of the object store at which the targets were read.
@@ -182,7 +174,7 @@
             self.remove(&id, now);
         }
         for object in objects {
-            self.put(object, adapter, now);
+            self.put(object, adapter);
         }
     }
 
@@ -205,7 +197,7 @@
             if target.version.is_none() {
                 target.version = self.known_version(&target);
             }
-            self.put_target(target, now);
+            self.put_target(target);
         }
     }
 
@@ -219,14 +211,14 @@
     /// Applies a change of one registration.
     pub fn apply_change(&mut self, change: &Change, adapter: &dyn Adapter, now: Instant) {
         match change {
-            Change::Put(object) => self.put(object, adapter, now),
+            Change::Put(object) => self.put(object, adapter),
             Change::Deleted(name) => self.remove(name, now),
         }
     }
 
-    fn put(&mut self, object: &Object, adapter: &dyn Adapter, now: Instant) {
+    fn put(&mut self, object: &Object, adapter: &dyn Adapter) {
         match adapter.target(object) {
-            Ok(target) => self.put_target(target, now),
+            Ok(target) => self.put_target(target),
             Err(error) => {
                 log::warn!(
                     step = "read registration", peer = object.name.as_str();
@@ -239,7 +231,7 @@
 
     /// Inserts or updates a target, unless a later incarnation of it is known. Its load is kept as
     /// long as `born` stays the same.
-    pub fn put_target(&mut self, target: Target, now: Instant) {
+    pub fn put_target(&mut self, target: Target) {
         let load = match self.targets.get(&target.id) {
             Some(registration) if is_earlier(&target, &registration.candidate.target) => {
                 log::info!(
@@ -266,7 +258,6 @@
             address:% = target.address, stage:? = target.stage;
             "target registered"
         );
-        note_version(&mut self.versions, &target, now);
         let id = target.id.clone();
         let candidate = Candidate {
             target,
@@ -313,27 +304,6 @@
         }
     }
 
-    /// Notes the software versions of all registered targets, and forgets those that ended long ago.
-    pub fn refresh_versions(&mut self, now: Instant) {
-        for registration in self.targets.values() {
-            note_version(&mut self.versions, &registration.candidate.target, now);
-        }
-        self.versions.retain(|_, versions| {
-            versions.retain(|_, seen| now - *seen < VERSION_LIFETIME);
-            !versions.is_empty()
-        });
-    }
-
-    /// The only software version of a service's targets within [`VERSION_LIFETIME`]; none if there
-    /// were several.
-    pub fn sole_version(&self, service: &str) -> Option<SoftwareVersion> {
-        let mut versions = self.versions.get(service)?.keys();
-        match (versions.next(), versions.next()) {
-            (Some(Some(version)), None) => Some(version.clone()),
-            _ => None,
-        }
-    }
-
     /// Whether a target has registered again since, as another incarnation or with another software
     /// version.
     pub fn is_superseded(&self, target: &Target) -> bool {
@@ -475,9 +445,3 @@
         candidate.sole_of_version = any_more && counts[&candidate.target.version] == 1;
     }
 }
-
-/// Notes that a target of a software version is registered.
-fn note_version(versions: &mut Versions, target: &Target, now: Instant) {
-    let of_service = versions.entry(target.service.clone()).or_default();
-    of_service.insert(target.version.clone(), now);
-}
