Send nothing to targets of data centres that operators evacuate

Nothing read the evacuations: requests reached their targets for as long as they lasted.

Two entries watch the object store, reports tell the others with the answer's revision and age, and an entry that learns nothing for too long asks the store itself. Targets of an evacuated data centre are withdrawn at the choice and at the sending.

A watch at each entry was weighed and not built, as calls are paid.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -179,6 +179,11 @@
     /// Errors: a field is missing or can't be decoded.
     fn target(&self, object: &Object) -> Result<Target, Malformed>;
 
+    /// Decodes which data centre an object evacuates.
+    ///
+    /// Errors: its name is no data centre's.
+    fn evacuation(&self, object: &Object) -> Result<DataCentre, Malformed>;
+
     /// Decodes a caller's headers.
     ///
     /// Errors: a required header is missing, duplicated or can't be decoded.
--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -25,6 +25,7 @@
 use tokio::sync::watch;
 
 use crate::adapter::Adapter;
+use crate::fleet::evacuations;
 use crate::fleet::gossip;
 use crate::fleet::news;
 use crate::fleet::usage;
@@ -113,6 +114,11 @@
     }
     tokio::spawn(fetch_membership(Arc::clone(&objects), Arc::clone(&state)));
     tokio::spawn(remove_expired(Arc::clone(&state)));
+    if let Some(bound) = state.settings.bounds.evacuate_ms {
+        let bound = Duration::from_millis(bound);
+        let objects = Arc::clone(&objects);
+        tokio::spawn(evacuations::follow(objects, Arc::clone(&state), bound));
+    }
     tokio::spawn(exchange_reports(objects, Arc::clone(&state)));
     let peers = listener::bind(state.settings.peer_address()).await?;
     tokio::spawn(link::serve(peers, Arc::clone(&state)));
@@ -168,6 +174,7 @@
     let Bounds {
         leave_ms,
         config_ms,
+        ..
     } = settings.bounds;
     let needed = freshness::FIRST_CHECK_AGE + freshness::CHANGE_RESERVE;
     if Duration::from_millis(leave_ms.min(config_ms)) < needed {
@@ -360,7 +367,7 @@
             Change::Put(object) => is_pending(object),
             Change::Deleted(_) => false,
         }),
-        Event::Unavailable | Event::Available => false,
+        Event::Unchanged(_) | Event::Unavailable | Event::Available => false,
     }
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Exchange of state between entries.
 
+pub mod evacuations;
 pub mod exchange;
 pub mod gossip;
 pub mod limits;
--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -48,6 +48,9 @@
         drop(suspects);
         self.merge_departures(report);
         self.merge_limits(report);
+        if let Some(notice) = &report.evacuations {
+            self.merge_evacuations(notice, &report.host);
+        }
         for statement in &report.knowledge {
             self.freshness.merge(*statement, Instant::now());
         }
@@ -116,6 +119,7 @@
             limits,
             limited_sendings,
             demand,
+            evacuations: self.evacuations.lock().notice(now),
         };
         (report, self.peers.lock().addresses())
     }
--- a/crates/gateway/src/fleet/gossip.rs
+++ b/crates/gateway/src/fleet/gossip.rs
@@ -57,7 +57,7 @@
                 Ok((size, from)) => handle_datagram(&state, &buffer[..size], from.ip(), port),
                 Err(error) => log::debug!(step = "receive report", peer = "entries"; "{error}"),
             },
-            () = state.limits_changed.notified() => {
+            () = state.report_soon.notified() => {
                 next_report = next_report.min(last_report + MIN_INTERVAL);
             }
             () = tokio::time::sleep_until(next_report) => {
--- a/crates/gateway/src/fleet/limits.rs
+++ b/crates/gateway/src/fleet/limits.rs
@@ -50,7 +50,7 @@
             .lock()
             .merge(incarnation, statement, source, now);
         if changed {
-            self.limits_changed.notify_one();
+            self.report_soon.notify_one();
         }
     }
 
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -19,6 +19,7 @@
 use crate::Map;
 use crate::freshness::Statement;
 use crate::target::departure::Incarnation;
+use crate::target::evacuation;
 use crate::target::hash;
 use crate::target::limits::Notice;
 
@@ -81,6 +82,9 @@
     /// Step of the sender's demand; see [`coord::allotment::Demand`].
     #[serde(skip)]
     pub demand: u8,
+    /// Evacuated data centres, if the sender knows them.
+    #[serde(skip)]
+    pub evacuations: Option<evacuation::Notice>,
 }
 
 impl Report {
@@ -92,7 +96,7 @@
         let report =
             postcard::to_extend(&(&self.departures, &self.failing, &self.knowledge), report)?;
         let limits = (&self.limits, &self.limited_sendings, self.demand);
-        postcard::to_extend(&limits, report)
+        postcard::to_extend(&(limits, &self.evacuations), report)
     }
 
     /// Decodes a datagram, also of a build that reports fewer of the fields after the report.
@@ -110,9 +114,13 @@
         }
         let (knowledge, rest) = postcard::take_from_bytes(rest)?;
         report.knowledge = knowledge;
+        if rest.is_empty() {
+            return Ok(report);
+        }
+        let ((limits, sendings, demand), rest) = postcard::take_from_bytes(rest)?;
+        (report.limits, report.limited_sendings, report.demand) = (limits, sendings, demand);
         if !rest.is_empty() {
-            let (limits, sendings, demand) = postcard::from_bytes(rest)?;
-            (report.limits, report.limited_sendings, report.demand) = (limits, sendings, demand);
+            report.evacuations = postcard::from_bytes(rest)?;
         }
         Ok(report)
     }
@@ -299,21 +307,23 @@
             .map(|(address, _)| address)
     }
 
-    /// Whether this entry is the first of those that the object store answers, in an order that depends
-    /// on the kind of objects.
-    pub fn is_first_to_check(&self, own: SocketAddr, kind: Kind, now: Time) -> bool {
+    /// Number of entries that the object store answers and that come before this one, in an order that
+    /// depends on the kind of objects.
+    pub fn order_of_checks(&self, own: SocketAddr, kind: Kind, now: Time) -> usize {
         let order =
             |address: SocketAddr| hash::hash_parts(&[&kind.to_string(), &address.to_string()]);
         let fresh = self
             .peers
             .iter()
             .filter(|(_, peer)| peer.is_fresh(now, self.silence_timeout()));
-        let mut reaching = fresh.filter(|(_, peer)| {
+        let reaching = fresh.filter(|(_, peer)| {
             peer.last_report
                 .is_some_and(|report| report.store_reachable)
         });
         let own_order = order(own);
-        reaching.all(|(address, _)| own_order < order(*address))
+        reaching
+            .filter(|(address, _)| order(**address) < own_order)
+            .count()
     }
 
     /// Any entry with a recent report.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -51,6 +51,8 @@
     Listed(Vec<Object>, Revision),
     /// Changes in order, up to a revision.
     Changed(Vec<Change>, Revision),
+    /// A check beside a waiting watch found no changes up to a revision.
+    Unchanged(Revision),
     /// The object store stopped answering.
     Unavailable,
     /// The object store answers again.
@@ -83,7 +85,7 @@
         let mut unavailable = true;
         let kind = self.kind;
         loop {
-            match self.next_answer(position).await {
+            match self.next_answer(position, &on_event).await {
                 Ok((event, revision)) => {
                     self.record_answer(&event, revision);
                     backoff = new_backoff();
@@ -120,7 +122,11 @@
         }
     }
 
-    async fn next_answer(&self, position: Option<Position>) -> Result<(Event, Revision), Error> {
+    async fn next_answer(
+        &self,
+        position: Option<Position>,
+        on_event: &impl Fn(Kind, &Event),
+    ) -> Result<(Event, Revision), Error> {
         match position {
             None => {
                 let listing = self.objects.list(self.kind).await?;
@@ -128,7 +134,7 @@
                 Ok((Event::Listed(listing.objects, revision), revision))
             }
             Some(position) => {
-                let changes = self.watch(position.watched).await?;
+                let changes = self.watch(position.watched, on_event).await?;
                 let revision = changes.revision;
                 Ok((Event::Changed(changes.changes, revision), revision))
             }
@@ -137,7 +143,11 @@
 
     /// Waits for changes by a long watch, and asks for them when the knowledge is too old. The long watch
     /// is dropped if that finds changes that it should have brought.
-    async fn watch(&self, since: Revision) -> Result<Changes, Error> {
+    async fn watch(
+        &self,
+        since: Revision,
+        on_event: &impl Fn(Kind, &Event),
+    ) -> Result<Changes, Error> {
         let (objects, kind) = (self.objects, self.kind);
         let watch = objects.watch(kind, since, watch_duration(kind));
         tokio::pin!(watch);
@@ -158,6 +168,7 @@
                         return Ok(changes);
                     }
                     self.freshness.record_answer(kind, Answer::Unchanged, changes.revision, Instant::now());
+                    on_event(kind, &Event::Unchanged(changes.revision));
                 }
             }
         }
@@ -168,7 +179,7 @@
         let (message, objects) = match event {
             Event::Listed(objects, _) => ("listed", objects.len()),
             Event::Changed(changes, _) => ("changed", changes.len()),
-            Event::Unavailable | Event::Available => return,
+            Event::Unchanged(_) | Event::Unavailable | Event::Available => return,
         };
         let answer = summary(event, revision);
         let age = self
@@ -187,14 +198,18 @@
 fn batch_delay(kind: Kind) -> Duration {
     match kind {
         Kind::Targets => TARGETS_BATCH_DELAY,
-        Kind::Config | Kind::Retirements | Kind::Members | Kind::Entries => CONFIG_BATCH_DELAY,
+        Kind::Config | Kind::Retirements | Kind::Members | Kind::Entries | Kind::Evacuations => {
+            CONFIG_BATCH_DELAY
+        }
     }
 }
 
 fn watch_duration(kind: Kind) -> Duration {
     match kind {
         Kind::Config | Kind::Targets => WATCH_DURATION,
-        Kind::Retirements | Kind::Members | Kind::Entries => LONG_WATCH_DURATION,
+        Kind::Retirements | Kind::Members | Kind::Entries | Kind::Evacuations => {
+            LONG_WATCH_DURATION
+        }
     }
 }
 
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -49,6 +49,19 @@
         "The same: largest since the start",
         |state| state.limits.lock().use_percent(state.time()).1,
     );
+    gauge(
+        "teasellever_evacuated_data_centres",
+        "Data centres whose targets get no requests",
+        |state| state.evacuations.lock().data_centres().count() as u64,
+    );
+    gauge(
+        "teasellever_evacuations_age_ms",
+        "Time since the object store last showed the evacuations, to this entry or another",
+        |state| {
+            let age = state.evacuations.lock().age(state.time());
+            age.map_or(0, |age| age.0)
+        },
+    );
     gauge(
         "teasellever_object_store_lost",
         "Whether the object store doesn't answer",
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -77,6 +77,12 @@
             })
         })
         .collect();
+    let evacuations = state.evacuations.lock();
+    let evacuated: Vec<&str> = evacuations
+        .data_centres()
+        .map(|name| name.as_str())
+        .collect();
+    let age = evacuations.age(now);
     json!({
         "host": state.settings.host.as_str(),
         "version": state.version().0,
@@ -86,6 +92,8 @@
         "history": state.history.membership(),
         "entries": state.entry_count(),
         "entries_silent": state.fleet().silent,
+        "evacuated": evacuated,
+        "evacuations_age_ms": age.map(|age| age.0),
         "connections": state.pool.open(),
         "targets": targets,
     })
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -59,6 +59,10 @@
     pub leave_ms: u64,
     /// Time within which a configuration must be in force, in milliseconds.
     pub config_ms: u64,
+    /// Time within which an evacuation of a data centre must be in force, in milliseconds; none if
+    /// operators don't order evacuations.
+    #[serde(default, deserialize_with = "optional")]
+    pub evacuate_ms: Option<u64>,
 }
 
 impl Default for Bounds {
@@ -66,6 +70,7 @@
         Bounds {
             leave_ms: 2000,
             config_ms: 2000,
+            evacuate_ms: None,
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -46,6 +46,7 @@
 use crate::target::directory::Directory;
 use crate::target::directory::Services;
 use crate::target::directory::Withdrawal;
+use crate::target::evacuation::Evacuations;
 use crate::target::hash;
 use crate::target::limits::Limits;
 use crate::target::pool::Pool;
@@ -91,8 +92,8 @@
     pub prefixes: Mutex<Prefixes>,
     pub suspects: Mutex<Suspects>,
     pub limits: Arc<Mutex<Limits>>,
-    /// Notified when a target's limit has changed, so that it is reported soon.
-    pub limits_changed: Notify,
+    /// Notified of changes that other entries must hear of soon: of limits and evacuations.
+    pub report_soon: Notify,
     started: Instant,
     pub(crate) config: RwLock<Newest<Version, Arc<Snapshot>>>,
     pub(crate) directory: Mutex<Directory>,
@@ -110,6 +111,7 @@
     pub(crate) quotas: Mutex<Quotas>,
     pub(crate) usage: Mutex<Exchange<SocketAddr>>,
     pub(crate) peers: Mutex<Peers>,
+    pub(crate) evacuations: Mutex<Evacuations>,
 }
 
 impl std::fmt::Debug for State {
@@ -137,7 +139,7 @@
             prefixes: Mutex::default(),
             suspects: Mutex::default(),
             limits: Arc::default(),
-            limits_changed: Notify::new(),
+            report_soon: Notify::new(),
             started: Instant::now(),
             config: RwLock::default(),
             directory: Mutex::default(),
@@ -150,6 +152,7 @@
             quotas: Mutex::new(Quotas::new(f64::from(rate_excess))),
             usage: Mutex::default(),
             peers: Mutex::default(),
+            evacuations: Mutex::default(),
         })
     }
 
@@ -376,9 +379,9 @@
     pub fn knowledge_age_limit(&self, kind: Kind) -> Duration {
         let (peers, now) = (self.peers.lock(), self.time());
         let report_interval = peers::interval(peers.fleet(now).entries);
-        let order = match peers.is_first_to_check(self.settings.peer_address(), kind, now) {
-            true => Order::First,
-            false => Order::After(report_interval),
+        let order = match peers.order_of_checks(self.settings.peer_address(), kind, now) {
+            0 => Order::First,
+            _ => Order::After(report_interval),
         };
         let bound = match kind {
             Kind::Targets => self.settings.bounds.leave_ms,
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -4,6 +4,7 @@
 pub mod crash;
 pub mod departure;
 pub mod directory;
+pub mod evacuation;
 pub mod hash;
 pub mod limits;
 pub mod meter;
--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use coord::id::DataCentre;
 use coord::id::SoftwareVersion;
 use coord::time::Time;
 use history::time::Timestamp;
@@ -111,6 +112,8 @@
     Leaving,
     /// It has announced in an answer that it leaves.
     Announced,
+    /// Its data centre is evacuated.
+    Evacuated,
     /// The limit that it names doesn't allow another request now.
     Limited,
 }
@@ -122,6 +125,7 @@
             Withdrawal::Replaced => "target was replaced under its id",
             Withdrawal::Leaving => "target is registered as leaving",
             Withdrawal::Announced => "target has announced that it leaves",
+            Withdrawal::Evacuated => "target's data centre is evacuated",
             Withdrawal::Limited => "target's limit is used up",
         })
     }
@@ -140,6 +144,8 @@
     targets: Map<CompactString, Registration>,
     /// Targets that announced that they leave.
     departures: Departures,
+    /// Data centres whose targets get no requests.
+    evacuated: Set<DataCentre>,
     /// When the object store last recovered.
     store_recovered: Option<Instant>,
     /// Revision of the object store at which the targets were read.
@@ -314,6 +320,11 @@
         })
     }
 
+    /// Sets the data centres whose targets get no requests.
+    pub fn set_evacuated(&mut self, data_centres: Set<DataCentre>) {
+        self.evacuated = data_centres;
+    }
+
     /// Records that a target announced in an answer that it leaves; returns whether that is new.
     pub fn record_departure(
         &mut self,
@@ -394,6 +405,9 @@
             Stage::Ready if is_missing && !self.is_mostly_missing(&target.service) => {
                 Some(Withdrawal::Gone)
             }
+            Stage::Ready if self.evacuated.contains(&target.data_centre) => {
+                Some(Withdrawal::Evacuated)
+            }
             Stage::Ready => None,
         }
     }
--- a/crates/gateway/tests/departure.rs
+++ b/crates/gateway/tests/departure.rs
@@ -199,6 +199,7 @@
         limits: Vec::new(),
         limited_sendings: Vec::new(),
         demand: 0,
+        evacuations: None,
     }
 }
 
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -124,6 +124,7 @@
         events.lock().expect("lock").push(match event {
             Event::Listed(_, revision) => format!("listed {revision}"),
             Event::Changed(_, revision) => format!("changed {revision}"),
+            Event::Unchanged(_) => return,
             Event::Unavailable => "lost".to_owned(),
             Event::Available => "regained".to_owned(),
         });
--- a/crates/gateway/tests/leaving_model.rs
+++ b/crates/gateway/tests/leaving_model.rs
@@ -218,6 +218,7 @@
             }
             Event::Available => directory.record_store_recovery(Instant::now()),
             Event::Unavailable => directory.record_store_loss(Instant::now()),
+            Event::Unchanged(_) => {}
         }
     }
 }
--- a/crates/gateway/tests/limits_model.rs
+++ b/crates/gateway/tests/limits_model.rs
@@ -391,6 +391,7 @@
             limits: entry.limits.notices(since, any_newcomer, Time(now)),
             limited_sendings: entry.limits.sendings(since),
             demand,
+            evacuations: None,
         };
         let cut = now < entry.cut_until;
         for other in (0..count).filter(|other| *other != index) {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -7,6 +7,7 @@
 use coord::time::Time;
 use gateway::fleet::peers::Peers;
 use gateway::fleet::peers::Report;
+use node::object::Kind;
 use rstest::rstest;
 
 fn address(number: u8) -> SocketAddr {
@@ -32,6 +33,7 @@
         limits: Vec::new(),
         limited_sendings: Vec::new(),
         demand: 0,
+        evacuations: None,
     }
 }
 
@@ -139,6 +141,29 @@
     assert!(!peers.is_isolated(Time(2_000 + SILENCE_TIMEOUT.0)));
 }
 
+/// Guards against a kind of objects that nobody watches, or all do: entries agree on their order, and those
+/// that the object store doesn't answer, or that are silent, don't count.
+#[rstest]
+fn entries_that_the_object_store_answers_agree_on_their_order() {
+    let all: Vec<u8> = (1..=24).collect();
+    let order = |own: u8, unreachable: &[u8]| {
+        let mut peers = Peers::default();
+        for other in all.iter().filter(|other| **other != own) {
+            let mut report = report("a");
+            report.store_reachable = !unreachable.contains(other);
+            peers.record_report(address(*other), &report, Time(0));
+        }
+        peers.order_of_checks(address(own), Kind::Evacuations, Time(10))
+    };
+    let mut orders: Vec<usize> = all.iter().map(|own| order(*own, &[])).collect();
+    let first = all[orders.iter().position(|order| *order == 0).expect("first")];
+    orders.sort();
+    assert_eq!(orders, (0..24).collect::<Vec<usize>>());
+    let after_loss = all.iter().filter(|own| **own != first);
+    let after_loss: Vec<usize> = after_loss.map(|own| order(*own, &[first])).collect();
+    assert!(after_loss.contains(&0));
+}
+
 #[rstest]
 fn an_entry_that_knows_no_other_is_not_isolated() {
     assert!(!Peers::default().is_isolated(Time(10_000)));
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Adapter and targets of the tests of a directory.
 
+use coord::id::DataCentre;
 use gateway::adapter::Adapter;
 use gateway::adapter::Call;
 use gateway::adapter::Dispatch;
@@ -36,6 +37,11 @@
         Ok(target)
     }
 
+    fn evacuation(&self, object: &Object) -> Result<DataCentre, Malformed> {
+        let name = object.name.parse();
+        name.map_err(|_| Malformed("data centre".to_owned()))
+    }
+
     fn call(&self, _: &HeaderMap) -> Result<Call, Malformed> {
         Err(Malformed("no call".to_owned()))
     }
--- a/crates/node/src/object.rs
+++ b/crates/node/src/object.rs
@@ -24,6 +24,8 @@
     Members,
     /// Entry processes; each registers itself.
     Entries,
+    /// Data centres whose targets are to get no requests.
+    Evacuations,
 }
 
 impl fmt::Display for Kind {
@@ -34,6 +36,7 @@
             Kind::Retirements => "retirements",
             Kind::Members => "members",
             Kind::Entries => "entries",
+            Kind::Evacuations => "evacuations",
         })
     }
 }
