--- a/crates/gateway/src/target/limits.rs
+++ b/crates/gateway/src/target/limits.rs
@@ -5,199 +5,36 @@
 //! no more than its units of a limit allow; see [`coord::allotment`]. Reports also have the number of
 //! requests sent to limited targets, so that each entry sees what all of them send.
 
+mod limited;
+mod notice;
+
 use std::time::Duration;
 
 use compact_str::CompactString;
 use coord::allotment;
-use coord::allotment::Allotment;
 use coord::allotment::Demand;
 use coord::allotment::Holder;
 use coord::id::Rate;
 use coord::limit::Statement;
 use coord::time::Millis;
 use coord::time::Time;
-use serde::Deserialize;
-use serde::Serialize;
 
+pub use self::limited::View;
+pub use self::notice::Notice;
+pub use self::notice::Source;
 use crate::Map;
 use crate::target::departure::Incarnation;
-use crate::target::window;
-use crate::target::window::Window;
+use crate::target::limits::limited::Limited;
 
 /// Time for which it is kept that a limit has ended, so that a late report doesn't bring it back.
 const ENDED_RETENTION: Millis = Millis(15_000);
 
-/// Time between two lines about the limit of one target.
-const LOG_INTERVAL: Millis = Millis(1_000);
-
 /// Longest time after which a refused caller may come back.
 const MAX_RETRY_AFTER: Millis = Millis(5_000);
 
 /// Share of this entry's units whose tokens are kept for programs under way.
 const RESERVED_SHARE: f64 = 0.25;
 
-/// A limit, or the end of one, in a report to another entry. Times are ages, as clocks of hosts
-/// differ.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Notice {
-    pub incarnation: Incarnation,
-    /// None if the limit has ended.
-    pub limit: Option<Rate>,
-    pub asked_ms_ago: u64,
-    pub answered_ms_ago: u64,
-}
-
-impl Notice {
-    /// The statement in the receiver's time.
-    fn statement(&self, now: Time) -> Statement {
-        let at = |ago: u64| Time(now.0.saturating_sub(ago));
-        Statement {
-            limit: self.limit,
-            asked: at(self.asked_ms_ago),
-            answered: at(self.answered_ms_ago),
-        }
-    }
-}
-
-/// Who told this entry of a limit.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Source {
-    /// An answer of the target with this id.
-    Answer(CompactString),
-    /// The report of the entry on this host.
-    Report(CompactString),
-}
-
-impl Source {
-    fn name(&self) -> &str {
-        match self {
-            Source::Answer(name) | Source::Report(name) => name,
-        }
-    }
-}
-
-/// Requests that were sent to a limited target.
-#[derive(Debug, Default)]
-struct Sendings {
-    here: Window,
-    everywhere: Window,
-    /// Total of this entry, for reports.
-    total: u32,
-    last: Time,
-    excess_logged: Option<Time>,
-    /// Incarnation and last reported total of other entries.
-    reported: Map<u64, (u64, u32)>,
-}
-
-/// What is known of a target's limit, and this entry's part of it.
-#[derive(Debug)]
-struct Limited {
-    born: u64,
-    statement: Statement,
-    source: Source,
-    /// When the present value became known here.
-    changed: Time,
-    logged: Option<Time>,
-    held_units: u32,
-    allotment: Allotment,
-    sendings: Sendings,
-}
-
-impl Limited {
-    fn new(born: u64, statement: Statement, source: Source, now: Time) -> Limited {
-        Limited {
-            born,
-            statement,
-            source,
-            changed: now,
-            logged: None,
-            held_units: 0,
-            allotment: Allotment::new(now),
-            sendings: Sendings::default(),
-        }
-    }
-
-    fn assign(&mut self, target: u32, entry: u64, holders: &[Holder], now: Time) {
-        if let Some(limit) = self.statement.limit {
-            self.held_units = allotment::held_units(target, limit, entry, holders);
-            self.allotment.assign(limit, self.held_units, now);
-        }
-    }
-
-    fn log(&mut self, target: u32, former: Option<Rate>, now: Time) {
-        let is_due = self
-            .logged
-            .is_none_or(|logged| now.since(logged) >= LOG_INTERVAL);
-        if !is_due {
-            return;
-        }
-        self.logged = Some(now);
-        let message = match (former, self.statement.limit) {
-            (None, _) => "target names a limit",
-            (Some(_), Some(_)) => "target's limit changes",
-            (Some(_), None) => "target's limit ends",
-        };
-        log::info!(
-            step = "learn limit", peer = self.source.name(), target_hash = target, born = self.born,
-            limit = self.statement.limit.map_or(0.0, Rate::per_second),
-            former = former.map_or(0.0, Rate::per_second),
-            age_ms = now.since(self.statement.answered).0;
-            "{message}"
-        );
-    }
-
-    /// Returns [`Self::use_percent`], and logs it if it is too large.
-    fn check_use(&mut self, now: Time) -> u64 {
-        let use_percent = self.use_percent(now);
-        let sendings = &mut self.sendings;
-        let is_due = sendings
-            .excess_logged
-            .is_none_or(|logged| now.since(logged) >= window::SPAN);
-        if use_percent > 100 && is_due {
-            sendings.excess_logged = Some(now);
-            log::warn!(
-                step = "check limit", peer = self.source.name(), born = self.born,
-                limit = self.statement.limit.map_or(0.0, Rate::per_second),
-                age_ms = now.since(self.statement.answered).0, held_units = self.held_units,
-                sent_here = sendings.here.sum(now), sent_by_all = sendings.everywhere.sum(now),
-                use_percent = use_percent;
-                "target got more requests in four seconds than its limit allows"
-            );
-        }
-        use_percent
-    }
-
-    /// Requests sent within [`window::SPAN`] by all entries, in percent of what the limit allows with
-    /// the burst of its units.
-    fn use_percent(&self, now: Time) -> u64 {
-        let Some(limit) = self.statement.limit else {
-            return 0;
-        };
-        let span_s = window::SPAN.0 as f64 / 1000.0;
-        let allowed = limit.per_second() * span_s + f64::from(allotment::units(limit));
-        (f64::from(self.sendings.everywhere.sum(now)) / allowed * 100.0).round() as u64
-    }
-}
-
-/// State of a target's limit for the dump.
-#[derive(Debug, Clone, PartialEq, Serialize)]
-pub struct View {
-    pub requests_per_second: f64,
-    /// Time since an answer last named it, in milliseconds.
-    pub age_ms: u64,
-    /// Target whose answer, or host of the entry whose report, brought it.
-    pub learned_from: CompactString,
-    /// Units that this entry holds, of all units.
-    pub held_units: u32,
-    pub units: u32,
-    /// Requests that this entry may send now.
-    pub tokens: f64,
-    /// Requests sent in the last four seconds.
-    pub sent_here: u32,
-    pub sent_by_all: u32,
-    pub use_percent: u64,
-}
-
 /// Limits of all targets, by the hash of the target's id.
 #[derive(Debug, Default)]
 pub struct Limits {
