Bound the requests of all entries together to a cold target

A target that has just started or lost its caches was sent as much as any other. It bears the rate that the configuration states, and crashes above one and a half times that.

The rate is divided among the known entries alike, in the way of limits; an entry that doesn't know the others yet holds nothing, and where it isn't known whether a target is cold it is taken to be.

Weighed: division by demand, as for limits; a cold target is warm before it has settled.

--- a/crates/coord/src/allotment.rs
+++ b/crates/coord/src/allotment.rs
@@ -15,6 +15,9 @@
 /// Largest number of units of a limit.
 const MAX_UNITS: u32 = 64;
 
+/// Units for each request per second of a rate that holds for each second.
+const SHORT_UNITS_PER_RATE: f64 = 0.4;
+
 /// Requests per second that a target gets at least, so that its answers show when the limit ends.
 const MIN_RATE: f64 = 0.25;
 
@@ -40,6 +43,13 @@
     1 + whole as u32
 }
 
+/// Number of units of a rate that holds for each second rather than for several: fewer, so that what the
+/// units have saved up stays within half of the rate, the usual tolerance.
+pub fn short_units(per_second: f64) -> u32 {
+    let units = (per_second * SHORT_UNITS_PER_RATE).min(f64::from(MAX_UNITS));
+    (units as u32).max(1)
+}
+
 /// An entry among which a limit is divided.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Holder {
@@ -50,7 +60,12 @@
 
 /// Number of units of a target's limit that an entry holds.
 pub fn held_units(target: u32, limit: Rate, entry: u64, holders: &[Holder]) -> u32 {
-    let held = (0..units(limit)).filter(|unit| holder(target, *unit, holders) == Some(entry));
+    held_of(target, units(limit), entry, holders)
+}
+
+/// Number of a target's `units` that an entry holds.
+pub fn held_of(target: u32, units: u32, entry: u64, holders: &[Holder]) -> u32 {
+    let held = (0..units).filter(|unit| holder(target, *unit, holders) == Some(entry));
     held.count() as u32
 }
 
@@ -140,8 +155,13 @@
 
     /// Changes the limit and the number of units of it that this entry holds; tokens never increase.
     pub fn assign(&mut self, limit: Rate, held: u32, now: Time) {
-        self.refill(now);
         let unit_rate = limit.per_second().max(MIN_RATE) / f64::from(units(limit));
+        self.assign_units(unit_rate, held, now);
+    }
+
+    /// Changes the rate of each unit and the number of units that this entry holds; tokens never increase.
+    pub fn assign_units(&mut self, unit_rate: f64, held: u32, now: Time) {
+        self.refill(now);
         self.rate = unit_rate * f64::from(held);
         self.capacity = (unit_rate * SAVED_S).max(1.0) * f64::from(held);
         self.tokens = self.tokens.min(self.capacity);
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -120,6 +120,8 @@
     pub leaving: bool,
     /// How many requests the target takes from all entries together.
     pub limit: Limit,
+    /// Time for which the target stays cold, if it says so.
+    pub cold: Option<Duration>,
 }
 
 /// What a target's answer says of the requests that it takes from all entries together.
@@ -155,6 +157,10 @@
     /// from the other fields; see [`crate::fleet::news`].
     #[serde(skip)]
     pub version: Option<SoftwareVersion>,
+    /// Time for which it stays cold, at the time of its registration; none if that isn't known, as it
+    /// comes from another entry.
+    #[serde(skip)]
+    pub cold: Option<Duration>,
 }
 
 impl Target {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -93,6 +93,17 @@
     pub connections: u32,
     /// `None` for services that aren't model engines.
     pub engine: Option<Engine>,
+    /// `None` if targets bear their full load from the start.
+    pub warmup: Option<Warmup>,
+}
+
+/// What a service's targets bear while they are cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Warmup {
+    /// Requests per second of all entries together.
+    pub rate: Rate,
+    /// Time for which a target is cold after its start.
+    pub time: Duration,
 }
 
 /// Capacity of each of a service's model engines.
--- a/crates/gateway/src/fleet/evacuations.rs
+++ b/crates/gateway/src/fleet/evacuations.rs
@@ -122,6 +122,6 @@
         );
         let mut directory = self.directory.lock();
         directory.set_evacuated(evacuations.data_centres().cloned().collect());
-        self.publish_services(&directory);
+        self.publish_services(&mut directory);
     }
 }
--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -48,6 +48,9 @@
         drop(suspects);
         self.merge_departures(report);
         self.merge_limits(report);
+        if !report.cold.is_empty() {
+            self.merge_cold(&report.cold);
+        }
         if let Some(notice) = &report.evacuations {
             self.merge_evacuations(notice, &report.host);
         }
@@ -83,7 +86,7 @@
                 );
             }
         }
-        self.publish_services(&directory);
+        self.publish_services(&mut directory);
     }
 
     /// Returns this entry's report and the addresses that it is sent to.
@@ -120,6 +123,7 @@
             limited_sendings,
             demand,
             evacuations: self.evacuations.lock().notice(now),
+            cold: self.limits.lock().cold.notices(since, now),
         };
         (report, self.peers.lock().addresses())
     }
@@ -176,7 +180,7 @@
         if let Some((revision, targets)) = response.targets {
             let mut directory = self.directory.lock();
             directory.apply_peer_snapshot(Revision(revision), targets, Instant::now());
-            self.publish_services(&directory);
+            self.publish_services(&mut directory);
         }
         self.history.update_membership(response.membership);
     }
--- a/crates/gateway/src/fleet/gossip.rs
+++ b/crates/gateway/src/fleet/gossip.rs
@@ -8,6 +8,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use coord::time::Time;
@@ -110,7 +111,10 @@
 pub async fn register<S: ObjectStore>(objects: &S, state: &State) {
     loop {
         match try_register(objects, state).await {
-            Ok(()) => return,
+            Ok(()) => {
+                state.entries_listed.store(true, Ordering::Relaxed);
+                return;
+            }
             Err(error) => log::debug!(step = "register", peer = "platform"; "{error}"),
         }
         tokio::time::sleep(history::join::jittered(REGISTER_RETRY_DELAY)).await;
--- a/crates/gateway/src/fleet/limits.rs
+++ b/crates/gateway/src/fleet/limits.rs
@@ -1,9 +1,12 @@
 //! Limits that targets name: what answers say, its exchange with the other entries, and the division
 //! of limits among all entries; see [`crate::target::limits`].
 
+use std::sync::atomic::Ordering;
+
 use coord::allotment;
 use coord::allotment::Holder;
 use coord::limit::Statement;
+use coord::time::Millis;
 use coord::time::Time;
 use http::StatusCode;
 
@@ -13,6 +16,8 @@
 use crate::fleet::peers;
 use crate::fleet::peers::Report;
 use crate::state::State;
+use crate::target::cold;
+use crate::target::cold::Remaining;
 use crate::target::departure::Incarnation;
 use crate::target::hash;
 use crate::target::limits::Notice;
@@ -22,6 +27,10 @@
 /// decided by them.
 const SENDINGS_PERIOD: u64 = 4;
 
+/// Time after its start from which an entry that can't read the registered entries takes those that it has
+/// heard of for all.
+const FLEET_TIME: Millis = Millis(3_000);
+
 impl State {
     /// Records what a target's answer to a request that was sent at `asked` says of its limit. Only a
     /// success without a limit ends one: other answers may come from a part of the target that doesn't
@@ -62,6 +71,31 @@
         limits.merge_report(peer, &report.host, notices, sent, self.time());
     }
 
+    /// Whether this entry knows the others: it has read the registered ones, or had the time to hear of them.
+    fn knows_fleet(&self) -> bool {
+        let heard = self.time() >= Time(FLEET_TIME.0) && self.entry_count() > 1;
+        self.entries_listed.load(Ordering::Relaxed) || heard
+    }
+
+    /// Records what a target's answer says of its being cold.
+    pub fn record_cold(&self, target: &Target, remaining: Remaining) {
+        let (hash, now) = (hash::target_hash(&target.id), self.time());
+        let mut limits = self.limits.lock();
+        limits.cold.record(hash, &target.service, remaining, now);
+    }
+
+    /// Merges the part of another entry's report that names cold targets.
+    pub(crate) fn merge_cold(&self, notices: &[cold::Notice]) {
+        let directory = self.directory.lock();
+        let mut limits = self.limits.lock();
+        for target in directory.targets() {
+            let hash = hash::target_hash(&target.id);
+            if let Some(notice) = notices.iter().find(|notice| notice.target == hash) {
+                limits.cold.merge(*notice, &target.service, self.time());
+            }
+        }
+    }
+
     /// Divides limits anew, and returns the part of this entry's report that concerns them: limits,
     /// requests sent to targets with limits, and demand.
     pub(crate) fn limit_report(&self, since: Time) -> (Vec<Notice>, Vec<(u32, u32)>, u8) {
@@ -79,6 +113,11 @@
             holders.push(Holder { entry, weight });
         }
         let holder_count = holders.len();
+        let entries: Vec<u64> = match self.knows_fleet() {
+            true => holders.iter().map(|holder| holder.entry).collect(),
+            false => Vec::new(),
+        };
+        limits.cold.divide(entry, &entries, now);
         limits.divide(entry, holders, now);
         let notices = limits.notices(since, any_newcomer, now);
         let sendings = match sendings_since(holder_count, now) {
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -18,6 +18,7 @@
 
 use crate::Map;
 use crate::freshness::Statement;
+use crate::target::cold;
 use crate::target::departure::Incarnation;
 use crate::target::evacuation;
 use crate::target::hash;
@@ -85,6 +86,9 @@
     /// Evacuated data centres, if the sender knows them.
     #[serde(skip)]
     pub evacuations: Option<evacuation::Notice>,
+    /// Targets that the sender has learned to be cold.
+    #[serde(skip)]
+    pub cold: Vec<cold::Notice>,
 }
 
 impl Report {
@@ -96,7 +100,7 @@
         let report =
             postcard::to_extend(&(&self.departures, &self.failing, &self.knowledge), report)?;
         let limits = (&self.limits, &self.limited_sendings, self.demand);
-        postcard::to_extend(&(limits, &self.evacuations), report)
+        postcard::to_extend(&(limits, &self.evacuations, &self.cold), report)
     }
 
     /// Decodes a datagram, also of a build that reports fewer of the fields after the report.
@@ -120,7 +124,7 @@
         let ((limits, sendings, demand), rest) = postcard::take_from_bytes(rest)?;
         (report.limits, report.limited_sendings, report.demand) = (limits, sendings, demand);
         if !rest.is_empty() {
-            report.evacuations = postcard::from_bytes(rest)?;
+            (report.evacuations, report.cold) = postcard::from_bytes(rest)?;
         }
         Ok(report)
     }
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -49,6 +49,9 @@
         "The same: largest since the start",
         |state| state.limits.lock().use_percent(state.time()).1,
     );
+    gauge("teasellever_targets_cold", "Cold targets", |state| {
+        state.limits.lock().cold.count(state.time()) as u64
+    });
     gauge(
         "teasellever_evacuated_data_centres",
         "Data centres whose targets get no requests",
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -15,6 +15,7 @@
 
 use crate::state::State;
 use crate::target::departure::Incarnation;
+use crate::target::hash;
 
 /// Process whose state is shown.
 #[derive(Debug)]
@@ -74,6 +75,7 @@
                 "failing_share": health.failing_share(now),
                 "event_us": health.event_interval_us(),
                 "limit": state.limits.lock().view(Incarnation::of(&entry.target), now),
+                "cold": state.limits.lock().cold.view(hash::target_hash(&entry.target.id), now),
             })
         })
         .collect();
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -111,7 +111,7 @@
         let limited = entries.iter().filter(|entry| permits(entry));
         let limited = limited.map(|entry| Incarnation::of(&entry.target));
         let limited: Vec<Incarnation> = limited
-            .filter(|incarnation| limits.limit(*incarnation).is_some())
+            .filter(|incarnation| limits.is_restricted(*incarnation, state.time()))
             .collect();
         match (&self.versions, self.attempts.outcome()) {
             (_, Outcome::NotRun) if !limited.is_empty() => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -99,6 +99,8 @@
     pub(crate) directory: Mutex<Directory>,
     services: RwLock<Arc<Services>>,
     draining: AtomicBool,
+    /// Whether the registered entries were read from the object store.
+    pub(crate) entries_listed: AtomicBool,
     /// When the object store became unavailable, in milliseconds since the start; 0 while it is
     /// available.
     unavailable_since_ms: AtomicU64,
@@ -145,6 +147,7 @@
             directory: Mutex::default(),
             services: RwLock::default(),
             draining: AtomicBool::new(false),
+            entries_listed: AtomicBool::new(false),
             unavailable_since_ms: AtomicU64::new(1),
             history_direct: AtomicBool::new(false),
             history_relayed: AtomicBool::new(false),
@@ -329,6 +332,10 @@
         }
         let (routes, customers) = (config.routes.len(), config.customers.len());
         let limits = config.customers.clone();
+        self.limits
+            .lock()
+            .cold
+            .configure(&config.services, self.time());
         let table = Table::new(config);
         let snapshot = Arc::new(Snapshot { table, object });
         if self.config.write().replace_if_newer(version, snapshot) {
@@ -361,7 +368,7 @@
                 let mut directory = self.directory.lock();
                 directory.apply_listing(objects, &*self.adapter, Instant::now());
                 directory.revision = directory.revision.max(*revision);
-                self.publish_services(&directory);
+                self.publish_services(&mut directory);
             }
             (Kind::Targets, Event::Changed(changes, revision)) => {
                 let mut directory = self.directory.lock();
@@ -369,7 +376,7 @@
                 for change in changes {
                     directory.apply_change(change, &*self.adapter, Instant::now());
                 }
-                self.publish_services(&directory);
+                self.publish_services(&mut directory);
             }
             _ => {}
         }
@@ -436,7 +443,16 @@
         self.directory.lock().is_superseded(target)
     }
 
-    pub(crate) fn publish_services(&self, directory: &Directory) {
+    /// Publishes the targets that accept requests, and bounds the requests to those that are cold.
+    pub(crate) fn publish_services(&self, directory: &mut Directory) {
+        let cold = directory.take_cold();
+        if !cold.is_empty() {
+            let (mut limits, now) = (self.limits.lock(), self.time());
+            for warming in cold {
+                let (target, service) = (warming.target, &warming.service);
+                limits.cold.record(target, service, warming.remaining, now);
+            }
+        }
         *self.services.write() = Arc::new(directory.services());
     }
 
@@ -447,7 +463,7 @@
         if !directory.record_departure(incarnation, Timestamp::now(), self.time()) {
             return;
         }
-        self.publish_services(&directory);
+        self.publish_services(&mut directory);
         log::info!(
             step = "learn target", peer = target.id.as_str(), service = target.service.as_str(),
             address:% = target.address, born = target.born.unwrap_or(0),
@@ -461,7 +477,7 @@
         let mut directory = self.directory.lock();
         directory.expire(Instant::now());
         directory.expire_departures(self.time());
-        self.publish_services(&directory);
+        self.publish_services(&mut directory);
         let registered: Set<u32> = directory
             .targets()
             .map(|target| hash::target_hash(&target.id))
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -1,6 +1,7 @@
 //! Target discovery, load balancing and request dispatch.
 
 pub mod balance;
+pub mod cold;
 pub mod crash;
 pub mod departure;
 pub mod directory;
--- a/crates/gateway/src/target/directory.rs
+++ b/crates/gateway/src/target/directory.rs
@@ -31,8 +31,10 @@
 use crate::adapter::Stage;
 use crate::adapter::Target;
 use crate::config::Service;
+use crate::target::cold::Remaining;
 use crate::target::departure::Departures;
 use crate::target::departure::Incarnation;
+use crate::target::hash;
 
 /// Time after an outage of the object store within which targets register again, as stated by the
 /// platform.
@@ -138,6 +140,25 @@
     missing_since: Option<Instant>,
 }
 
+/// A target that is cold for some time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Warming {
+    /// Hash of its id.
+    pub target: u32,
+    pub service: Service,
+    pub remaining: Remaining,
+}
+
+impl Warming {
+    fn new(target: &Target, remaining: Remaining) -> Warming {
+        Warming {
+            target: hash::target_hash(&target.id),
+            service: target.service.clone(),
+            remaining,
+        }
+    }
+}
+
 /// All registered targets.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -146,6 +167,8 @@
     departures: Departures,
     /// Data centres whose targets get no requests.
     evacuated: Set<DataCentre>,
+    /// Targets that registered as cold, or may be, since [`Directory::take_cold`] was called last.
+    cold: Vec<Warming>,
     /// When the object store last recovered.
     store_recovered: Option<Instant>,
     /// Revision of the object store at which the targets were read.
@@ -200,18 +223,19 @@
             self.remove(&id, now);
         }
         for mut target in targets {
-            if target.version.is_none() {
-                target.version = self.known_version(&target);
-            }
+            self.add_known_fields(&mut target);
             self.put_target(target);
         }
     }
 
-    /// The software version with which the same incarnation of a target is registered here.
-    fn known_version(&self, target: &Target) -> Option<SoftwareVersion> {
-        let registration = self.targets.get(&target.id)?;
-        let known = &registration.candidate.target;
-        known.version.clone().filter(|_| known.born == target.born)
+    /// Adds what another entry doesn't tell of a target, if the same incarnation is registered here.
+    fn add_known_fields(&self, target: &mut Target) {
+        let registration = self.targets.get(&target.id);
+        let known = registration.map(|registration| &registration.candidate.target);
+        if let Some(known) = known.filter(|known| known.born == target.born) {
+            target.version = target.version.take().or_else(|| known.version.clone());
+            target.cold = target.cold.or(known.cold);
+        }
     }
 
     /// Applies a change of one registration.
@@ -258,10 +282,22 @@
             }
             _ => Arc::default(),
         };
+        let known = self.targets.get(&target.id);
+        let known = known.map(|known| &known.candidate.target);
+        if known.is_none_or(|known| (known.born, known.cold) != (target.born, target.cold)) {
+            match target.cold {
+                Some(time) if time.is_zero() => {}
+                Some(time) => self
+                    .cold
+                    .push(Warming::new(&target, Remaining::Known(time))),
+                None => self.cold.push(Warming::new(&target, Remaining::Unknown)),
+            }
+        }
         log::info!(
             step = "learn target", peer = target.id.as_str(), service = target.service.as_str(),
             target_version = target.version_text(), born = target.born.unwrap_or(0),
-            address:% = target.address, stage:? = target.stage;
+            address:% = target.address, stage:? = target.stage,
+            cold_ms = target.cold.map_or(-1, |time| time.as_millis() as i64);
             "target registered"
         );
         let id = target.id.clone();
@@ -320,9 +356,22 @@
         })
     }
 
-    /// Sets the data centres whose targets get no requests.
+    /// Sets the data centres whose targets get no requests. Those of data centres that get requests again
+    /// may have become cold meanwhile.
     pub fn set_evacuated(&mut self, data_centres: Set<DataCentre>) {
-        self.evacuated = data_centres;
+        let former = std::mem::replace(&mut self.evacuated, data_centres);
+        let registered = self.targets.values();
+        let registered = registered.map(|registration| &registration.candidate.target);
+        let returned = registered.filter(|target| {
+            former.contains(&target.data_centre) && !self.evacuated.contains(&target.data_centre)
+        });
+        let returned = returned.map(|target| Warming::new(target, Remaining::Unknown));
+        self.cold.extend(returned);
+    }
+
+    /// Returns the targets that are cold, or may be, as learned since the last call.
+    pub fn take_cold(&mut self) -> Vec<Warming> {
+        std::mem::take(&mut self.cold)
     }
 
     /// Records that a target announced in an answer that it leaves; returns whether that is new.
--- a/crates/gateway/src/target/limits.rs
+++ b/crates/gateway/src/target/limits.rs
@@ -23,6 +23,7 @@
 pub use self::notice::Notice;
 pub use self::notice::Source;
 use crate::Map;
+use crate::target::cold::Colds;
 use crate::target::departure::Incarnation;
 use crate::target::limits::limited::Limited;
 
@@ -50,6 +51,22 @@
     largest_use_percent: u64,
     /// Time at which the last refused caller may come back.
     last_slot: Time,
+    /// Targets that are cold, which bounds the requests to them in the same way.
+    pub cold: Colds,
+}
+
+/// Rights to send one request that were reserved at a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rights {
+    limited: bool,
+    cold: bool,
+}
+
+impl Rights {
+    /// Whether the target was neither limited nor cold.
+    pub fn is_empty(self) -> bool {
+        !self.limited && !self.cold
+    }
 }
 
 impl Limits {
@@ -196,10 +213,16 @@
             .count()
     }
 
+    /// Whether a target has a limit or is cold.
+    pub fn is_restricted(&self, incarnation: Incarnation, now: Time) -> bool {
+        self.limit(incarnation).is_some() || self.cold.is_cold(incarnation.target, now)
+    }
+
     /// Whether this entry may send a target a request now.
     pub fn is_open(&self, incarnation: Incarnation, now: Time) -> bool {
         let limited = self.limited(incarnation);
         limited.is_none_or(|limited| limited.allotment.available(now) >= 1.0)
+            && self.cold.is_open(incarnation.target, now)
     }
 
     /// Whether programs that begin may use the limited ones of these targets: more tokens are left than
@@ -213,27 +236,38 @@
         available > f64::from(held) * RESERVED_SHARE
     }
 
-    /// Reserves the right to send a request to a target with a limit; returns whether there was one.
-    pub fn reserve(&mut self, incarnation: Incarnation, now: Time) -> bool {
+    /// Reserves the rights to send a request to a target that is limited or cold.
+    pub fn reserve(&mut self, incarnation: Incarnation, now: Time) -> Rights {
         let limited = self.limited_mut(incarnation);
-        limited.is_some_and(|limited| limited.allotment.reserve(now))
+        Rights {
+            limited: limited.is_some_and(|limited| limited.allotment.reserve(now)),
+            cold: self.cold.reserve(incarnation.target, now),
+        }
     }
 
-    /// Gives back a right that was reserved.
-    pub fn release(&mut self, incarnation: Incarnation) {
-        if let Some(limited) = self.limited_mut(incarnation) {
+    /// Gives back rights that were reserved.
+    pub fn release(&mut self, incarnation: Incarnation, rights: Rights) {
+        let limited = self.limited_mut(incarnation).filter(|_| rights.limited);
+        if let Some(limited) = limited {
             limited.allotment.release();
         }
+        if rights.cold {
+            self.cold.release(incarnation.target);
+        }
     }
 
-    /// Charges a request that is sent now; returns whether the target's limit allows it.
+    /// Charges a request that is sent now; returns whether the target takes it.
     pub fn take(&mut self, incarnation: Incarnation, now: Time) -> bool {
+        if !self.cold.take(incarnation.target, now) {
+            return false;
+        }
         let Some(limited) = self.limited_mut(incarnation) else {
             return true;
         };
         let granted = limited.allotment.take(now);
-        if granted {
-            self.record_sending(incarnation, now);
+        match granted {
+            true => self.record_sending(incarnation, now),
+            false => self.cold.refund(incarnation.target),
         }
         granted
     }
@@ -257,27 +291,37 @@
         if let Some(limited) = self.limited_mut(incarnation) {
             limited.allotment.refund();
         }
+        self.cold.refund(incarnation.target);
     }
 
-    /// Time after which a refused caller may come back to limited targets among these: callers that
-    /// were refused before come back first, at the rate of this entry's part of the limits.
+    /// Time after which a refused caller may come back to limited or cold targets among these: callers
+    /// that were refused before come back first, at the rate of this entry's part.
     pub fn retry_after(
         &mut self,
         targets: impl Iterator<Item = Incarnation>,
         now: Time,
     ) -> Duration {
         let (mut rate, mut total, mut earliest) = (0.0, 0.0, MAX_RETRY_AFTER);
-        for limited in targets.filter_map(|incarnation| self.limited(incarnation)) {
-            rate += limited.allotment.rate();
-            total += limited.statement.limit.map_or(0.0, Rate::per_second);
-            let wait = limited.allotment.wait(now);
-            earliest = earliest.min(wait.unwrap_or(MAX_RETRY_AFTER));
+        for incarnation in targets {
+            if let Some(limited) = self.limited(incarnation) {
+                rate += limited.allotment.rate();
+                total += limited.statement.limit.map_or(0.0, Rate::per_second);
+                let wait = limited.allotment.wait(now);
+                earliest = earliest.min(wait.unwrap_or(MAX_RETRY_AFTER));
+            } else if let Some((pace, wait)) = self.cold.pace(incarnation.target, now) {
+                rate += pace;
+                total += pace;
+                earliest = earliest.min(wait);
+            }
         }
         if rate == 0.0 {
             // The caller comes back to any entry.
             rate = total / self.holders.len().max(1) as f64;
         }
-        let length = Millis((1000.0 / rate).min(MAX_RETRY_AFTER.0 as f64) as u64);
+        let length = match rate > 0.0 {
+            true => Millis((1000.0 / rate).min(MAX_RETRY_AFTER.0 as f64) as u64),
+            false => Millis(0),
+        };
         let latest = now + MAX_RETRY_AFTER;
         let slot = (now + earliest).max(self.last_slot + length).min(latest);
         self.last_slot = slot;
--- a/crates/gateway/src/target/permit.rs
+++ b/crates/gateway/src/target/permit.rs
@@ -1,4 +1,4 @@
-//! The right to send a request to a target that limits its requests.
+//! The right to send a request to a target that limits its requests or is cold.
 //!
 //! It is reserved when a target is chosen and used when the request is sent, which may be later: a
 //! connection is opened, or an origin is stored. What isn't sent is given back.
@@ -15,11 +15,13 @@
 use crate::target::directory::Candidate;
 use crate::target::directory::Withdrawal;
 use crate::target::limits::Limits;
+use crate::target::limits::Rights;
 
 /// Right to send one request to a target's incarnation.
 pub struct Permit {
     limits: Arc<Mutex<Limits>>,
     incarnation: Incarnation,
+    rights: Rights,
     /// Whether the request was sent, or refused when it was to be sent.
     used: AtomicBool,
 }
@@ -33,7 +35,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         if !*self.used.get_mut() {
-            self.limits.lock().release(self.incarnation);
+            self.limits.lock().release(self.incarnation, self.rights);
         }
     }
 }
@@ -42,7 +44,7 @@
 #[derive(Debug)]
 pub struct Choice {
     pub candidate: Candidate,
-    /// None if the target had no limit when it was chosen.
+    /// None if the target was neither limited nor cold when it was chosen.
     permit: Option<Permit>,
 }
 
@@ -55,10 +57,11 @@
         now: Time,
     ) -> Choice {
         let incarnation = Incarnation::of(&candidate.target);
-        let reserved = locked.reserve(incarnation, now);
-        let permit = reserved.then(|| Permit {
+        let rights = locked.reserve(incarnation, now);
+        let permit = (!rights.is_empty()).then(|| Permit {
             limits: Arc::clone(limits),
             incarnation,
+            rights,
             used: AtomicBool::new(false),
         });
         Choice { candidate, permit }
@@ -73,7 +76,7 @@
         if let Some(permit) = &self.permit
             && !permit.used.swap(true, Ordering::Relaxed)
         {
-            limits.release(incarnation);
+            limits.release(incarnation, permit.rights);
         }
         match limits.take(incarnation, now) {
             true => Ok(()),
--- a/crates/gateway/src/target/room.rs
+++ b/crates/gateway/src/target/room.rs
@@ -1,6 +1,6 @@
 //! Whether a target of a service with limited targets has room for a request.
 //!
-//! A limit must allow the request. What limits keep from their targets comes to the others of the
+//! A limit must allow the request, and a cold target must bear it. What limits keep from their targets comes to the others of the
 //! service; a request isn't sent to one that is so full that the request would wait there until its
 //! deadline.
 
@@ -17,7 +17,7 @@
 /// The same for all other requests. Engines refuse requests themselves soon above it.
 const UNDER_WAY_LOAD: f64 = 4.0;
 
-/// Returns whether a target of a service has room for a request; all have if none of them has a limit.
+/// Returns whether a target of a service has room for a request; all warm ones have if none has a limit.
 /// The last requests that limits allow are kept for programs under way.
 pub fn has_room<'a>(
     limits: &'a Limits,
@@ -38,15 +38,16 @@
         false => UNDER_WAY_LOAD,
     };
     move |candidate: &Candidate| {
+        let incarnation = Incarnation::of(&candidate.target);
         if !any_limit {
-            return true;
+            return limits.cold.is_open(incarnation.target, now);
         }
-        let incarnation = Incarnation::of(&candidate.target);
         match limits.limit(incarnation) {
             Some(_) => may_use_limited && limits.is_open(incarnation, now),
             None => {
-                f64::from(candidate.running())
-                    < f64::from(candidate.target.slots.max(1)) * load_limit
+                limits.cold.is_open(incarnation.target, now)
+                    && f64::from(candidate.running())
+                        < f64::from(candidate.target.slots.max(1)) * load_limit
             }
         }
     }
--- a/crates/gateway/src/target/send.rs
+++ b/crates/gateway/src/target/send.rs
@@ -23,6 +23,7 @@
 use crate::serve::header::strip_hop_by_hop;
 use crate::serve::request::Job;
 use crate::state::State;
+use crate::target::cold::Remaining;
 use crate::target::crash;
 use crate::target::directory::Candidate;
 use crate::target::permit::Choice;
@@ -235,6 +236,9 @@
     asked: Time,
 ) {
     let request = &attempt.job.call.request;
+    if let Some(time) = reply.cold {
+        state.record_cold(&candidate.target, Remaining::Known(time));
+    }
     if reply.leaving {
         state.record_departure(&candidate.target, request);
     }
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -40,6 +40,7 @@
             slots,
             born: None,
             version: None,
+            cold: Some(std::time::Duration::ZERO),
         },
         load: std::sync::Arc::new(Load::default()),
         sole_of_version: false,
--- a/crates/gateway/tests/departure.rs
+++ b/crates/gateway/tests/departure.rs
@@ -33,6 +33,7 @@
         slots: 6,
         born: Some(born),
         version: None,
+        cold: Some(std::time::Duration::ZERO),
     }
 }
 
@@ -200,6 +201,7 @@
         limited_sendings: Vec::new(),
         demand: 0,
         evacuations: None,
+        cold: Vec::new(),
     }
 }
 
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -4,6 +4,7 @@
 
 use gateway::adapter::Adapter;
 use gateway::adapter::Target;
+use gateway::target::cold::Remaining;
 use gateway::target::directory::Directory;
 use gateway::target::directory::REREGISTRATION_TIMEOUT;
 use gateway::target::directory::Withdrawal;
@@ -254,3 +255,47 @@
     assert_eq!(ready(&directory), ["a", "b", "c"]);
     assert_eq!(directory.check(&target, recovered), Ok(()));
 }
+
+fn cold(name: &str, born: u64, cold_ms: Option<u64>) -> Target {
+    Target {
+        born: Some(born),
+        cold: cold_ms.map(Duration::from_millis),
+        ..support::target(name, gateway::adapter::Stage::Ready)
+    }
+}
+
+fn remaining(directory: &mut Directory) -> Vec<Remaining> {
+    let cold = directory.take_cold().into_iter();
+    cold.map(|warming| warming.remaining).collect()
+}
+
+/// Guards against a target that is taken to be warm since nobody said that it is cold.
+#[rstest]
+fn a_target_is_cold_as_long_as_it_registers_and_unknown_where_another_entry_told_of_it() {
+    let mut directory = Directory::default();
+    directory.put_target(cold("a", 1, Some(0)));
+    assert!(remaining(&mut directory).is_empty());
+    directory.put_target(cold("a", 2, Some(2_000)));
+    let known = Remaining::Known(Duration::from_millis(2_000));
+    assert_eq!(remaining(&mut directory), [known]);
+    assert!(remaining(&mut directory).is_empty());
+    // It may become cold again at any moment.
+    directory.put_target(cold("a", 2, Some(0)));
+    directory.put_target(cold("a", 2, Some(1_000)));
+    let again = Remaining::Known(Duration::from_millis(1_000));
+    assert_eq!(remaining(&mut directory), [again]);
+    let snapshot = vec![cold("a", 2, None), cold("b", 1, None)];
+    directory.apply_peer_snapshot(Revision(5), snapshot, Instant::now());
+    assert_eq!(remaining(&mut directory), [Remaining::Unknown]);
+}
+
+#[rstest]
+fn targets_count_as_cold_when_the_evacuation_of_their_data_centre_ends() {
+    let mut directory = Directory::default();
+    directory.put_target(cold("a", 1, Some(0)));
+    let data_centre = directory.services()["s"][0].target.data_centre.clone();
+    directory.set_evacuated([data_centre].into_iter().collect());
+    assert!(remaining(&mut directory).is_empty());
+    directory.set_evacuated(gateway::Set::default());
+    assert_eq!(remaining(&mut directory), [Remaining::Unknown]);
+}
--- a/crates/gateway/tests/limits_model.rs
+++ b/crates/gateway/tests/limits_model.rs
@@ -19,6 +19,7 @@
 use gateway::fleet::peers::Report;
 use gateway::target::departure::Incarnation;
 use gateway::target::limits::Limits;
+use gateway::target::limits::Rights;
 use gateway::target::limits::Source;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -74,7 +75,7 @@
     /// Until when its requests don't count, as it restarted, paused or was cut off.
     excused_until: u64,
     /// Requests that were chosen and wait to be sent: time and target.
-    waiting: Vec<(u64, usize)>,
+    waiting: Vec<(u64, usize, Rights)>,
     /// Answers under way: time, target, when the request was sent.
     answers: Vec<(u64, usize, u64)>,
 }
@@ -318,26 +319,26 @@
             self.served += 1;
             let incarnation = self.incarnation(target);
             let entry = &mut self.entries[index];
-            entry.limits.reserve(incarnation, now);
+            let rights = entry.limits.reserve(incarnation, now);
             // Some wait for a connection, together.
             let delay = match self.random.random_range(0..20) {
                 0 => 400 - self.now % 400,
                 _ => self.random.random_range(0..20),
             };
-            entry.waiting.push((self.now + delay, target));
+            entry.waiting.push((self.now + delay, target, rights));
         }
     }
 
     fn send(&mut self, index: usize) {
         let now = self.now;
         let entry = &mut self.entries[index];
-        let (due, waiting) = entry.waiting.iter().partition(|(at, _)| *at <= now);
+        let (due, waiting) = entry.waiting.iter().partition(|(at, _, _)| *at <= now);
         entry.waiting = waiting;
-        let due: Vec<(u64, usize)> = due;
-        for (_, target) in due {
+        let due: Vec<(u64, usize, Rights)> = due;
+        for (_, target, rights) in due {
             let incarnation = self.incarnation(target);
             let entry = &mut self.entries[index];
-            entry.limits.release(incarnation);
+            entry.limits.release(incarnation, rights);
             if self.heeded && !entry.limits.take(incarnation, Time(now)) {
                 self.refused += 1;
                 self.served -= 1;
@@ -392,6 +393,7 @@
             limited_sendings: entry.limits.sendings(since),
             demand,
             evacuations: None,
+            cold: Vec::new(),
         };
         let cut = now < entry.cut_until;
         for other in (0..count).filter(|other| *other != index) {
--- a/crates/gateway/tests/news.rs
+++ b/crates/gateway/tests/news.rs
@@ -16,6 +16,7 @@
         slots: 6,
         born: Some(1),
         version: Some(version.parse().expect("version")),
+        cold: None,
     }
 }
 
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -34,6 +34,7 @@
         limited_sendings: Vec::new(),
         demand: 0,
         evacuations: None,
+        cold: Vec::new(),
     }
 }
 
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -164,6 +164,7 @@
             slots: SLOTS as u32,
             born: None,
             version: None,
+            cold: Some(std::time::Duration::ZERO),
         },
         load: Arc::new(Load::default()),
         sole_of_version: false,
--- a/crates/gateway/tests/room.rs
+++ b/crates/gateway/tests/room.rs
@@ -30,6 +30,7 @@
             slots: 6,
             born: Some(1),
             version: None,
+            cold: Some(std::time::Duration::ZERO),
         },
         load: Arc::default(),
         sole_of_version: false,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -66,5 +66,6 @@
         slots: 6,
         born: Some(1),
         version: None,
+        cold: Some(std::time::Duration::ZERO),
     }
 }
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -39,6 +39,7 @@
             slots: 12,
             born: Some(number as u64),
             version: version.parse().ok(),
+            cold: Some(std::time::Duration::ZERO),
         },
         load: Arc::new(Load::default()),
         sole_of_version: false,
