Keep requests in the regions that their route and customer allow

Nothing read allowedRegions: a request could reach a target in any region. Targets outside the homes aren't chosen; where route and customer both have homes, both bind.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -20,6 +20,12 @@
     }
 }
 
+/// A region: one or more data centres.
+pub type Region = CompactString;
+
+/// Regions that requests must not leave; none if there are no bounds.
+pub type Homes = Vec<Region>;
+
 /// Name of a service: a group of interchangeable targets.
 pub type Service = CompactString;
 
@@ -55,6 +61,8 @@
     pub public: bool,
     /// Whether requests for the same object prefer the same target, which may have it cached.
     pub sticky: bool,
+    /// Regions whose targets may get the requests; empty for all.
+    pub homes: Homes,
 }
 
 /// How a route's requests may be run and answered.
@@ -141,6 +149,8 @@
     pub rate: Option<Rate>,
     /// Requests that may exceed the rate at once.
     pub burst: Burst,
+    /// Regions whose targets may get the requests; empty for all.
+    pub homes: Homes,
 }
 
 impl fmt::Debug for CustomerLimits {
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -15,6 +15,7 @@
 use crate::adapter::Call;
 use crate::adapter::Target;
 use crate::config::CustomerLimits;
+use crate::config::Region;
 use crate::config::RequestKind;
 use crate::config::Route;
 use crate::config::Service;
@@ -58,6 +59,20 @@
         matches!(self.route.kind, RequestKind::Stream(stream) if stream.resumable)
     }
 
+    /// Whether targets of a region may get the request: where route and customer both bound it, both
+    /// must allow the region. None is the region of a data centre that the settings don't name.
+    pub fn may_run_in(&self, region: Option<&Region>) -> bool {
+        let homes = [
+            Some(&self.route.homes),
+            self.customer.as_ref().map(|customer| &customer.homes),
+        ];
+        let mut bounds = homes
+            .into_iter()
+            .flatten()
+            .filter(|homes| !homes.is_empty());
+        bounds.all(|homes| region.is_some_and(|region| homes.contains(region)))
+    }
+
     /// Returns the customer that records of the request are stored under; a placeholder on routes
     /// without authentication.
     pub fn customer_name(&self) -> Customer {
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -82,6 +82,10 @@
         let mut limits = state.limits.lock();
         let candidate = {
             let has_room = room::has_room(&limits, entries, is_first_turn, state.time());
+            let regions = &state.settings.regions;
+            let accepts = |entry: &Candidate| {
+                job.may_run_in(regions.get(&entry.target.data_centre)) && has_room(entry)
+            };
             let criteria = Criteria {
                 prompt,
                 is_cached: &is_cached,
@@ -90,7 +94,7 @@
                 idempotent: job.is_idempotent(),
                 resumable: job.is_resumable(),
                 versions: &self.versions,
-                has_room: &has_room,
+                accepts: &accepts,
                 entries: state.entry_count(),
                 now_ms: state.now_ms(),
             };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry and of a history host.
 
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -13,6 +14,8 @@
 use serde::Deserialize;
 use serde::Deserializer;
 
+use crate::config::Region;
+
 /// Settings of one process.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -20,6 +23,9 @@
     pub host: CompactString,
     pub address: IpAddr,
     pub data_centre: DataCentre,
+    /// Region of each data centre.
+    #[serde(default)]
+    pub regions: BTreeMap<DataCentre, Region>,
     pub listen: Listen,
     /// First and last port of the range for calls between the system's processes.
     pub peer_ports: (u16, u16),
--- a/crates/gateway/src/target/balance.rs
+++ b/crates/gateway/src/target/balance.rs
@@ -68,8 +68,9 @@
     pub resumable: bool,
     /// Software versions that may run the request.
     pub versions: &'a version::Rule,
-    /// Whether a target has room for the request, by the limits that targets name.
-    pub has_room: &'a dyn Fn(&Candidate) -> bool,
+    /// Whether a target is in a region that may run the request, and has room for it, by the limits that
+    /// targets name.
+    pub accepts: &'a dyn Fn(&Candidate) -> bool,
     /// Number of entries; the more there are, the later they learn of each other's requests.
     pub entries: usize,
     /// Milliseconds since this process started.
@@ -100,7 +101,7 @@
         .iter()
         .filter(|candidate| !tried.contains(&candidate.target.id.as_str()))
         .filter(|candidate| criteria.versions.permits(&candidate.target))
-        .filter(|candidate| (criteria.has_room)(candidate));
+        .filter(|candidate| (criteria.accepts)(candidate));
     let untried: Vec<&Candidate> = untried.collect();
     let healthy: Vec<&Candidate> = untried
         .iter()
--- a/crates/gateway/tests/balance.rs
+++ b/crates/gateway/tests/balance.rs
@@ -196,7 +196,7 @@
             idempotent: true,
             resumable: true,
             versions: &Rule::Any,
-            has_room: &|_| true,
+            accepts: &|_| true,
             entries: 1,
             now_ms: now as u64,
         };
@@ -355,7 +355,7 @@
         idempotent: true,
         resumable: true,
         versions: &Rule::Any,
-        has_room: &|_| true,
+        accepts: &|_| true,
         entries: 1,
         now_ms: 0,
     }
@@ -433,7 +433,7 @@
         idempotent: true,
         resumable: true,
         versions: &Rule::Any,
-        has_room: &|_| true,
+        accepts: &|_| true,
         entries: 1,
         now_ms: 0,
     };
--- a/crates/gateway/tests/over_rate.rs
+++ b/crates/gateway/tests/over_rate.rs
@@ -75,6 +75,7 @@
                 priority: None,
                 rate: Some(Rate::try_from(RATE).expect("rate")),
                 burst: Burst(RATE as u32),
+                homes: Vec::new(),
             },
             programs: Vec::new(),
             requests: Vec::new(),
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -238,7 +238,7 @@
             idempotent: true,
             resumable: true,
             versions: &Rule::Any,
-            has_room: &|_| true,
+            accepts: &|_| true,
             entries: ENTRIES,
             now_ms: time.0,
         };
--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -24,6 +24,7 @@
         priority: None,
         rate: (rate > 0.0).then(|| Rate::try_from(rate).expect("rate")),
         burst: Burst(burst),
+        homes: Vec::new(),
     }
 }
 
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -60,7 +60,7 @@
         idempotent: true,
         resumable,
         versions: rule,
-        has_room: &|_| true,
+        accepts: &|_| true,
         entries: 1,
         now_ms: 0,
     };
