Tell entries that can't reach the object store which targets are warm

An entry that starts while the object store is away learns its targets from another entry. That didn't say how long they stay cold, so all counted as cold, and an entry that doesn't know the fleet yet sends a cold target nothing: it would have served nobody for 3 s.

The response to such an entry now holds the time for which each target stays cold, after the software versions, where earlier builds ignore it.

--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -159,7 +159,13 @@
         drop(newest);
         let directory = self.directory.lock();
         let targets = (directory.revision.0 > request.revision).then(|| {
-            let targets: Vec<Target> = directory.targets().cloned().collect();
+            let (limits, now) = (self.limits.lock(), self.time());
+            let targets = directory.targets().cloned().map(|mut target| {
+                let remaining = limits.cold.remaining(hash::target_hash(&target.id), now);
+                target.cold = Some(remaining);
+                target
+            });
+            let targets: Vec<Target> = targets.collect();
             (directory.revision.0, targets)
         });
         Response {
--- a/crates/gateway/src/fleet/limits.rs
+++ b/crates/gateway/src/fleet/limits.rs
@@ -100,6 +100,7 @@
     /// requests sent to targets with limits, and demand.
     pub(crate) fn limit_report(&self, since: Time) -> (Vec<Notice>, Vec<(u32, u32)>, u8) {
         let now = self.time();
+        let knows_fleet = self.knows_fleet();
         let peers = self.peers.lock();
         let any_newcomer = peers.any_newcomer(since);
         let mut limits = self.limits.lock();
@@ -113,7 +114,7 @@
             holders.push(Holder { entry, weight });
         }
         let holder_count = holders.len();
-        let entries: Vec<u64> = match self.knows_fleet() {
+        let entries: Vec<u64> = match knows_fleet {
             true => holders.iter().map(|holder| holder.entry).collect(),
             false => Vec::new(),
         };
--- a/crates/gateway/src/fleet/news.rs
+++ b/crates/gateway/src/fleet/news.rs
@@ -41,8 +41,8 @@
 }
 
 impl Response {
-    /// Encodes the response; the targets' software versions follow it, where earlier builds ignore
-    /// them.
+    /// Encodes the response; the targets' software versions, and how long they stay cold, follow it, where
+    /// earlier builds ignore them.
     ///
     /// Errors: none that the fields can cause.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
@@ -53,19 +53,28 @@
             .map_or(&[][..], |(_, targets)| targets);
         let versions: Vec<&Option<SoftwareVersion>> =
             targets.iter().map(|target| &target.version).collect();
-        postcard::to_extend(&versions, response)
+        let cold: Vec<Option<Duration>> = targets.iter().map(|target| target.cold).collect();
+        postcard::to_extend(&(versions, cold), response)
     }
 
-    /// Decodes a response, also of a build that sends no software versions.
+    /// Decodes a response, also of a build that sends less than this one.
     ///
     /// Errors: the response is malformed.
     pub fn decode(bytes: &[u8]) -> Result<Response, postcard::Error> {
         let (mut response, rest) = postcard::take_from_bytes::<Response>(bytes)?;
         if let (Some((_, targets)), false) = (&mut response.targets, rest.is_empty()) {
-            let versions: Vec<Option<SoftwareVersion>> = postcard::from_bytes(rest)?;
+            let (versions, rest): (Vec<Option<SoftwareVersion>>, _) =
+                postcard::take_from_bytes(rest)?;
             for (target, version) in targets.iter_mut().zip(versions) {
                 target.version = version;
             }
+            let cold: Vec<Option<Duration>> = match rest.is_empty() {
+                true => Vec::new(),
+                false => postcard::from_bytes(rest)?,
+            };
+            for (target, cold) in targets.iter_mut().zip(cold) {
+                target.cold = cold;
+            }
         }
         Ok(response)
     }
--- a/crates/gateway/src/target/cold.rs
+++ b/crates/gateway/src/target/cold.rs
@@ -225,6 +225,13 @@
             .collect()
     }
 
+    /// Time for which a target stays cold; zero if it isn't.
+    pub fn remaining(&self, target: u32, now: Time) -> Duration {
+        let cold = self.targets.get(&target);
+        let until = cold.map_or(now, |cold| cold.until.max(now));
+        Duration::from_millis(until.since(now).0)
+    }
+
     /// Number of cold targets.
     pub fn count(&self, now: Time) -> usize {
         let targets = self.targets.keys();
