Don't divide and report cold targets more often than needed

Suspected cause, by reading: after a data centre returns, hundreds of targets are cold; each entry divided all of them anew at each report, reported all of them to every other entry, and compared each report with each target.

The division is now repeated only when the known entries change; cold targets are reported only while some entry says that the store doesn't answer it; reports are looked up by target.

--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -104,6 +104,7 @@
             .filter(|candidate| candidate.load.fails_here(now.0))
             .map(|candidate| hash::target_hash(&candidate.target.id));
         let (limits, limited_sendings, demand) = self.limit_report(since);
+        let cold = self.cold_report(since);
         let report = Report {
             host: self.settings.host.clone(),
             incarnation: self.incarnation,
@@ -123,7 +124,7 @@
             limited_sendings,
             demand,
             evacuations: self.evacuations.lock().notice(now),
-            cold: self.limits.lock().cold.notices(since, now),
+            cold,
         };
         (report, self.peers.lock().addresses())
     }
--- a/crates/gateway/src/fleet/limits.rs
+++ b/crates/gateway/src/fleet/limits.rs
@@ -10,6 +10,7 @@
 use coord::time::Time;
 use http::StatusCode;
 
+use crate::Map;
 use crate::adapter::Limit;
 use crate::adapter::Reply;
 use crate::adapter::Target;
@@ -84,14 +85,28 @@
         limits.cold.record(hash, &target.service, remaining, now);
     }
 
+    /// Cold targets for a report; none while the object store answers all entries, which then read the
+    /// registrations themselves.
+    pub(crate) fn cold_report(&self, since: Time) -> Vec<cold::Notice> {
+        let now = self.time();
+        let any_without_store = self.peers.lock().any_without_store(now);
+        match any_without_store {
+            true => self.limits.lock().cold.notices(since, now),
+            false => Vec::new(),
+        }
+    }
+
     /// Merges the part of another entry's report that names cold targets.
     pub(crate) fn merge_cold(&self, notices: &[cold::Notice]) {
+        let notices: Map<u32, &cold::Notice> = notices
+            .iter()
+            .map(|notice| (notice.target, notice))
+            .collect();
         let directory = self.directory.lock();
         let mut limits = self.limits.lock();
         for target in directory.targets() {
-            let hash = hash::target_hash(&target.id);
-            if let Some(notice) = notices.iter().find(|notice| notice.target == hash) {
-                limits.cold.merge(*notice, &target.service, self.time());
+            if let Some(notice) = notices.get(&hash::target_hash(&target.id)) {
+                limits.cold.merge(**notice, &target.service, self.time());
             }
         }
     }
@@ -114,10 +129,11 @@
             holders.push(Holder { entry, weight });
         }
         let holder_count = holders.len();
-        let entries: Vec<u64> = match knows_fleet {
+        let mut entries: Vec<u64> = match knows_fleet {
             true => holders.iter().map(|holder| holder.entry).collect(),
             false => Vec::new(),
         };
+        entries.sort_unstable();
         limits.cold.divide(entry, &entries, now);
         limits.divide(entry, holders, now);
         let notices = limits.notices(since, any_newcomer, now);
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -311,6 +311,19 @@
             .map(|(address, _)| address)
     }
 
+    /// Whether a recent report says that the object store doesn't answer its sender.
+    pub fn any_without_store(&self, now: Time) -> bool {
+        let timeout = self.silence_timeout();
+        let mut fresh = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_fresh(now, timeout));
+        fresh.any(|peer| {
+            peer.last_report
+                .is_some_and(|report| !report.store_reachable)
+        })
+    }
+
     /// Number of entries that the object store answers and that come before this one, in an order that
     /// depends on the kind of objects.
     pub fn order_of_checks(&self, own: SocketAddr, kind: Kind, now: Time) -> usize {
--- a/crates/gateway/src/target/cold.rs
+++ b/crates/gateway/src/target/cold.rs
@@ -93,6 +93,12 @@
     /// Divides the rates among these entries, none if they aren't known yet; `entry` is this one.
     pub fn divide(&mut self, entry: u64, entries: &[u64], now: Time) {
         self.targets.retain(|_, cold| now < cold.until);
+        let is_same = entries
+            .iter()
+            .eq(self.holders.iter().map(|holder| &holder.entry));
+        if is_same && self.entry == entry {
+            return;
+        }
         let holders = entries.iter().map(|entry| Holder {
             entry: *entry,
             weight: EVEN_WEIGHT,
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -165,6 +165,19 @@
     assert!(after_loss.contains(&0));
 }
 
+/// Cold targets are reported only for entries that can't read the registrations themselves.
+#[rstest]
+fn an_entry_without_the_object_store_is_known_while_its_reports_are_recent() {
+    let mut peers = Peers::default();
+    peers.record_report(address(1), &report("a"), Time(0));
+    assert!(!peers.any_without_store(Time(10)));
+    let mut without = report("b");
+    without.store_reachable = false;
+    peers.record_report(address(2), &without, Time(0));
+    assert!(peers.any_without_store(Time(10)));
+    assert!(!peers.any_without_store(Time(10_000)));
+}
+
 #[rstest]
 fn an_entry_that_knows_no_other_is_not_isolated() {
     assert!(!Peers::default().is_isolated(Time(10_000)));
