--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -803,7 +803,8 @@
     /// Starts the platform's store; processes are started by [`Deployment::start`].
     pub fn new(root: &Path, folder: &Path, record: &Record) -> Deployment {
         let net = 16 + (std::process::id() % 200) as u8;
-        let base = 20_000 + (std::process::id() % 400) as u16 * 40;
+        // Below the ports that the system gives to outgoing connections.
+        let base = 10_000 + (std::process::id() % 450) as u16 * 40;
         let free = (0..100).map(|step| base + step * 7).find(|port| {
             (0..24).all(|offset| TcpListener::bind(("127.0.0.1", port + offset)).is_ok())
         });
