--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,9 +3,9 @@
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
 
 mod common;
+mod founder;
 mod poison;
 mod unreadable;
-mod zone;
 
 use std::path::{Path, PathBuf};
 
@@ -19,13 +19,14 @@
     };
     let root = std::env::current_dir().expect("current folder");
     let record = Record::create(&Path::new(folder).join("record.txt"));
-    let work: PathBuf = std::env::temp_dir().join(format!("teasellever-review-{}", std::process::id()));
+    let work: PathBuf =
+        std::env::temp_dir().join(format!("teasellever-review-{}", std::process::id()));
     std::fs::create_dir_all(&work).expect("temporary folder");
     common::watch_time();
     let broken = match case.as_str() {
         "unreadable" => unreadable::play(&root, &work, &record),
+        "founder" => founder::play(&root, &work, &record),
         "poison" => poison::play(&root, &work, &record),
-        "zone" => zone::play(&root, &work, &record),
         _ => {
             println!("no such case");
             std::process::exit(CANNOT_RUN);
