--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -460,6 +460,13 @@
         self.shared.1.notify_all();
     }
 
+    /// Status of an object, as JSON text; `null` if there is none.
+    pub fn status(&self, kind: &str, name: &str) -> String {
+        let state = self.shared.0.lock().unwrap();
+        let object = state.objects.get(&(kind.to_owned(), name.to_owned()));
+        object.map_or("null".to_owned(), |object| object.status.clone())
+    }
+
     fn handle(&self, request: &Message) -> (u16, String) {
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
         let parameter = |name: &str| {
@@ -1173,6 +1180,12 @@
         }
     }
 
+    /// Kills a machine's process and removes its disk.
+    pub fn lose_disk(&mut self, index: usize) {
+        self.kill(index);
+        let _ = fs::remove_dir_all(self.folder.join(&self.machines[index].name));
+    }
+
     /// Sends SIGTERM to a machine's process.
     pub fn terminate(&mut self, index: usize) {
         let machine = &mut self.machines[index];
--- a/review/standin/founder.rs
+++ b/review/standin/founder.rs
@@ -1,7 +1,7 @@
 //! A store machine is killed that a front knows; the front never learned of the third one.
 //!
-//! At the first start, two store machines start at 0 s, two fronts at 0.15 s and the third store machine
-//! at 0.3 s. Clients run turns on kept connections. At 13 s the first store machine's process is killed;
+//! At the first start, two store machines start at 0 s, two fronts at 0.15 s and 0.22 s, and the third
+//! store machine at 0.29 s. Clients run turns on kept connections. At 13 s the first store machine's process is killed;
 //! it is back after 2.8 s.
 
 use std::path::Path;
@@ -39,11 +39,10 @@
     let first = deployment.add("store", 1, "zone-a");
     deployment.add("store", 2, "zone-b");
     at(0.15);
-    let fronts = [
-        deployment.add("front", 1, "zone-a"),
-        deployment.add("front", 2, "zone-b"),
-    ];
-    at(0.28);
+    let mut fronts = vec![deployment.add("front", 1, "zone-a")];
+    at(0.22);
+    fronts.push(deployment.add("front", 2, "zone-b"));
+    at(0.29);
     deployment.add("store", 3, "zone-c");
     deployment.end_bootstrap();
     deployment.wait_ready(&fronts, Duration::from_secs(15));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 
 mod common;
 mod founder;
+mod members;
 mod poison;
 mod unreadable;
 
@@ -26,6 +27,8 @@
     let broken = match case.as_str() {
         "unreadable" => unreadable::play(&root, &work, &record),
         "founder" => founder::play(&root, &work, &record),
+        "replaced" => members::replaced(&root, &work, &record),
+        "retired" => members::retired(&root, &work, &record),
         "poison" => poison::play(&root, &work, &record),
         _ => {
             println!("no such case");
