History: a disk that withdraws a replacement forgets the membership with it

Callers would see 404 for a turn answered whole: a host that had replaced an unreachable member, lost the place and was added instead ended its joining while the newest membership on its disk was that of the replacement. For clients with that membership it counted for absent turns without having copied.

The membership after the withdrawal is stored before the joining state ends, so that the disk refuses calls of older epochs.

--- a/crates/history/src/join.rs
+++ b/crates/history/src/join.rs
@@ -126,6 +126,8 @@
         Change::Add if server.joining() && !current.only_grew() => {
             let next = current.without(me.disk);
             write_membership(objects, &next, revision).await?;
+            // An older membership that names this disk would make it count for absent records.
+            persist(server, Record::Membership(next)).await?;
             persist(server, Record::Joining(false)).await?;
             bail!("an earlier request to replace another disk is superseded")
         }
--- a/crates/history/tests/membership_model/host.rs
+++ b/crates/history/tests/membership_model/host.rs
@@ -45,7 +45,7 @@
         self.core.borrow().losses()
     }
 
-    fn has(&self, mutation: Mutation) -> bool {
+    pub fn has(&self, mutation: Mutation) -> bool {
         self.core.borrow().has(mutation)
     }
 
@@ -173,6 +173,7 @@
         Change::Add if process.joining() && !current.only_grew() => {
             let next = current.without(me.disk);
             process.update_object(&next, current.epoch).await?;
+            process.persist(vec![Record::Membership(next)]).await;
             process.persist(vec![Record::Joining(false)]).await;
             Err(Failed)
         }
--- a/crates/history/tests/membership_model/main.rs
+++ b/crates/history/tests/membership_model/main.rs
@@ -103,7 +103,7 @@
 fn a_committed_turn_is_never_absent_and_nothing_is_stuck_in_calm(
     #[case] hosts: usize,
     #[case] losses: usize,
-    #[values(Events::ALL, WIPED, FIRST_START)] events: Events,
+    #[values(Events::ALL, ADDED, WIPED, FIRST_START)] events: Events,
 ) {
     let scenario = Scenario {
         hosts,
@@ -158,6 +158,7 @@
 #[case::answers_lost_at_the_first_start(4, 1, faults::ANSWERS_LOST_AT_FIRST_START, 1267)]
 #[case::two_joining_hosts_wait_for_each_other(3, 1, faults::ADDED_AFTER_A_FAILED_REPLACEMENT, 94)]
 #[case::an_added_host_waits_for_a_wiped_one(3, 1, faults::ADDED_AFTER_A_FAILED_REPLACEMENT, 76)]
+#[case::joining_ends_under_an_older_membership(3, 1, ADDED, 491119)]
 fn a_run_that_broke_todays_rules_passes(
     #[case] hosts: usize,
     #[case] losses: usize,
