--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -115,6 +115,11 @@
         "Time of all syncs, in microseconds",
         |server| server.syncs().1,
     );
+    gauge(
+        "teasellever_members",
+        "Disks that the membership lists, those that are gone included",
+        |server| server.membership().members.len() as u64,
+    );
     gauge("teasellever_epoch", "Epoch of the membership", |server| {
         server.membership().epoch.0
     });
--- a/crates/history/src/copy.rs
+++ b/crates/history/src/copy.rs
@@ -42,7 +42,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Maximum number of records sent in one call.
-const BATCH_RECORDS: usize = 500;
+pub const BATCH_RECORDS: usize = 500;
 
 /// Number of records fetched in the first call, before their sizes are known.
 const FIRST_BATCH_RECORDS: usize = 32;
@@ -145,17 +145,24 @@
             while !rest.is_empty() {
                 let (batch, tail) = rest.split_at(size.min(rest.len()));
                 let positions = batch.iter().map(|(position, _)| *position).collect();
-                let Some(fetched) = fetch(server, member, link, positions).await? else {
+                let Some(records) = fetch(member, link, positions).await? else {
                     size = batch.len() / 2;
                     continue;
                 };
                 // Records that have expired there meanwhile may still be retained elsewhere.
-                match fetched.fingerprints.len() == batch.len() {
+                match records.len() == batch.len() {
                     true => self.local.extend(batch.iter().map(|(_, found)| *found)),
-                    false => self.local.extend(fetched.fingerprints),
+                    false => {
+                        let fetched = records.iter().filter_map(fingerprint::of_record);
+                        self.local.extend(fetched);
+                    }
+                }
+                let bytes: usize = records.iter().map(content_bytes).sum();
+                if !server.persist(records).await {
+                    bail!("write to the local disk failed");
                 }
                 rest = tail;
-                size = match fetched.content_bytes {
+                size = match bytes {
                     bytes if bytes > BATCH_BYTES => (size / 2).max(1),
                     bytes if bytes <= BATCH_BYTES / 2 => (size * 2).min(BATCH_RECORDS),
                     _ => size,
@@ -172,7 +179,9 @@
 }
 
 /// Whether a member has copied what the disk that it replaced held.
-async fn is_complete(member: &Member, link: &Link) -> eyre::Result<bool> {
+///
+/// Errors: the member is unreachable.
+pub async fn is_complete(member: &Member, link: &Link) -> eyre::Result<bool> {
     let probe = Call::ReadAccount(Account::probe());
     match call(link, member.disk, &probe).await? {
         Answer::Account { complete, .. } => Ok(complete),
@@ -180,20 +189,13 @@
     }
 }
 
-/// Records that were copied in one call.
-struct Fetched {
-    fingerprints: Vec<u64>,
-    content_bytes: usize,
-}
-
-/// Copies the records at these positions, as far as the member has them; `None` if the member answers
-/// other calls but not this one, so that the records probably exceed one answer.
-async fn fetch(
-    server: &Server,
+/// The records at these positions, as far as the member has them; `None` if the member answers other
+/// calls but not this one, so that the records probably exceed one answer.
+pub async fn fetch(
     member: &Member,
     link: &Link,
     positions: Vec<Position>,
-) -> eyre::Result<Option<Fetched>> {
+) -> eyre::Result<Option<Vec<Record>>> {
     let is_divisible = positions.len() > 1;
     let attempts = match is_divisible {
         true => BATCH_ATTEMPTS,
@@ -206,16 +208,7 @@
         Err(error) => return Err(error),
     };
     match answer {
-        Answer::Records(records) => {
-            let fetched = Fetched {
-                fingerprints: records.iter().filter_map(fingerprint::of_record).collect(),
-                content_bytes: records.iter().map(content_bytes).sum(),
-            };
-            match server.persist(records).await {
-                true => Ok(Some(fetched)),
-                false => bail!("write to the local disk failed"),
-            }
-        }
+        Answer::Records(records) => Ok(Some(records)),
         answer => bail!("unexpected answer from {}: {answer:?}", member.host),
     }
 }
@@ -248,7 +241,10 @@
     }
 }
 
-async fn append(link: &Link, member: &Member, records: Vec<Record>) -> eyre::Result<()> {
+/// Stores records at a member; returns once it has synced them and all that it received before.
+///
+/// Errors: the member is unreachable or rejects the records.
+pub async fn append(link: &Link, member: &Member, records: Vec<Record>) -> eyre::Result<()> {
     match call(link, member.disk, &Call::Append(records)).await? {
         Answer::Appended => Ok(()),
         answer => bail!("unexpected answer from {}: {answer:?}", member.host),
@@ -256,7 +252,7 @@
 }
 
 /// Splits records into calls of [`BATCH_BYTES`] at most, or one record each.
-fn split(records: Vec<Record>) -> Vec<Vec<Record>> {
+pub fn split(records: Vec<Record>) -> Vec<Vec<Record>> {
     let mut calls = Vec::new();
     let (mut call, mut bytes) = (Vec::new(), 0);
     for record in records {
@@ -303,7 +299,7 @@
 }
 
 /// A link to the member's host, if the host answers and still serves the member's disk.
-async fn connect(member: &Member) -> Option<Link> {
+pub async fn connect(member: &Member) -> Option<Link> {
     let link = Link::new(member.address);
     let probe = Call::Digest(Position(u64::MAX));
     match call_with_attempts(&link, member.disk, &probe, CONNECT_ATTEMPTS).await {
@@ -312,6 +308,13 @@
     }
 }
 
+/// Whether a member's host answers one call and still serves the member's disk.
+pub async fn answers(link: &Link, disk: Disk) -> bool {
+    let probe = Call::Digest(Position(u64::MAX));
+    let answer = call_with_attempts(link, disk, &probe, 1).await;
+    matches!(answer, Ok(Answer::Digest { .. }))
+}
+
 /// Members other than `me` whose host doesn't answer or serves a different disk.
 pub async fn unreachable(membership: &Membership, me: Disk) -> Vec<Disk> {
     let others: Vec<&Member> = membership
--- /dev/null
+++ b/crates/history/src/evict.rs
@@ -0,0 +1,157 @@
+//! Evicts members that are gone, so that the tolerated losses are available again;
+//! [`crate::membership`] explains the required steps.
+//!
+//! A member that is only out of reach may be evicted by mistake. It joins again as an added one.
+
+use std::time::Duration;
+
+use eyre::bail;
+use node::object::ObjectStore;
+use tokio::time::Instant;
+
+use crate::copy;
+use crate::gather::gather;
+use crate::join;
+use crate::join::Config;
+use crate::membership::Member;
+use crate::membership::Membership;
+use crate::record::Disk;
+use crate::record::Record;
+use crate::restore;
+use crate::server::Server;
+use crate::watch::Watch;
+
+/// Mean delay before a failed attempt is repeated.
+const RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Number of attempts before the member is watched again.
+const ATTEMPTS: usize = 10;
+
+/// Evicts members that are gone, as long as it is polled.
+pub async fn keep_evicting<S: ObjectStore>(server: &Server, objects: &S, config: &Config) {
+    let mut watch = Watch::default();
+    loop {
+        let losses = config.tolerated_losses;
+        let gone = watch.next_silent(server, config.me.disk, losses).await;
+        let eviction = Eviction {
+            server,
+            objects,
+            config,
+            disk: gone.disk,
+            vacancy: Disk(rand::random()),
+        };
+        for _ in 0..ATTEMPTS {
+            match eviction.attempt().await {
+                Ok(()) => break,
+                Err(error) => log::warn!(
+                    step = "evict member", peer:% = gone.host, disk:% = gone.disk;
+                    "member isn't evicted yet: {error:#}"
+                ),
+            }
+            tokio::time::sleep(join::jittered(RETRY_DELAY)).await;
+        }
+    }
+}
+
+/// Eviction of one member, repeated until it succeeds.
+struct Eviction<'a, S> {
+    server: &'a Server,
+    objects: &'a S,
+    config: &'a Config,
+    /// Disk of the member that is gone.
+    disk: Disk,
+    /// Disk of the vacancy that takes its place; an update that isn't answered may have added it.
+    vacancy: Disk,
+}
+
+impl<S: ObjectStore> Eviction<'_, S> {
+    /// Does all steps once; nothing is left to do if the member has been replaced or evicted meanwhile, or
+    /// answers again.
+    ///
+    /// Errors: too few members answer, the membership was changed meanwhile, or the object store can't be
+    /// reached.
+    async fn attempt(&self) -> eyre::Result<()> {
+        let (me, losses) = (self.config.me.disk, self.config.tolerated_losses);
+        let (current, revision) = join::read_membership(self.objects).await?;
+        let vacant = current.find(self.vacancy);
+        let Some(gone) = vacant.or_else(|| current.find(self.disk)).cloned() else {
+            return Ok(());
+        };
+        if current.find(me).is_none() || !current.has_spare(losses) {
+            return Ok(());
+        }
+        let needed = current.copy_quorum(losses);
+        let complete = complete_members(current.without(me).members, needed - 1).await;
+        if complete.contains(&gone.disk) {
+            return Ok(());
+        }
+        if complete.len() + 1 < needed {
+            let count = complete.len() + 1;
+            bail!("{count} of {needed} history hosts answer and hold all their records");
+        }
+        if vacant.is_none() {
+            let next = current.with_vacancy(self.disk, self.vacancy);
+            join::write_membership(self.objects, &next, revision).await?;
+            log::info!(
+                step = "evict member", peer:% = gone.host, disk:% = gone.disk, epoch:% = next.epoch;
+                "member is gone, a vacancy takes its place"
+            );
+        }
+        self.remove_vacancy().await
+    }
+
+    /// Copies the records that the member may have held, then removes the vacancy.
+    async fn remove_vacancy(&self) -> eyre::Result<()> {
+        let started = Instant::now();
+        let (me, losses) = (self.config.me.disk, self.config.tolerated_losses);
+        let (current, revision) = join::read_membership(self.objects).await?;
+        let Some(vacancy) = current.find(self.vacancy) else {
+            return Ok(());
+        };
+        self.learn(&current).await?;
+        let needed = current.copy_quorum(losses);
+        let informed = join::announce(&current, me, needed - 1).await;
+        let members = current.members.iter();
+        let informed: Vec<Member> = members
+            .filter(|member| member.disk == me || informed.contains(&member.disk))
+            .cloned()
+            .collect();
+        if informed.len() < needed {
+            bail!(
+                "{} of {needed} history hosts received the membership",
+                informed.len()
+            );
+        }
+        let copies = current.write_quorum(losses);
+        let restored = restore::restore(self.server, informed, needed, copies).await?;
+        let next = current.without(self.vacancy);
+        join::write_membership(self.objects, &next, revision).await?;
+        log::info!(
+            step = "evict member", peer:% = vacancy.host, epoch:% = next.epoch,
+            restored = restored, took_ms = started.elapsed().as_millis() as u64;
+            "member is evicted"
+        );
+        self.learn(&next).await?;
+        join::announce(&next, me, next.members.len() - 1).await;
+        Ok(())
+    }
+
+    async fn learn(&self, membership: &Membership) -> eyre::Result<()> {
+        let record = Record::Membership(membership.clone());
+        match self.server.persist(vec![record]).await {
+            true => Ok(()),
+            false => bail!("write to the local disk failed"),
+        }
+    }
+}
+
+/// Disks of those members that answer and hold all their records; others aren't waited for once `needed`
+/// have answered. Members that still join can't replace what the evicted one held.
+async fn complete_members(members: Vec<Member>, needed: usize) -> Vec<Disk> {
+    let calls = members.into_iter().map(|member| async move {
+        let link = copy::connect(&member).await?;
+        let complete = copy::is_complete(&member, &link).await;
+        matches!(complete, Ok(true)).then_some(member.disk)
+    });
+    gather(calls, needed).await
+}
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod content;
 pub mod copy;
 pub mod error;
+pub mod evict;
 pub mod fingerprint;
 pub mod gather;
 pub mod index;
@@ -24,12 +25,14 @@
 pub mod record;
 pub mod recovery;
 pub mod relay;
+pub mod restore;
 pub mod retention;
 pub mod retire;
 pub mod segment;
 pub mod server;
 pub mod time;
 pub mod volume;
+pub mod watch;
 
 /// Hash map with a fast hasher.
 pub type Map<K, V> = rustc_hash::FxHashMap<K, V>;
--- a/crates/history/src/membership.rs
+++ b/crates/history/src/membership.rs
@@ -14,6 +14,18 @@
 //!
 //! Until then, a replacing disk isn't counted for absent records. An added disk is: the read quorum
 //! grows by one, which offsets its answer.
+//!
+//! A member that is gone for good is evicted, as it would use up a tolerated loss for ever:
+//!
+//! - A vacancy takes its place: a disk that no host serves, so that it neither acknowledges records nor
+//!   counts for absent ones. Once `n - t` members have received that membership, no record can be
+//!   committed with the evicted disk any more.
+//! - These `n - t` members, which hold all their records, hold each record that the evicted disk
+//!   acknowledged: the record has `t` more copies, of which `t - 1` at most are elsewhere. Each of their
+//!   records that fewer than `t + 1` members hold is copied to more of them.
+//! - The vacancy is removed. Each committed record has `t + 1` copies without it.
+//!
+//! Only a membership with more than `2t + 1` disks is reduced in this way.
 
 use std::net::SocketAddr;
 
@@ -88,6 +100,21 @@
         reachable.min(tolerated_losses + 1)
     }
 
+    /// Whether more disks are members than the tolerated losses require.
+    pub fn has_spare(&self, tolerated_losses: usize) -> bool {
+        self.members.len() > 2 * tolerated_losses + 1
+    }
+
+    /// The members that follow a disk in the list, after whose last member the first follows.
+    pub fn followers(&self, disk: Disk, count: usize) -> Vec<Member> {
+        let Some(at) = self.members.iter().position(|member| member.disk == disk) else {
+            return Vec::new();
+        };
+        let others = self.members.iter().cycle().skip(at + 1);
+        let others = others.take(count.min(self.members.len() - 1));
+        others.cloned().collect()
+    }
+
     /// Number of disks whose records a disk copies before it has replaced another one.
     pub fn copy_quorum(&self, tolerated_losses: usize) -> usize {
         self.members.len().saturating_sub(tolerated_losses)
@@ -133,6 +160,19 @@
         next
     }
 
+    /// The next membership, in which a vacancy has taken a member's place. It bears the name and the
+    /// address of the member's host, which replaces it if it comes back.
+    pub fn with_vacancy(&self, evicted: Disk, vacancy: Disk) -> Membership {
+        let mut next = self.clone();
+        next.epoch = Epoch(self.epoch.0 + 1);
+        for member in &mut next.members {
+            if member.disk == evicted {
+                member.disk = vacancy;
+            }
+        }
+        next
+    }
+
     /// The next membership, with a disk removed.
     pub fn without(&self, disk: Disk) -> Membership {
         let members = self.members.iter();
--- a/crates/history/src/place.rs
+++ b/crates/history/src/place.rs
@@ -1,5 +1,6 @@
-//! Keeps a host's place in the membership: a host that was out of reach may have been replaced, and isn't
-//! told, as the new membership is sent to its members only.
+//! Keeps a host's place in the membership: a host that was out of reach may have been replaced or evicted,
+//! and isn't told, as the new membership is sent to its members only. Meanwhile evicts other members that
+//! are gone.
 
 use std::pin::pin;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use node::object::ObjectStore;
 use rand::seq::IndexedRandom;
 
+use crate::evict;
 use crate::join;
 use crate::join::Config;
 use crate::membership::Epoch;
@@ -45,6 +47,7 @@
         tokio::select! {
             () = &mut end => return,
             () = lost(server, objects, config) => {}
+            () = evict::keep_evicting(server, objects, config) => {}
         }
     }
 }
@@ -71,7 +74,7 @@
         if newest.find(me).is_none() {
             log::warn!(
                 step = "keep place", peer = "history", epoch:% = newest.epoch;
-                "another disk has replaced this one, which joins again"
+                "this disk was replaced or evicted, and joins again"
             );
             return;
         }
--- a/crates/history/tests/membership_model/copy.rs
+++ b/crates/history/tests/membership_model/copy.rs
@@ -148,10 +148,10 @@
     unreachable.collect()
 }
 
-fn probe() -> Call {
+pub fn probe() -> Call {
     Call::Digest(Position(u64::MAX))
 }
 
-fn is_digest(answer: &Answer) -> bool {
+pub fn is_digest(answer: &Answer) -> bool {
     matches!(answer, Answer::Digest { .. })
 }
--- a/crates/history/tests/membership_model/core.rs
+++ b/crates/history/tests/membership_model/core.rs
@@ -136,7 +136,17 @@
             let replaces = host.replacing && !events.replacements_beside_losses;
             !host.retired && (replaces || retires) && !lost.contains(&host.disk)
         });
-        lost.len() + others.count()
+        let others = others.count();
+        // The member that is about to be evicted, unless it is counted already.
+        let evicted = self.hosts.iter().any(|host| host.evicting);
+        let evicted = evicted && !self.has_gone_member();
+        lost.len() + others + usize::from(evicted)
+    }
+
+    /// Whether no host has the disk of a member of the object.
+    fn has_gone_member(&self) -> bool {
+        let mut members = self.object.members.iter();
+        members.any(|member| self.find(member.disk).is_none())
     }
 
     /// Whether an update of the object by this host is in flight.
--- a/crates/history/tests/membership_model/faults.rs
+++ b/crates/history/tests/membership_model/faults.rs
@@ -8,6 +8,7 @@
 /// retiring one too: all of them wait for ever, though all records are there.
 pub const RETIREMENT_BESIDE_LOST_DISKS: Events = Events {
     place_checks: false,
+    removals: false,
     retirements_beside_losses: true,
     ..Events::ALL
 };
@@ -16,6 +17,7 @@
 /// lost. As above, `t + 1` hosts wait for each other.
 pub const DARK_MEMBER_REPLACED: Events = Events {
     place_checks: false,
+    removals: false,
     replacements_beside_losses: true,
     ..Events::ALL
 };
@@ -24,6 +26,7 @@
 /// it acknowledges turns as a member, and isn't one.
 pub const LATE_LEAVE: Events = Events {
     place_checks: false,
+    removals: false,
     late_updates: true,
     retirements: true,
     ..Events::FEW
@@ -34,6 +37,7 @@
 /// having copied them.
 pub const LATE_REPLACEMENT: Events = Events {
     place_checks: false,
+    removals: false,
     late_updates: true,
     added: 3,
     ..Events::FEW
@@ -44,6 +48,7 @@
 /// then removes it.
 pub const UNSYNCED: Events = Events {
     place_checks: false,
+    removals: false,
     unsynced_survives_kill: true,
     wipes: true,
     ..Events::FEW
@@ -53,6 +58,7 @@
 /// started without being told of the first start: no disk acknowledges records, so none can be informed.
 pub const KILLED_AT_FIRST_START: Events = Events {
     place_checks: false,
+    removals: false,
     kills_at_first_start: true,
     added: 0,
     wipes: false,
@@ -64,6 +70,7 @@
 /// than `2t + 1` disks: as above without any kill.
 pub const ANSWERS_LOST_AT_FIRST_START: Events = Events {
     place_checks: false,
+    removals: false,
     late_updates: true,
     ..Events::FEW
 };
@@ -72,5 +79,6 @@
 /// takes itself for a replacement: it and the host of a lost disk wait for each other.
 pub const ADDED_AFTER_A_FAILED_REPLACEMENT: Events = Events {
     place_checks: false,
+    removals: false,
     ..Events::ALL
 };
--- a/crates/history/tests/membership_model/main.rs
+++ b/crates/history/tests/membership_model/main.rs
@@ -19,6 +19,7 @@
 mod copy;
 mod core;
 mod disk;
+mod evict;
 mod faults;
 mod host;
 mod patient;
@@ -48,6 +49,11 @@
     storms: true,
     ..Events::FEW
 };
+/// Hosts are added and others are gone for good, as in planned replacements.
+const REMOVED: Events = Events {
+    removals: true,
+    ..ADDED
+};
 const RETIRED: Events = Events {
     retirements: true,
     ..Events::FEW
@@ -103,7 +109,7 @@
 fn a_committed_turn_is_never_absent_and_nothing_is_stuck_in_calm(
     #[case] hosts: usize,
     #[case] losses: usize,
-    #[values(Events::ALL, ADDED, WIPED, FIRST_START)] events: Events,
+    #[values(Events::ALL, ADDED, REMOVED, WIPED, FIRST_START)] events: Events,
 ) {
     let scenario = Scenario {
         hosts,
@@ -125,6 +131,8 @@
 #[case::retired_host_reopens(Mutation::RetiredHostReopens, 4, 1, RETIRED, 2000)]
 #[case::small_read_quorum(Mutation::SmallReadQuorum, 5, 2, Events::FEW, 0)]
 #[case::any_informed_disk_counts(Mutation::AnyInformedDiskCounts, 3, 1, ADDED, 0)]
+#[case::evicted_without_restoring(Mutation::EvictedWithoutRestoring, 3, 1, REMOVED, 0)]
+#[case::evicted_without_vacancy(Mutation::EvictedWithoutVacancy, 3, 1, REMOVED, 2000)]
 fn the_model_detects_a_rule_that_is_left_out(
     #[case] mutation: Mutation,
     #[case] hosts: usize,
--- a/crates/history/tests/membership_model/place.rs
+++ b/crates/history/tests/membership_model/place.rs
@@ -10,6 +10,7 @@
 
 use crate::core::Shared;
 use crate::disk::completeness_probe;
+use crate::evict;
 use crate::host::Process;
 use crate::slot::pause;
 
@@ -24,6 +25,10 @@
         if !checks(&process.core) {
             continue;
         }
+        if evicts(&process.core) {
+            // A failed attempt is repeated by a later check.
+            let _ = evict::evict_silent(process).await;
+        }
         let known = process.core.borrow().hosts[process.at].is_known_member();
         let reads_object = process.core.borrow_mut().random.random_bool(0.2);
         let newer = match reads_object {
@@ -49,6 +54,11 @@
     core.scenario.events.place_checks && core.chance(probability)
 }
 
+fn evicts(core: &Shared) -> bool {
+    let mut core = core.borrow_mut();
+    core.scenario.events.removals && core.chance(0.5)
+}
+
 /// The object's content, if it is newer.
 async fn newer_object(process: &Process) -> Option<Membership> {
     let object = process.read_object().await.ok()?;
--- a/crates/history/tests/membership_model/rules.rs
+++ b/crates/history/tests/membership_model/rules.rs
@@ -15,6 +15,10 @@
     SmallReadQuorum,
     /// Disks that don't acknowledge records count among the informed ones.
     AnyInformedDiskCounts,
+    /// A member is evicted without copying the records that it may have held.
+    EvictedWithoutRestoring,
+    /// A member is evicted in one step, so that it may acknowledge records until then.
+    EvictedWithoutVacancy,
 }
 
 /// Events that a run contains besides calls, cuts, pauses and kills of processes.
@@ -28,6 +32,9 @@
     pub storms: bool,
     /// Hosts retire.
     pub retirements: bool,
+    /// Hosts are gone for good, and hosts evict members that don't answer. In the end, as many disks as
+    /// tolerated are lost once more.
+    pub removals: bool,
     /// As many disks as tolerated are also lost while a host retires.
     pub retirements_beside_losses: bool,
     /// As many disks as tolerated are also lost while a new host replaces a member that is only dark.
@@ -53,6 +60,7 @@
         wipes: true,
         storms: false,
         retirements: true,
+        removals: true,
         retirements_beside_losses: false,
         replacements_beside_losses: false,
         late_updates: false,
@@ -68,6 +76,7 @@
         added: 0,
         wipes: false,
         retirements: false,
+        removals: false,
         ..Events::ALL
     };
 }
--- a/crates/history/tests/membership_model/world.rs
+++ b/crates/history/tests/membership_model/world.rs
@@ -186,6 +186,20 @@
         true
     }
 
+    /// A host is gone for good, if no more disks are lost than tolerated.
+    fn remove(&mut self, at: usize) {
+        let mut core = self.core.borrow_mut();
+        let host = &core.hosts[at];
+        let counts = host.is_complete() && core.object.find(host.disk).is_some();
+        if !counts || core.lost_disks() >= core.losses() {
+            return;
+        }
+        core.note(|| format!("host {at} is removed"));
+        drop(core);
+        self.kill(at);
+        self.core.borrow_mut().hosts[at].retired = true;
+    }
+
     /// All processes end at once; without power, what isn't synced is lost, and disks may be lost.
     fn kill_all(&mut self, power_loss: bool) {
         let count = self.processes.len();
@@ -279,6 +293,7 @@
                     self.kill(at);
                 }
             }
+            84..86 if founded && events.removals => self.remove(at),
             84..86 if founded && events.moves => {
                 self.kill(at);
                 self.core.borrow_mut().hosts[at].port += 100;
@@ -508,7 +523,63 @@
         let last: Request = "turn-last".parse().expect("name");
         let stored = self.finish(move |core, client| client::store(core, client, last));
         stored.map_err(|()| self.stuck("storing"))?;
-        self.check()
+        self.check()?;
+        match self.core.borrow().scenario.events.removals {
+            true => {}
+            false => return Ok(()),
+        }
+        self.lose_disks_again()
+    }
+
+    /// Members that are gone are evicted or replaced; then as many disks as tolerated are lost, and all
+    /// committed turns are still found.
+    fn lose_disks_again(&mut self) -> Result<(), Failure> {
+        let hosts = self.processes.len();
+        let limit = 20_000 + 1_500 * hosts * hosts;
+        let gone = |core: &Core| {
+            let members = core.object.members.iter();
+            members
+                .filter(|member| core.find(member.disk).is_none())
+                .count()
+        };
+        let evicted = |core: &Core| gone(core) == 0 || !core.object.has_spare(core.losses());
+        self.progress_until(limit, evicted)
+            .map_err(|()| self.stuck("evicting"))?;
+        let missing = gone(&self.core.borrow());
+        (0..missing).for_each(|_| self.add_host(false));
+        let replaced = |core: &Core| {
+            let all = core.hosts.iter().all(|host| {
+                host.retired
+                    || host.left
+                    || core.has_place(host) && host.is_complete() && !host.changes_joining()
+            });
+            all && gone(core) == 0
+        };
+        self.progress_until(limit, replaced)
+            .map_err(|()| self.stuck("replacing"))?;
+        let mut core = self.core.borrow_mut();
+        core.hosts
+            .iter_mut()
+            .for_each(|host| host.replacing = false);
+        drop(core);
+        let wanted = self.wipes + self.core.borrow().losses();
+        for at in 0..self.processes.len() {
+            if self.wipes < wanted {
+                self.wipe(at);
+            }
+        }
+        (0..self.processes.len()).for_each(|at| self.start(at));
+        self.progress_until(limit, replaced)
+            .map_err(|()| self.stuck("joining after the last losses"))?;
+        let committed = self.core.borrow().readers.committed.clone();
+        for id in committed {
+            let found = self.finish(move |core, client| async move {
+                client::read(core, client, id).await == Found::Present
+            });
+            self.check()?;
+            found.map_err(|()| self.stuck("reading after the last losses"))?;
+        }
+        Ok(())
     }
 
     /// Runs one operation of a client to its end; it succeeds if it returns `true`.
--- a/crates/history/tests/support/mod.rs
+++ b/crates/history/tests/support/mod.rs
@@ -20,9 +20,12 @@
 use history::message::Answer;
 use history::message::Call;
 use history::message::Header;
+use history::place;
 use history::record::Account;
+use history::record::Charge;
 use history::record::Disk;
 use history::record::Record;
+use history::record::State;
 use history::record::Turn;
 use history::server::Limits;
 use history::server::Server;
@@ -228,6 +231,14 @@
         tokio::spawn(async move { join::join(&server, &*store, &config).await })
     }
 
+    /// Keeps the host's place in the membership, in a task of its own.
+    pub fn keep(&self, store: &Arc<Store>, tolerated_losses: usize) -> JoinHandle<()> {
+        let (server, store) = (Arc::clone(&self.server), Arc::clone(store));
+        let config = self.config(tolerated_losses, false);
+        let never = std::future::pending();
+        tokio::spawn(async move { place::keep(&server, &*store, &config, never).await })
+    }
+
     /// Sends records to this host under an epoch; returns whether the host acknowledged them.
     pub async fn append(&self, record: Record, epoch: Epoch) -> bool {
         let disk = self.member.disk;
@@ -281,6 +292,16 @@
     }
 }
 
+pub fn charge(state: State) -> Charge {
+    Charge {
+        account: account(),
+        turn: "turn-1".parse().expect("name"),
+        state,
+        target: 0,
+        expires: Timestamp::now().after(Duration::from_secs(60)),
+    }
+}
+
 /// Whether a client reports a turn as absent; false if it finds the turn or can't be certain.
 pub async fn reports_absent(client: &Client, id: &str) -> bool {
     let id = id.parse().expect("name");
