--- a/crates/gateway/src/fleet/exchange.rs
+++ b/crates/gateway/src/fleet/exchange.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use coord::time::Millis;
+use coord::time::Time;
 use history::time::Timestamp;
 use node::object::Revision;
 use tokio::time::Instant;
@@ -89,6 +90,17 @@
         }
     }
 
+    /// Recent crashes, and the others page by page while an entry may lack those that were sent before.
+    fn crash_report(&self, now: Time, since: Time) -> Vec<(u64, u64)> {
+        let any_return = self.peers.lock().any_return(since);
+        let mut suspects = self.suspects.lock();
+        let mut crashes = suspects.recent_crashes(now);
+        if any_return {
+            crashes.extend(suspects.next_crashes(now));
+        }
+        crashes
+    }
+
     fn merge_departures(&self, report: &Report) {
         if report.departures.is_empty() {
             return;
@@ -132,7 +144,7 @@
             totals: self.quotas.lock().totals(since),
             running: running.collect(),
             cached_prefixes: self.prefixes.lock().own_uses(since),
-            crashes: self.suspects.lock().recent_crashes(now),
+            crashes: self.crash_report(now, since),
             entries: self.peers.lock().fresh_addresses(now),
             departures: self.directory.lock().recent_departures(now),
             failing: failing.collect(),
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -145,6 +145,8 @@
     added: Time,
     /// When the first report of its present incarnation came.
     joined: Option<Time>,
+    /// When its first report came after a start or a silence.
+    returned: Option<Time>,
     /// Last reported step of its demand.
     demand: Option<u8>,
     last_report: Option<LastReport>,
@@ -171,6 +173,7 @@
         self.peers.entry(address).or_insert_with(|| Peer {
             added: now,
             joined: None,
+            returned: None,
             demand: None,
             last_report: None,
             running: Vec::new(),
@@ -199,6 +202,9 @@
         if known != Some(report.incarnation) {
             peer.joined = Some(now);
         }
+        if known != Some(report.incarnation) || now.since(last_seen) > timeout {
+            peer.returned = Some(now);
+        }
         peer.last_report = Some(LastReport {
             received: now,
             version: report.version,
@@ -232,6 +238,13 @@
         joined.any(|joined| joined >= since)
     }
 
+    /// Whether an entry has started, or has reported again after a silence, since a time; it may lack what
+    /// others sent before.
+    pub fn any_return(&self, since: Time) -> bool {
+        let mut returned = self.peers.values().filter_map(|peer| peer.returned);
+        returned.any(|returned| returned >= since)
+    }
+
     /// Entries among which limits are divided, silent ones included: they may be cut off and go on. An
     /// entry that hasn't reported its demand is taken to have that of this one, `own_demand`.
     pub fn holders(&self, own_demand: u8) -> Vec<Holder> {
