History: a vacancy is recognised, so that evictions don't undo each other

Two members that are gone at once: hosts that evicted them put new vacancies in the place of each other's, and neither eviction was completed.

A vacancy's identifier has a reserved form; a host that finds one unanswered completes its eviction.

--- a/crates/history/src/evict.rs
+++ b/crates/history/src/evict.rs
@@ -38,7 +38,7 @@
             objects,
             config,
             disk: gone.disk,
-            vacancy: Disk(rand::random()),
+            vacancy: Disk::vacancy(rand::random()),
         };
         for _ in 0..ATTEMPTS {
             match eviction.attempt().await {
@@ -58,7 +58,7 @@
     server: &'a Server,
     objects: &'a S,
     config: &'a Config,
-    /// Disk of the member that is gone.
+    /// Disk of the member that is gone, or a vacancy that another host has put in its place.
     disk: Disk,
     /// Disk of the vacancy that takes its place; an update that isn't answered may have added it.
     vacancy: Disk,
@@ -73,8 +73,8 @@
     async fn attempt(&self) -> eyre::Result<()> {
         let (me, losses) = (self.config.me.disk, self.config.tolerated_losses);
         let (current, revision) = join::read_membership(self.objects).await?;
-        let vacant = current.find(self.vacancy);
-        let Some(gone) = vacant.or_else(|| current.find(self.disk)).cloned() else {
+        let found = current.find(self.vacancy).or(current.find(self.disk));
+        let Some(gone) = found.cloned() else {
             return Ok(());
         };
         if current.find(me).is_none() || !current.has_spare(losses) {
@@ -89,23 +89,24 @@
             let count = complete.len() + 1;
             bail!("{count} of {needed} history hosts answer and hold all their records");
         }
-        if vacant.is_none() {
-            let next = current.with_vacancy(self.disk, self.vacancy);
-            join::write_membership(self.objects, &next, revision).await?;
-            log::info!(
-                step = "evict member", peer:% = gone.host, disk:% = gone.disk, epoch:% = next.epoch;
-                "member is gone, a vacancy takes its place"
-            );
+        if gone.disk.is_vacancy() {
+            return self.remove_vacancy(gone.disk).await;
         }
-        self.remove_vacancy().await
+        let next = current.with_vacancy(gone.disk, self.vacancy);
+        join::write_membership(self.objects, &next, revision).await?;
+        log::info!(
+            step = "evict member", peer:% = gone.host, disk:% = gone.disk, epoch:% = next.epoch;
+            "member is gone, a vacancy takes its place"
+        );
+        self.remove_vacancy(self.vacancy).await
     }
 
     /// Copies the records that the member may have held, then removes the vacancy.
-    async fn remove_vacancy(&self) -> eyre::Result<()> {
+    async fn remove_vacancy(&self, disk: Disk) -> eyre::Result<()> {
         let started = Instant::now();
         let (me, losses) = (self.config.me.disk, self.config.tolerated_losses);
         let (current, revision) = join::read_membership(self.objects).await?;
-        let Some(vacancy) = current.find(self.vacancy) else {
+        let Some(vacancy) = current.find(disk) else {
             return Ok(());
         };
         self.learn(&current).await?;
@@ -124,7 +125,7 @@
         }
         let copies = current.write_quorum(losses);
         let restored = restore::restore(self.server, informed, needed, copies).await?;
-        let next = current.without(self.vacancy);
+        let next = current.without(disk);
         join::write_membership(self.objects, &next, revision).await?;
         log::info!(
             step = "evict member", peer:% = vacancy.host, epoch:% = next.epoch,
--- a/crates/history/src/record.rs
+++ b/crates/history/src/record.rs
@@ -125,6 +125,31 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Disk(pub u64);
 
+/// Bits that the identifiers of vacancies have in common, and no disk's.
+const VACANCY: u64 = 0xFFFF_FFFF << 32;
+
+impl Disk {
+    /// Identifier of an empty disk.
+    pub fn random() -> Disk {
+        loop {
+            let disk = Disk(rand::random());
+            if !disk.is_vacancy() {
+                return disk;
+            }
+        }
+    }
+
+    /// Identifier of a vacancy: a member that no host serves.
+    pub fn vacancy(number: u32) -> Disk {
+        Disk(VACANCY | u64::from(number))
+    }
+
+    /// Whether no host serves a disk with this identifier.
+    pub fn is_vacancy(self) -> bool {
+        self.0 & VACANCY == VACANCY
+    }
+}
+
 impl std::fmt::Display for Disk {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/history/src/server.rs
+++ b/crates/history/src/server.rs
@@ -107,7 +107,7 @@
     /// Errors: the folder can't be read or written, or the thread can't be started.
     pub fn open_on<V: Volume>(volume: V, path: &Path, limits: Limits) -> io::Result<Arc<Server>> {
         let started = Instant::now();
-        let folder = Arc::new(Folder::open_on(volume, path, Disk(rand::random()))?);
+        let folder = Arc::new(Folder::open_on(volume, path, Disk::random())?);
         let recovery = recovery::recover(&folder, limits.memory_bytes)?;
         let index = recovery.index;
         let (turns, accounts) = index.counts();
--- a/crates/history/tests/membership_model/evict.rs
+++ b/crates/history/tests/membership_model/evict.rs
@@ -70,10 +70,13 @@
     if process.has(Mutation::EvictedWithoutVacancy) {
         return remove(process, disk, &current).await;
     }
+    if disk.is_vacancy() {
+        return remove(process, disk, &current).await;
+    }
     let vacancy = {
         let mut core = process.core.borrow_mut();
         core.last_disk += 1;
-        Disk(core.last_disk)
+        Disk::vacancy(core.last_disk as u32)
     };
     let vacant = current.with_vacancy(disk, vacancy);
     process.update_object(&vacant, current.epoch).await?;
