--- a/crates/history/tests/membership_model/main.rs
+++ b/crates/history/tests/membership_model/main.rs
@@ -7,9 +7,9 @@
 //!
 //! Here each message to one disk, each answer, each sync and each step of a host's process is an event of
 //! its own, which may be delayed, lost, or answered with the answer lost. The index, the membership, its
-//! changes and its quorums are the product's; [`host`], [`place`], [`copy`], [`retire`], [`disk`] and
-//! [`client`] mirror the product's join, place, copy, retire, server and client step by step, and change
-//! with them. Besides the clients, [`patient`] readers check every committed turn under every membership,
+//! changes and its quorums are the product's; [`host`], [`place`], [`copy`], [`evict`], [`retire`], [`disk`]
+//! and [`client`] mirror the product's join, place, copy, evict, retire, server and client step by step, and
+//! change with them. Besides the clients, [`patient`] readers check every committed turn under every membership,
 //! as late as they can.
 //!
 //! `MODEL_SEEDS` and `MODEL_FIRST_SEED` set the seeds of a run by hand, `MODEL_TRACE` prints the events of
