--- a/crates/history/src/membership.rs
+++ b/crates/history/src/membership.rs
@@ -18,8 +18,8 @@
 //! A member that is gone for good is evicted, as it would use up a tolerated loss for ever:
 //!
 //! - A vacancy takes its place: a disk that no host serves, so that it neither acknowledges records nor
-//!   counts for absent ones. If its eviction isn't completed, another host takes it up. Once `n - t` members have received that membership, no record can be
-//!   committed with the evicted disk any more.
+//!   counts for absent ones. Once `n - t` members have received that membership, no record can be
+//!   committed with the evicted disk any more. If its eviction isn't completed, another host completes it.
 //! - These `n - t` members, which hold all their records, hold each record that the evicted disk
 //!   acknowledged: the record has `t` more copies, of which `t - 1` at most are elsewhere. Each of their
 //!   records that fewer than `t + 1` members hold is copied to more of them.
