History: an eviction is attempted until it succeeds

What callers saw: nothing yet.

Cause: a round of ten attempts took some three seconds while the store was away. Each round that failed doubled the silence after which the member was reported again (3 s, 6 s, ... 96 s), although it had never come back. The doubling is meant for hosts that were evicted by mistake.

Fix: an eviction is attempted, with a backoff of at most 1.2 s, until it succeeds, the member answers, or somebody else has changed its place. Only evictions that took effect count for the doubling, and a vacancy, for which nobody ever answers, isn't given more time.

--- a/crates/history/src/evict.rs
+++ b/crates/history/src/evict.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use eyre::bail;
+use node::link::Link;
 use node::object::ObjectStore;
 use tokio::time::Instant;
 
@@ -21,11 +22,11 @@
 use crate::server::Server;
 use crate::watch::Watch;
 
-/// Mean delay before a failed attempt is repeated.
+/// Mean delay before the first failed attempt is repeated; doubles with each attempt.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Number of attempts before the member is watched again.
-const ATTEMPTS: usize = 10;
+/// Maximum of that delay; short, as the time for an eviction begins with the return of the object store.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1200);
 
 /// Evicts members that are gone, as long as it is polled.
 pub async fn keep_evicting<S: ObjectStore>(server: &Server, objects: &S, config: &Config) {
@@ -40,19 +41,20 @@
             disk: gone.disk,
             vacancy: Disk::vacancy(rand::random()),
         };
-        for _ in 0..ATTEMPTS {
-            match eviction.attempt().await {
-                Ok(()) => break,
-                Err(error) => log::warn!(
-                    step = "evict member", peer:% = gone.host, disk:% = gone.disk;
-                    "member isn't evicted yet: {error:#}"
-                ),
-            }
-            tokio::time::sleep(join::jittered(RETRY_DELAY)).await;
+        if eviction.run(&gone).await == Outcome::Evicted {
+            watch.record_eviction(&gone.host);
         }
     }
 }
 
+/// How an eviction ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Evicted,
+    /// The member answers, or another host has replaced or evicted it.
+    Needless,
+}
+
 /// Eviction of one member, repeated until it succeeds.
 struct Eviction<'a, S> {
     server: &'a Server,
@@ -65,25 +67,54 @@
 }
 
 impl<S: ObjectStore> Eviction<'_, S> {
-    /// Does all steps once; nothing is left to do if the member has been replaced or evicted meanwhile, or
-    /// answers again.
+    /// Attempts the eviction until it succeeds or isn't needed any more.
+    async fn run(&self, gone: &Member) -> Outcome {
+        let started = Instant::now();
+        let mut delay = RETRY_DELAY;
+        loop {
+            match self.attempt().await {
+                Ok(outcome) => return outcome,
+                Err(error) => log::warn!(
+                    step = "evict member", peer:% = gone.host, disk:% = gone.disk,
+                    since_ms = started.elapsed().as_millis() as u64;
+                    "member isn't evicted yet: {error:#}"
+                ),
+            }
+            tokio::time::sleep(join::jittered(delay)).await;
+            delay = (delay * 2).min(MAX_RETRY_DELAY);
+            if self.is_back(gone).await {
+                return Outcome::Needless;
+            }
+        }
+    }
+
+    /// Whether the member answers again. Nobody answers for a vacancy.
+    async fn is_back(&self, gone: &Member) -> bool {
+        let has_vacancy = self.server.membership().find(self.vacancy).is_some();
+        if has_vacancy || gone.disk.is_vacancy() {
+            return false;
+        }
+        copy::answers(&Link::new(gone.address), gone.disk).await
+    }
+
+    /// Does all steps once.
     ///
     /// Errors: too few members answer, the membership was changed meanwhile, or the object store can't be
     /// reached.
-    async fn attempt(&self) -> eyre::Result<()> {
+    async fn attempt(&self) -> eyre::Result<Outcome> {
         let (me, losses) = (self.config.me.disk, self.config.tolerated_losses);
         let (current, revision) = join::read_membership(self.objects).await?;
         let found = current.find(self.vacancy).or(current.find(self.disk));
         let Some(gone) = found.cloned() else {
-            return Ok(());
+            return Ok(Outcome::Needless);
         };
         if current.find(me).is_none() || !current.has_spare(losses) {
-            return Ok(());
+            return Ok(Outcome::Needless);
         }
         let needed = current.copy_quorum(losses);
         let complete = complete_members(current.without(me).members, needed - 1).await;
         if complete.contains(&gone.disk) {
-            return Ok(());
+            return Ok(Outcome::Needless);
         }
         if complete.len() + 1 < needed {
             let count = complete.len() + 1;
@@ -102,12 +133,12 @@
     }
 
     /// Copies the records that the member may have held, then removes the vacancy.
-    async fn remove_vacancy(&self, disk: Disk) -> eyre::Result<()> {
+    async fn remove_vacancy(&self, disk: Disk) -> eyre::Result<Outcome> {
         let started = Instant::now();
         let (me, losses) = (self.config.me.disk, self.config.tolerated_losses);
         let (current, revision) = join::read_membership(self.objects).await?;
         let Some(vacancy) = current.find(disk) else {
-            return Ok(());
+            return Ok(Outcome::Needless);
         };
         self.learn(&current).await?;
         let needed = current.copy_quorum(losses);
@@ -134,7 +165,7 @@
         );
         self.learn(&next).await?;
         join::announce(&next, me, next.members.len() - 1).await;
-        Ok(())
+        Ok(Outcome::Evicted)
     }
 
     async fn learn(&self, membership: &Membership) -> eyre::Result<()> {
--- a/crates/history/src/watch.rs
+++ b/crates/history/src/watch.rs
@@ -14,6 +14,7 @@
 use crate::join;
 use crate::membership::Member;
 use crate::record::Disk;
+use crate::record::Host;
 use crate::server::Server;
 
 /// Mean delay between calls to the watched members.
@@ -33,7 +34,7 @@
 /// watching host was suspended.
 const FAILURE_LIMIT: usize = 2;
 
-/// Maximum number of times the silence is doubled for a host that was reported before and came back.
+/// Maximum number of times the silence is doubled for a host that was evicted before and came back.
 const MAX_DOUBLINGS: u32 = 5;
 
 #[derive(Debug, Clone, Copy)]
@@ -48,8 +49,8 @@
 pub struct Watch {
     links: Map<Disk, Link>,
     silent: Map<Disk, Silence>,
-    /// Number of times each host was reported.
-    reported: Map<compact_str::CompactString, u32>,
+    /// Number of times that this host has evicted each of the others.
+    evicted: Map<Host, u32>,
 }
 
 impl Watch {
@@ -77,12 +78,17 @@
             let mut due = due.filter(|(distance, member)| self.is_due(*distance, member));
             if let Some((_, member)) = due.next() {
                 self.silent.remove(&member.disk);
-                *self.reported.entry(member.host.clone()).or_default() += 1;
                 return member;
             }
         }
     }
 
+    /// Records that this host has evicted another one. If that one comes back, it was only out of reach, and
+    /// is given more time to answer.
+    pub fn record_eviction(&mut self, host: &Host) {
+        *self.evicted.entry(host.clone()).or_default() += 1;
+    }
+
     /// Calls these members and records which of them don't answer.
     async fn check(&mut self, watched: &[Member]) {
         let is_watched = |disk: &Disk| watched.iter().any(|member| member.disk == *disk);
@@ -115,7 +121,10 @@
     }
 
     fn is_due(&self, distance: usize, member: &Member) -> bool {
-        let doublings = self.reported.get(&member.host).copied().unwrap_or(0);
+        let doublings = match member.disk.is_vacancy() {
+            true => 0,
+            false => self.evicted.get(&member.host).copied().unwrap_or(0),
+        };
         let silence = SILENCE * 2_u32.pow(doublings.min(MAX_DOUBLINGS));
         let limit = silence + WATCHER_DELAY * distance as u32;
         self.silent.get(&member.disk).is_some_and(|silent| {
--- a/crates/history/tests/eviction.rs
+++ b/crates/history/tests/eviction.rs
@@ -29,6 +29,10 @@
 /// `recoveryS` of the smallest deployment.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// `catchupS` and `stableMs` of the deployment with the shortest ones: the time for which a removed host still
+/// counts as lost after an outage of the object store.
+const CATCH_UP: Duration = Duration::from_secs(4 + 3);
+
 /// Hosts that keep their places, and the object store.
 struct Fleet {
     store: Arc<Store>,
@@ -255,3 +259,24 @@
     fleet.add("successor").await;
     fleet.settle().await.expect("the successor takes the place");
 }
+
+/// Guards against a history that serves no turn after an outage of the object store: a member that was gone
+/// wasn't evicted for up to 96 s after the store's return, as each failed round of attempts doubled the
+/// silence before the next one.
+#[rstest]
+#[tokio::test]
+async fn a_member_that_went_in_a_store_outage_is_evicted_soon_after_it() {
+    let mut fleet = Fleet::start(4, 1, 0).await;
+    // The hosts read the membership once before they watch each other.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.store.set_down(true);
+    fleet.remove(1);
+    tokio::time::sleep(Duration::from_secs(42)).await;
+    fleet.store.set_down(false);
+    let settled = tokio::time::timeout(CATCH_UP, fleet.settle()).await;
+    assert!(
+        settled.is_ok(),
+        "the member wasn't evicted in time: {:?}",
+        fleet.store.membership()
+    );
+}
--- a/crates/history/tests/support/mod.rs
+++ b/crates/history/tests/support/mod.rs
@@ -319,6 +319,8 @@
     withhold_answers: AtomicBool,
     /// Writes whose membership contains this disk take effect without ever being answered.
     withhold_answers_naming: Mutex<Option<Disk>>,
+    /// Whether all calls fail.
+    is_down: AtomicBool,
     /// Whether updates fail without an answer and are kept, to take effect later.
     hold_updates: AtomicBool,
     held: Mutex<Vec<(Revision, Value)>>,
@@ -334,6 +336,18 @@
         serde_json::from_value(spec.clone()).expect("membership")
     }
 
+    /// Lets all calls fail, or handles them again.
+    pub fn set_down(&self, down: bool) {
+        self.is_down.store(down, Ordering::Relaxed);
+    }
+
+    fn check_up(&self) -> Result<(), Error> {
+        match self.is_down.load(Ordering::Relaxed) {
+            true => Err(Error::ConnectionLost("the store is down".to_owned())),
+            false => Ok(()),
+        }
+    }
+
     /// Lets writes take effect without answering them, or answers them again.
     pub fn withhold_answers(&self, withhold: bool) {
         self.withhold_answers.store(withhold, Ordering::Relaxed);
@@ -400,6 +414,7 @@
 impl ObjectStore for Store {
     async fn get(&self, kind: Kind, name: &str) -> Result<Option<Object>, Error> {
         assert_eq!((kind, name), (Kind::Members, join::MEMBERSHIP_OBJECT));
+        self.check_up()?;
         let object = self.object.lock().clone();
         Ok(object.map(|(spec, revision)| Object {
             name: name.to_owned(),
@@ -418,12 +433,14 @@
     }
 
     async fn create(&self, _: Kind, _: &str, spec: Value) -> Result<(), Error> {
+        self.check_up()?;
         self.replace(None, spec)?;
         self.answer().await;
         Ok(())
     }
 
     async fn update(&self, _: Kind, _: &str, revision: Revision, spec: Value) -> Result<(), Error> {
+        self.check_up()?;
         if self.hold_updates.load(Ordering::Relaxed) {
             self.held.lock().push((revision, spec));
             return Err(Error::ConnectionLost("withheld".to_owned()));
