History: a host isn't emptied while too few others accept records

Found on the way: two of three hosts, or all of four, that were ordered at the same time closed themselves at the same time, and none could hand over its records any more.

Cause: `hand_over` lowered the number of disks that must have received all records to what was left, although each write needs t + 1. And a host rejected records from the order on, whether or not it could be emptied.

Fix: the order stays running, and the host keeps its place and accepts records, until t + 1 others accept them. A host whose records too few others have received joins again (which also supersedes a removal that may still take effect) before it tries once more, so that hosts that retire together don't wait for each other.

The model mirrors the number of disks that must have received the records; it doesn't order retirements below it.

--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -9,8 +9,8 @@
 use history::join;
 use history::join::Config;
 use history::membership::Member;
-use history::place;
 use history::quorum::Route;
+use history::retire;
 use history::server::Limits;
 use history::server::Server;
 use history::time::Timestamp;
@@ -387,7 +387,6 @@
 /// Joins the membership, and retires from it once a retirement of this host is ordered.
 async fn join_and_retire<S: ObjectStore>(server: Arc<Server>, objects: Arc<S>, config: Config) {
     let order_sender = watch::Sender::new(false);
-    let mut order_receiver = order_sender.subscribe();
     let freshness = Freshness::default();
     let follower = Follower {
         objects: &*objects,
@@ -401,14 +400,11 @@
             order_sender.send_replace(true);
         }
     });
-    let ordered = async {
-        tokio::select! {
-            () = following => {}
-            _ = order_receiver.wait_for(|ordered| *ordered) => {}
-        }
-    };
-    place::keep(&server, &*objects, &config, ordered).await;
-    history::retire::retire(&server, &*objects, &config).await;
+    let orders = order_sender.subscribe();
+    tokio::select! {
+        () = following => {}
+        () = retire::keep_until_retired(&server, &*objects, &config, orders) => {}
+    }
 }
 
 /// Whether an event contains a retirement of `host` that isn't completed.
