Long answers, streams and bodies share an entry's memory until they are sent

What callers saw: an entry that runs out of memory ends with the requests of all callers (LOST). Each answer and body had a limit (4 MB, an event 1 MB), but only answers being collected had a common one, and only until they were complete. Not counted were events without an end, the output of stored turns, events and answers that a slow caller hasn't read, and bodies of requests.

Why it works: a share of `serve::memory` is taken before bytes are kept and is given back when the last reference to them is dropped, which the HTTP library does once they are written. 64 KB a request stay free, so that usual requests don't depend on it. Past it: 502, a stream that is cut, or 503 for a request that wasn't passed on. A target isn't blamed for a lack of memory, but for an event or an output that is too long. The rest of an incomplete event is copied: it kept the memory of the events before it.

A body is counted exactly against `maxBodyBytes`; its first chunk wasn't.

--- a/crates/gateway/src/serve/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -166,7 +166,7 @@
         admission::check(state, customer, deadline)?;
     }
     let limit = snapshot.table.config.limits.body_bytes;
-    let body = tokio::time::timeout_at(deadline, read_body(body, limit)).await;
+    let body = tokio::time::timeout_at(deadline, read_body(state, body, limit)).await;
     let body = body.map_err(|_| Refusal::SlowBody)??;
     let job = Job {
         service: choose_service(&route, &call)?,
@@ -234,17 +234,23 @@
     })
 }
 
-async fn read_body(body: &mut Incoming, limit: usize) -> Result<Bytes, Refusal> {
+/// Reads a whole body. It occupies memory until the request has ended.
+///
+/// Errors: the body ends early, or is longer than the limits allow.
+async fn read_body(state: &State, body: &mut Incoming, limit: usize) -> Result<Bytes, Refusal> {
     let mut bytes = BytesMut::new();
+    let mut share = state.body_memory.share();
     let mut first_chunk = None;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| Refusal::Malformed(error.to_string()))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if bytes.len() + data.len() > limit {
+        let size = first_chunk.as_ref().map_or(bytes.len(), Bytes::len) + data.len();
+        if size > limit {
             return Err(Refusal::TooLong);
         }
+        share.resize(size)?;
         match &first_chunk {
             None if bytes.is_empty() => first_chunk = Some(data),
             _ => {
@@ -253,7 +259,8 @@
             }
         }
     }
-    Ok(first_chunk.unwrap_or_else(|| bytes.freeze()))
+    let bytes = first_chunk.unwrap_or_else(|| bytes.freeze());
+    Ok(share.attach(bytes))
 }
 
 fn deadline(route: &Route, call: &Call, received: Instant) -> Instant {
--- a/crates/gateway/src/serve/event.rs
+++ b/crates/gateway/src/serve/event.rs
@@ -46,7 +46,13 @@
                 self.partial.extend_from_slice(&chunk);
                 match complete_events(&self.partial[searched..]) {
                     (0, _) => (Bytes::new(), 0),
-                    (count, end) => (self.partial.split_to(searched + end).freeze(), count),
+                    (count, end) => {
+                        // A copy of the rest: it would keep the memory of the events allocated.
+                        let rest = BytesMut::from(&self.partial[searched + end..]);
+                        let mut events = std::mem::replace(&mut self.partial, rest);
+                        events.truncate(searched + end);
+                        (events.freeze(), count)
+                    }
                 }
             }
         };
@@ -56,6 +62,11 @@
         Ok(CompleteEvents { bytes, count })
     }
 
+    /// Size of the incomplete event, in bytes.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns whether the bytes received so far end within an event.
     pub fn is_partial(&self) -> bool {
         !self.partial.is_empty()
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -10,6 +10,7 @@
 use crate::adapter::Target;
 use crate::error::Error;
 use crate::serve::body::Body;
+use crate::serve::collect;
 use crate::serve::header::strip_hop_by_hop;
 use crate::serve::refusal::Refusal;
 use crate::serve::request::Job;
@@ -75,8 +76,10 @@
     match collect(state, answer, job).await {
         Ok(response) => Ok((response, entry.target)),
         Err(error) => {
-            entry.load.health.lock().record_result(true, state.time());
-            Err(error)
+            if error != collect::Error::NoMemory {
+                entry.load.health.lock().record_result(true, state.time());
+            }
+            Err(error.into())
         }
     }
 }
@@ -89,7 +92,11 @@
 /// Reads the whole body of an answer.
 ///
 /// Errors: the body ends early or is too long, or the deadline has passed.
-pub async fn collect(state: &State, answer: Answer, job: &Job) -> Result<Response<Body>, Error> {
+pub async fn collect(
+    state: &State,
+    answer: Answer,
+    job: &Job,
+) -> Result<Response<Body>, collect::Error> {
     let Answer {
         mut parts,
         body,
@@ -97,10 +104,10 @@
         idle,
         ..
     } = answer;
-    let read = state.answer_memory.collect(body);
+    let read = collect::collect(&state.answer_memory, body);
     let bytes = match tokio::time::timeout_at(send::response_deadline(job), read).await {
         Ok(bytes) => bytes?,
-        Err(_) => return Err(Error::Timeout),
+        Err(_) => return Err(collect::Error::Timeout),
     };
     lease.release(idle);
     strip_hop_by_hop(&mut parts.headers);
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -12,6 +12,7 @@
 use crate::config::Service;
 use crate::quota::Exceeded;
 use crate::serve::body::Body;
+use crate::serve::memory::Exhausted;
 use crate::serve::request::retry_delay;
 
 /// Reason why a request gets no answer from a target.
@@ -75,6 +76,15 @@
     }
 }
 
+impl From<Exhausted> for Refusal {
+    fn from(_: Exhausted) -> Refusal {
+        Refusal::Unavailable {
+            cause: "no memory for a long body".to_owned(),
+            retry: retry_delay(),
+        }
+    }
+}
+
 impl Refusal {
     /// Returns the refusal of a request for which too few history hosts answer.
     pub fn history_unavailable(error: &history::error::Error) -> Refusal {
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -32,6 +32,8 @@
 use crate::serve::event;
 use crate::serve::event::CompleteEvents;
 use crate::serve::event::Scanner;
+use crate::serve::memory::Exhausted;
+use crate::serve::memory::Share;
 use crate::serve::position::Position;
 use crate::serve::refusal::Refusal;
 use crate::serve::turn;
@@ -63,6 +65,14 @@
     TooLong(&'static str),
     /// The engine is faulty; another one may go on.
     Faulty(&'static str),
+    /// Other answers occupy the memory.
+    NoMemory,
+}
+
+impl From<Exhausted> for Unusable {
+    fn from(_: Exhausted) -> Unusable {
+        Unusable::NoMemory
+    }
 }
 
 /// Response stream of an engine.
@@ -105,6 +115,8 @@
     scanner: Scanner,
     /// Data of the relayed events, if the route stores turns.
     output: Vec<u8>,
+    /// Memory for what is kept of the stream.
+    memory: Share,
     position: Position,
     /// Whether the next event is the first one of the current target.
     is_first: bool,
@@ -132,6 +144,7 @@
         let relay = Relay {
             position: Position::after(last_event),
             is_first: true,
+            memory: state.answer_memory.share(),
             state,
             running: Some(running),
             phase: Phase::Relaying(source),
@@ -165,8 +178,14 @@
                                 Ok(events) if events.is_empty() => {}
                                 Ok(events) => return Poll::Ready(Some(Ok(Frame::data(events)))),
                                 Err(Unusable::TooLong(cause)) => {
+                                    if let Phase::Relaying(source) = &self.phase {
+                                        source.lease.record_failure(self.state.time());
+                                    }
                                     return self.fail(cause.to_owned());
                                 }
+                                Err(Unusable::NoMemory) => {
+                                    return self.fail("no memory for a long answer".to_owned());
+                                }
                                 Err(Unusable::Faulty(cause)) => self.recover(cause.to_owned()),
                             },
                             Err(_trailers) => {}
@@ -211,6 +230,7 @@
         let CompleteEvents { bytes, count } = pushed
             .map_err(|event::TooLong| Unusable::TooLong("an event exceeds the size limit"))?;
         if count == 0 {
+            self.take_memory()?;
             return Ok(bytes);
         }
         if event::contains_head(&bytes) {
@@ -241,7 +261,18 @@
                 return Err(Unusable::TooLong("answer is too long"));
             }
         }
-        Ok(bytes)
+        self.take_memory()?;
+        // The caller may be slow to read them.
+        Ok(self.state.answer_memory.hold(bytes)?)
+    }
+
+    /// Takes or returns memory for what is kept of the stream.
+    ///
+    /// Errors: too little is left.
+    fn take_memory(&mut self) -> Result<(), Exhausted> {
+        let id = self.position.last_id().map_or(0, str::len);
+        let kept = self.scanner.partial_len() + self.output.len() + id;
+        self.memory.resize(kept)
     }
 
     /// Handles a broken engine stream: resumes it at another engine if a retry is allowed.
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -197,7 +197,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let status = answer.parts.status;
     let response = plain::collect(state, answer, &running.job).await;
-    let response = response.map_err(|error| Refusal::Lost(error.to_string()))?;
+    let response = response.map_err(|error| Refusal::Lost(Error::from(error).to_string()))?;
     let outcome = format!("engine answers {status}");
     running
         .job
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,7 +40,7 @@
 use crate::quota::Exceeded;
 use crate::quota::Quotas;
 use crate::serve::chain;
-use crate::serve::collect::Memory;
+use crate::serve::memory::Memory;
 use crate::settings::Settings;
 use crate::table::Table;
 use crate::target::departure::Incarnation;
@@ -73,6 +73,9 @@
 /// Part of the process's memory that long answers may occupy together.
 const ANSWER_MEMORY_DIVISOR: u64 = 8;
 
+/// Part of the process's memory that long bodies of requests may occupy together.
+const BODY_MEMORY_DIVISOR: u64 = 6;
+
 /// Configuration in force.
 #[derive(Debug)]
 pub struct Snapshot {
@@ -89,8 +92,10 @@
     pub pool: Arc<Pool>,
     pub instruments: Instruments,
     pub freshness: Freshness,
-    /// For answers that are collected whole.
+    /// For long answers.
     pub answer_memory: Memory,
+    /// For long bodies of requests.
+    pub body_memory: Memory,
     pub chains: Mutex<chain::Cache>,
     pub programs: Mutex<Programs>,
     pub prefixes: Mutex<Prefixes>,
@@ -134,7 +139,8 @@
     pub fn new(settings: Settings, adapter: Arc<dyn Adapter>, meter: &Meter) -> Arc<State> {
         let losses = settings.tolerated_losses;
         let rate_excess = settings.rate_excess.unwrap_or(0);
-        let answer_bytes = settings.resources.memory_mb * 1024 * 1024 / ANSWER_MEMORY_DIVISOR;
+        let memory_bytes = settings.resources.memory_mb * 1024 * 1024;
+        let part = |divisor| Memory::new((memory_bytes / divisor) as usize);
         Arc::new(State {
             settings,
             adapter,
@@ -142,7 +148,8 @@
             pool: Arc::default(),
             instruments: Instruments::new(meter),
             freshness: Freshness::default(),
-            answer_memory: Memory::new(answer_bytes as usize),
+            answer_memory: part(ANSWER_MEMORY_DIVISOR),
+            body_memory: part(BODY_MEMORY_DIVISOR),
             chains: Mutex::new(chain::Cache::new(CHAIN_CACHE_BYTES)),
             programs: Mutex::default(),
             prefixes: Mutex::default(),
