--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -81,6 +81,10 @@
 /// Part of the time allowed for a graceful shutdown that stays unused.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
+/// Time before the end of a graceful shutdown at which requests without an answer get one of this entry,
+/// so that it reaches their callers.
+const ANSWER_MARGIN: Duration = Duration::from_millis(400);
+
 /// Fraction of the disk that stored turns and budgets may fill.
 const DISK_SHARE: f64 = 0.7;
 
@@ -176,8 +180,9 @@
     state.drain();
     tokio::time::sleep(DRAIN_DELAY).await;
     stop.send_replace(true);
-    let remaining = stop_time.saturating_sub(DRAIN_DELAY + STOP_MARGIN);
-    match tokio::time::timeout(remaining, server).await {
+    let end = Instant::now() + stop_time.saturating_sub(DRAIN_DELAY + STOP_MARGIN);
+    state.stop.set_limit(end - ANSWER_MARGIN);
+    match tokio::time::timeout_at(end, server).await {
         Ok(_) => log::info!(step = "stop", peer = "self"; "all answers are finished"),
         Err(_) => {
             log::warn!(step = "stop", peer = "self"; "unfinished answers are aborted: shutdown timeout reached")
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -16,5 +16,6 @@
 pub mod reservation;
 pub mod retry;
 pub mod server;
+pub mod stop;
 pub mod stream;
 pub mod turn;
--- a/crates/gateway/src/serve/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -2,6 +2,8 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -49,7 +51,11 @@
 ) -> Result<Response<Body>, Infallible> {
     let received = Instant::now();
     let mut context = LogContext::default();
-    let result = handle(&state, request, received, &mut context).await;
+    let result = tokio::select! {
+        biased;
+        result = handle(&state, request, received, &mut context) => result,
+        () = state.stop.passed() => Err(unfinished(&context)),
+    };
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => refuse(&state, &refusal, &context, received),
@@ -75,6 +81,16 @@
     route: Option<Arc<Route>>,
     /// Version of the configuration that the request was routed with.
     version: Version,
+    /// Whether the request was passed on to a target.
+    passed_on: Arc<AtomicBool>,
+}
+
+/// Returns the answer to a request that is unfinished at the end of a graceful shutdown.
+fn unfinished(context: &LogContext) -> Refusal {
+    match context.passed_on.load(Ordering::Relaxed) {
+        true => Refusal::Timeout,
+        false => Refusal::stopping(),
+    }
 }
 
 fn refuse(
@@ -162,6 +178,9 @@
     let customer = authenticate(state, &snapshot, &route, &call)?;
     context.customer = customer.clone();
     let deadline = deadline(&route, &call, received);
+    if !state.stop.permits(deadline) {
+        return Err(Refusal::stopping());
+    }
     if let Some(customer) = &customer {
         admission::check(state, customer, deadline)?;
     }
@@ -179,6 +198,7 @@
         body,
         received,
         deadline,
+        passed_on: Arc::clone(&context.passed_on),
         route,
     };
     check_suspect(state, &job)?;
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// Returns the refusal of a request that a graceful shutdown leaves too little time for.
+    pub fn stopping() -> Refusal {
+        Refusal::Unavailable {
+            cause: "this entry stops".to_owned(),
+            retry: retry_delay(),
+        }
+    }
+
     /// Returns the HTTP status.
     pub fn status(&self) -> StatusCode {
         match self {
--- a/crates/gateway/src/serve/request.rs
+++ b/crates/gateway/src/serve/request.rs
@@ -2,6 +2,7 @@
 
 use std::str::FromStr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -40,6 +41,8 @@
     pub received: Instant,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
     pub deadline: Instant,
+    /// Whether the request was passed on to a target.
+    pub passed_on: Arc<AtomicBool>,
     /// Version of the configuration that the request was routed with.
     pub version: Version,
 }
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -61,6 +61,10 @@
         if Instant::now() >= job.deadline {
             return Err(self.refusal(self.attempts.outcome(), job));
         }
+        // A request that a target may have run is tried again: its answer can only get better.
+        if self.attempts.outcome() == Outcome::NotRun && !state.stop.permits(job.deadline) {
+            return Err(Refusal::stopping());
+        }
         let chosen = self.choose(state, job, prompt, affinity);
         chosen.ok_or_else(|| self.no_target(state, job))
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -41,6 +41,7 @@
 use crate::quota::Quotas;
 use crate::serve::chain;
 use crate::serve::collect::Memory;
+use crate::serve::stop::Stop;
 use crate::settings::Settings;
 use crate::table::Table;
 use crate::target::departure::Incarnation;
@@ -103,6 +104,7 @@
     pub(crate) directory: Mutex<Directory>,
     services: RwLock<Arc<Services>>,
     draining: AtomicBool,
+    pub stop: Stop,
     /// Whether the registered entries were read from the object store.
     pub(crate) entries_listed: AtomicBool,
     /// When the object store became unavailable, in milliseconds since the start; 0 while it is
@@ -154,6 +156,7 @@
             directory: Mutex::default(),
             services: RwLock::default(),
             draining: AtomicBool::new(false),
+            stop: Stop::default(),
             entries_listed: AtomicBool::new(false),
             unavailable_since_ms: AtomicU64::new(NEVER_AVAILABLE),
             history_direct: AtomicBool::new(false),
--- a/crates/gateway/src/target/send.rs
+++ b/crates/gateway/src/target/send.rs
@@ -197,6 +197,7 @@
         .charge(&state.limits, asked)
         .map_err(Error::NotSent)?;
     record_sending(state, candidate, attempt);
+    job.passed_on.store(true, Ordering::Relaxed);
     let sent =
         tokio::time::timeout_at(response_deadline(job), sender.try_send_request(request)).await;
     let response = match sent {
