--- a/crates/history/src/join.rs
+++ b/crates/history/src/join.rs
@@ -188,13 +188,22 @@
     membership: Membership,
     config: &Config,
 ) -> eyre::Result<()> {
-    if !membership.is_founder(config.me.disk, config.tolerated_losses) {
+    let is_founder = membership.is_founder(config.me.disk, config.tolerated_losses);
+    if !is_founder {
         inform_quorum(&membership, config).await?;
     }
-    let epoch = membership.epoch;
-    persist(server, Record::Membership(membership)).await?;
+    persist(server, Record::Membership(membership.clone())).await?;
     reopen(server).await?;
-    log::info!(step = "join", peer = "history", epoch:% = epoch; "disk counts from now on");
+    log::info!(
+        step = "join", peer = "history", epoch:% = membership.epoch;
+        "disk counts from now on"
+    );
+    if is_founder {
+        // Entries that read the object before learn of this disk from the others.
+        let me = config.me.disk;
+        let wanted = membership.members.len();
+        tokio::spawn(async move { announce(&membership, me, wanted).await });
+    }
     Ok(())
 }
 
--- a/crates/history/src/place.rs
+++ b/crates/history/src/place.rs
@@ -1,14 +1,14 @@
 //! Keeps a host's place in the membership: a host that was out of reach may have been replaced or evicted,
-//! and isn't told, as the new membership is sent to its members only. Meanwhile evicts other members that
-//! are gone.
+//! and isn't told, as the new membership is sent to its members only. Members that were out of reach at a
+//! change are told of it later. Meanwhile evicts other members that are gone.
 
 use std::pin::pin;
 use std::time::Duration;
 
 use node::link::Link;
 use node::object::ObjectStore;
-use rand::seq::IndexedRandom;
 
+use crate::copy;
 use crate::evict;
 use crate::join;
 use crate::join::Config;
@@ -23,7 +23,7 @@
 use crate::record::Record;
 use crate::server::Server;
 
-/// Mean delay between calls that ask one other member for a newer membership.
+/// Mean delay between calls that compare the membership with that of one other member.
 const CHECK_DELAY: Duration = Duration::from_millis(3000);
 
 /// Number of such calls for each time that the object is read. Its calls are priced, but the members that
@@ -56,6 +56,7 @@
 /// knows.
 async fn lost<S: ObjectStore>(server: &Server, objects: &S, config: &Config) {
     let me = config.me.disk;
+    let first: usize = rand::random_range(0..CHECKS_PER_READ);
     for check in 1_usize.. {
         tokio::time::sleep(join::jittered(CHECK_DELAY)).await;
         let known = server.membership();
@@ -66,7 +67,7 @@
                 Ok((newer, _)) if newer.epoch > known.epoch => newer,
                 Ok(_) | Err(_) => continue,
             },
-            Some(_) => match newer_membership(&known, config).await {
+            Some(_) => match compare(&known, config, first + check).await {
                 None => continue,
                 Some(newer) => newer,
             },
@@ -84,28 +85,52 @@
     }
 }
 
-/// A newer membership than `known` from one of its other members; `None` if that member doesn't answer
-/// or knows no newer one.
-async fn newer_membership(known: &Membership, config: &Config) -> Option<Membership> {
+/// A newer membership than `known` from one of its other members, which are asked in turn; `None` if that
+/// member doesn't answer or knows no newer one. A member that knows an older one receives `known`: it may
+/// know no other member that it could ask.
+async fn compare(known: &Membership, config: &Config, turn: usize) -> Option<Membership> {
     let others = known.members.iter();
     let others: Vec<&Member> = others
         .filter(|other| other.disk != config.me.disk)
         .collect();
-    let other = others.choose(&mut rand::rng())?;
-    match call(other, known.epoch).await? {
-        Answer::Stale(newer) if newer.epoch > known.epoch => Some(newer),
-        _ => None,
+    let other = others.get(turn.checked_rem(others.len())?)?;
+    let link = Link::new(other.address);
+    match newest(&link, other, known.epoch).await? {
+        Newest::Newer(newer) => Some(newer),
+        Newest::Same => None,
+        Newest::Older => {
+            let inform = Call::Inform(known.clone());
+            if let Err(error) = copy::call(&link, other.disk, &inform).await {
+                log::debug!(
+                    step = "keep place", peer:% = other.host;
+                    "membership isn't received: {error:#}"
+                );
+            }
+            None
+        }
     }
 }
 
-/// Calls a member under an epoch, which it refuses if it knows a newer one.
-async fn call(member: &Member, epoch: Epoch) -> Option<Answer> {
+/// The membership that a member knows, compared with another one.
+enum Newest {
+    Newer(Membership),
+    Same,
+    Older,
+}
+
+/// Compares the membership that a member knows with the one at `epoch`; `None` if it doesn't answer.
+async fn newest(link: &Link, member: &Member, epoch: Epoch) -> Option<Newest> {
+    // The member refuses a call at the epoch before, unless its membership is that old.
     let header = Header {
         disk: member.disk,
-        epoch,
+        epoch: Epoch(epoch.0.saturating_sub(1)),
     };
     let probe = message::encode(&Call::ReadAccount(Account::probe()));
-    let link = Link::new(member.address);
     let answer = link.call(message::frame(header, &probe), ANSWER_TIMEOUT);
-    message::read_answer(&answer.await.ok()?).ok()
+    match message::read_answer(&answer.await.ok()?).ok()? {
+        Answer::Stale(newer) if newer.epoch > epoch => Some(Newest::Newer(newer)),
+        Answer::Stale(_) => Some(Newest::Same),
+        Answer::Account { .. } => Some(Newest::Older),
+        _ => None,
+    }
 }
--- a/crates/history/tests/membership_model/host.rs
+++ b/crates/history/tests/membership_model/host.rs
@@ -212,8 +212,13 @@
     if !is_founder && !process.has(Mutation::NewDiskAcknowledgesAtOnce) {
         inform_quorum(process, &membership).await?;
     }
-    process.persist(vec![Record::Membership(membership)]).await;
+    let record = Record::Membership(membership.clone());
+    process.persist(vec![record]).await;
     process.reopen().await;
+    if is_founder {
+        // Sent in the background.
+        send_membership(process, &membership);
+    }
     Ok(())
 }
 
@@ -258,18 +263,24 @@
 
 /// Sends the membership to all other members; returns the disks that received it.
 pub async fn announce(process: &Process, membership: &Membership, wanted: usize) -> Vec<Disk> {
-    let me = process.me().disk;
-    let others = membership.members.iter().filter(|other| other.disk != me);
-    let calls: Vec<_> = others
-        .map(|other| {
-            let call = Call::Inform(membership.clone());
-            (other.disk, process.call(other.disk, call))
-        })
-        .collect();
+    let calls = send_membership(process, membership);
     let answers = gather(process, calls, wanted, |answer| *answer == Answer::Informed).await;
     answers.into_iter().map(|(disk, _)| disk).collect()
 }
 
+fn send_membership(
+    process: &Process,
+    membership: &Membership,
+) -> Vec<(Disk, Slot<Option<Answer>>)> {
+    let me = process.me().disk;
+    let others = membership.members.iter().filter(|other| other.disk != me);
+    let calls = others.map(|other| {
+        let call = Call::Inform(membership.clone());
+        (other.disk, process.call(other.disk, call))
+    });
+    calls.collect()
+}
+
 /// The answers that succeed; some of them are left out once `wanted` have succeeded.
 pub async fn gather(
     process: &Process,
--- a/crates/history/tests/membership_model/place.rs
+++ b/crates/history/tests/membership_model/place.rs
@@ -1,9 +1,12 @@
-//! Notices that another disk has replaced this one; mirrors the product's steps.
+//! Notices that another disk has replaced this one, and tells members of the membership that missed a
+//! change; mirrors the product's steps.
 
 use std::rc::Rc;
 
+use history::membership::Epoch;
 use history::membership::Membership;
 use history::message::Answer;
+use history::message::Call;
 use history::record::Disk;
 use history::record::Record;
 use rand::RngExt;
@@ -33,7 +36,7 @@
         let reads_object = process.core.borrow_mut().random.random_bool(0.2);
         let newer = match reads_object {
             true => newer_object(process).await,
-            false => newer_membership(process).await,
+            false => compare(process).await,
         };
         match newer {
             _ if !known => return true,
@@ -67,8 +70,8 @@
     (object.epoch > known).then_some(object)
 }
 
-/// A newer membership from one other member.
-async fn newer_membership(process: &Process) -> Option<Membership> {
+/// A newer membership from one other member, which receives this one if it knows an older one.
+async fn compare(process: &Process) -> Option<Membership> {
     let me = process.me().disk;
     let known = process.core.borrow().hosts[process.at]
         .index
@@ -79,14 +82,19 @@
     if others.is_empty() {
         return None;
     }
-    let answer = {
+    let (other, answer) = {
         let mut core = process.core.borrow_mut();
         let other = others[core.random.random_range(0..others.len())];
         let call = Rc::new(completeness_probe());
-        core.call(Some(process.at), other, known.epoch, call)
+        let before = Epoch(known.epoch.0.saturating_sub(1));
+        (other, core.call(Some(process.at), other, before, call))
     };
     match answer.await {
         Some(Answer::Stale(newer)) if newer.epoch > known.epoch => Some(newer),
+        Some(Answer::Account { .. }) => {
+            process.call(other, Call::Inform(known)).await;
+            None
+        }
         _ => None,
     }
 }
