A turn may be stored until its request's deadline

Callers saw: a stream that had begun and whose connection ended 1.5 s after its last event, before the end of the answer, while the history hosts didn't answer, though the request had time left.

Cause: `serve::stream` stored a turn for 1.5 s at most, whatever was left of the caller's deadline and the route's timeout. Now these are the limits, as for the rest of the stream. The sum of what waits is bounded as before: a turn is only passed on while the history answers, and holds its input until its end anyway.

--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -42,9 +42,6 @@
 use crate::target::send;
 use crate::target::send::Answer;
 
-/// Time limit for storing a turn before the end of its stream is sent.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// Cause for which a stream to a caller is aborted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Broken(pub String);
@@ -152,7 +149,9 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        if self.deadline.as_mut().poll(context).is_ready() {
+        // A turn that is being stored has the same deadline, and logs its own cause.
+        let is_storing = matches!(self.phase, Phase::Storing(_));
+        if !is_storing && self.deadline.as_mut().poll(context).is_ready() {
             return self.fail("the deadline has passed".to_owned());
         }
         loop {
@@ -314,7 +313,7 @@
         let state = Arc::clone(&self.state);
         self.phase = Phase::Storing(Box::pin(async move {
             let program = running.job.program_name();
-            let deadline = Instant::now() + STORE_TIMEOUT;
+            let deadline = send::response_deadline(&running.job);
             let started = Instant::now();
             let renewed = retention::ids(&due);
             let stored = state
