A call to the history goes on until its deadline while memberships change

Callers would see: a stream that is cut before its end, or a turn that is refused, because several hosts join one after the other, as after a loss of power.

Cause: `history::client` gave a call up at the fourth newer membership that a host answered with, however early. Each repetition has a higher epoch, so the call ends by itself once the changes end, or at its deadline; an answer that names no higher epoch counts as none. The model's client mirrors it.

--- a/crates/history/src/client.rs
+++ b/crates/history/src/client.rs
@@ -37,9 +37,6 @@
 use crate::retention;
 use crate::time::Timestamp;
 
-/// Maximum number of memberships with which one call is tried.
-const MEMBERSHIP_ATTEMPTS: usize = 4;
-
 /// Client of the history hosts.
 #[derive(Debug)]
 pub struct Client {
@@ -269,7 +266,8 @@
         needed: impl Fn(&Membership) -> usize,
         mut vote: impl FnMut(Answer) -> Vote,
     ) -> Result<Quorum, Error> {
-        for _ in 0..MEMBERSHIP_ATTEMPTS {
+        // Ends at the deadline: each repetition has a newer membership.
+        loop {
             let view = self.transport.view();
             let needed = needed(&view.membership);
             let order = order(&view, query.placement_key);
@@ -302,7 +300,6 @@
                 Outcome::Incomplete => return Err(incomplete(&view, counted.len(), needed)),
             }
         }
-        Err(Error::NoMembership)
     }
 
     /// Stores the number of tokens that a turn has used of its reservation.
--- a/crates/history/src/quorum.rs
+++ b/crates/history/src/quorum.rs
@@ -185,11 +185,14 @@
         };
         match answer {
             None => return Outcome::Incomplete,
-            Some((_, Some(Answer::Stale(membership)))) => {
+            Some((_, Some(Answer::Stale(membership)))) if membership.epoch > epoch => {
                 transport.update_membership(membership);
                 return Outcome::Stale;
             }
-            Some((disk, Some(answer @ (Answer::OtherDisk | Answer::Closed)))) => {
+            Some((
+                disk,
+                Some(answer @ (Answer::OtherDisk | Answer::Closed | Answer::Stale(_))),
+            )) => {
                 log::debug!(
                     step = "ask history", peer:% = disk;
                     "host can't handle the call: {answer:?}"
--- a/crates/history/tests/membership_model/client.rs
+++ b/crates/history/tests/membership_model/client.rs
@@ -19,7 +19,6 @@
 use crate::slot::pause;
 
 const NEVER_EXPIRES: Timestamp = Timestamp(u64::MAX / 2);
-const MEMBERSHIP_ATTEMPTS: usize = 4;
 
 /// Effect of an answer on a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -114,7 +113,7 @@
     needed: impl Fn(&Membership) -> usize,
     mut vote: impl FnMut(Answer) -> Vote,
 ) -> Outcome {
-    for _ in 0..MEMBERSHIP_ATTEMPTS {
+    loop {
         let view = core.borrow().client_views[client].clone();
         let needed = needed(&view);
         let mut counted = 0;
@@ -128,7 +127,6 @@
             outcome => return outcome,
         }
     }
-    Outcome::Stale
 }
 
 async fn fan_out(
