Hosts whose syncs take longer than half a second still store turns

Callers would see: streams that are cut before their end, and none that is stored, while the disks of the history hosts are slow.

Cause: a call to a host was repeated each 0.5 s, and the answer to the former call was ignored from then on. The repeated call waits for a sync of its own, so that a host whose every sync takes longer never answered in time. The timeout is doubled now with each repetition that got no answer in time, up to 4 s; a connection that ends doesn't count.

--- a/crates/history/src/quorum.rs
+++ b/crates/history/src/quorum.rs
@@ -20,9 +20,12 @@
 use crate::record::Disk;
 use crate::relay;
 
-/// Timeout for one answer, after which the call is sent to the host again.
+/// Timeout for the first answer, after which the call is sent to the host again. Doubled for each further
+/// one: a host whose syncs take longer would never answer in time.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
+const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(4000);
+
 /// Delay before a call that failed is sent to the host again.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
@@ -229,23 +232,25 @@
 
 /// Calls one disk until it answers or the deadline passes.
 async fn call(disk: Disk, peer: Peer, frame: Bytes, deadline: Instant) -> (Disk, Option<Answer>) {
+    let mut timeout = ANSWER_TIMEOUT;
     loop {
         let remaining = deadline.saturating_duration_since(Instant::now());
         if remaining.is_zero() {
             return (disk, None);
         }
-        let answer = peer
-            .call(frame.clone(), remaining.min(ANSWER_TIMEOUT))
-            .await;
+        let sent = Instant::now();
+        let answer = peer.call(frame.clone(), remaining.min(timeout)).await;
         match answer.map(|frame| message::read_answer(&frame)) {
             Ok(Ok(answer)) => return (disk, Some(answer)),
             Ok(Err(error)) => {
                 log::warn!(step = "read answer", peer:% = disk; "invalid answer: {error}");
                 return (disk, None);
             }
-            Err(link::Error::Unreachable | link::Error::Lost) => {
-                tokio::time::sleep(RETRY_DELAY.min(remaining)).await;
+            Err(link::Error::Lost) if sent.elapsed() >= timeout => {
+                timeout = (timeout * 2).min(MAX_ANSWER_TIMEOUT);
             }
+            Err(link::Error::Unreachable | link::Error::Lost) => {}
         }
+        tokio::time::sleep(RETRY_DELAY.min(remaining)).await;
     }
 }
--- a/crates/history/tests/storing.rs
+++ b/crates/history/tests/storing.rs
@@ -39,6 +39,24 @@
     kept.await.map(|_| ())
 }
 
+/// Guards against streams that are cut although all history hosts store their turns: each attempt ended
+/// before a slow sync, and the next one waited for another sync.
+#[rstest]
+#[case::longer_than_the_first_attempt(Duration::from_millis(650))]
+#[case::longer_than_the_second_attempt(Duration::from_millis(1300))]
+#[tokio::test]
+async fn a_turn_is_kept_by_hosts_whose_every_sync_takes_longer_than_one_attempt(
+    #[case] sync: Duration,
+) {
+    let (hosts, client) = start(3, 1).await;
+    for host in &hosts {
+        let slow = Some(Fault::Delay(sync));
+        host.gate.set_fault(CallKind::Append, slow);
+    }
+    let kept = keep(&client, "turn-1").await;
+    assert!(kept.is_ok(), "{kept:?}");
+}
+
 /// Guards against streams that are cut while as many hosts as tolerated drop all bytes.
 #[rstest]
 #[tokio::test]
