A history host that accepts no records for a moment is called again

Callers would see: a stream that is cut before its end because too few hosts accept its turn at that moment: one is away and another is about to complete its joining or its start.

Cause: a host that answered that it accepts no records was left out for the rest of the call, and the call waited for the host that was away until its deadline. Turns are stored once their stream has been sent, so that they have nothing better to do until the deadline: they call such hosts again, after 0.1 s, then twice the time, up to 1 s. Calls before a turn is passed on are still refused at once. Calls without remaining hosts no longer wake each 40 ms.

--- a/crates/history/src/client.rs
+++ b/crates/history/src/client.rs
@@ -22,6 +22,7 @@
 use crate::origin::Origin;
 use crate::quorum;
 use crate::quorum::Fanout;
+use crate::quorum::OnClosed;
 use crate::quorum::Outcome;
 use crate::quorum::Progress;
 use crate::quorum::Route;
@@ -97,6 +98,7 @@
     /// Number of disks called at once; the others are called after a delay or a failure.
     initial: usize,
     route: Route,
+    on_closed: OnClosed,
     deadline: Instant,
 }
 
@@ -191,6 +193,7 @@
             placement_key: &[],
             initial: usize::MAX,
             route,
+            on_closed: OnClosed::Skip,
             deadline,
         };
         let needed = |membership: &Membership| match writes {
@@ -222,12 +225,24 @@
         records: Vec<Record>,
         placement: &str,
         deadline: Instant,
+    ) -> Result<Quorum, Error> {
+        self.store(records, placement, OnClosed::Skip, deadline)
+            .await
+    }
+
+    async fn store(
+        &self,
+        records: Vec<Record>,
+        placement: &str,
+        on_closed: OnClosed,
+        deadline: Instant,
     ) -> Result<Quorum, Error> {
         let query = Query {
             body: message::encode(&Call::Append(records)),
             placement_key: placement.as_bytes(),
             initial: self.tolerated_losses + 1,
             route: Route::Any,
+            on_closed,
             deadline,
         };
         let needed = |membership: &Membership| membership.write_quorum(self.tolerated_losses);
@@ -239,7 +254,8 @@
     }
 
     /// Stores a turn with other records on a write quorum, which is returned, and again those of its
-    /// predecessors that would be retained too short; see [`retention`].
+    /// predecessors that would be retained too short; see [`retention`]. Hosts that accept no records now are
+    /// called again until the deadline.
     ///
     /// Errors: as for [`Client::append`].
     pub async fn keep(
@@ -253,9 +269,10 @@
         let mut batches = retention::batches(turn, predecessors, others);
         let last = batches.pop().unwrap_or_default();
         for batch in batches {
-            self.append(batch, placement, deadline).await?;
+            self.store(batch, placement, OnClosed::Retry, deadline)
+                .await?;
         }
-        self.append(last, placement, deadline).await
+        self.store(last, placement, OnClosed::Retry, deadline).await
     }
 
     /// Calls disks until `needed` answers are counted or one is decisive, and returns the counted ones;
@@ -277,6 +294,7 @@
                 initial: query.initial,
                 body: query.body.clone(),
                 route: query.route,
+                on_closed: query.on_closed,
                 deadline: query.deadline,
             };
             let outcome = quorum::fan_out(&self.transport, &view, &fanout, |disk, answer| {
@@ -335,6 +353,7 @@
             placement_key: &[],
             initial: usize::MAX,
             route: Route::Any,
+            on_closed: OnClosed::Skip,
             deadline,
         };
         let needed = |membership: &Membership| membership.read_quorum(self.tolerated_losses);
@@ -396,6 +415,7 @@
             placement_key: placement.program.as_str().as_bytes(),
             initial: 1,
             route: Route::Any,
+            on_closed: OnClosed::Skip,
             deadline,
         };
         let needed = |membership: &Membership| membership.read_quorum(self.tolerated_losses);
--- a/crates/history/src/quorum.rs
+++ b/crates/history/src/quorum.rs
@@ -29,6 +29,11 @@
 /// Delay before a call that failed is sent to the host again.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// Delay before a host that accepted no records is called again; doubled each time.
+const CLOSED_DELAY: Duration = Duration::from_millis(100);
+
+const MAX_CLOSED_DELAY: Duration = Duration::from_millis(1000);
+
 /// Delay after which one more of the remaining hosts is called; a host's sync can take long.
 const HEDGE_DELAY: Duration = Duration::from_millis(40);
 
@@ -80,9 +85,19 @@
     pub initial: usize,
     pub body: Bytes,
     pub route: Route,
+    pub on_closed: OnClosed,
     pub deadline: Instant,
 }
 
+/// What is done with a host that accepts no records now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OnClosed {
+    /// It isn't called again.
+    Skip,
+    /// It is called again until the deadline: it may be about to complete its joining.
+    Retry,
+}
+
 impl Transport {
     /// The current view.
     pub fn view(&self) -> Arc<View> {
@@ -165,24 +180,30 @@
         Route::Direct => None,
         Route::Any => transport.relay.read().clone(),
     };
-    let mut remaining = fanout.order.iter().filter_map(|disk| {
+    let send = |disk: Disk, delay: Duration| {
         let peer = match &relay {
             Some(relay) => Peer::Relay(relay.clone()),
-            None => Peer::Host(view.link(*disk)?),
+            None => Peer::Host(view.link(disk)?),
         };
-        let header = Header { disk: *disk, epoch };
+        let header = Header { disk, epoch };
         let frame = message::frame(header, &fanout.body);
-        Some(call(*disk, peer, frame, fanout.deadline))
-    });
+        Some(call(disk, peer, frame, fanout.deadline, delay))
+    };
+    let order = fanout.order.iter();
+    let mut remaining = order.filter_map(|disk| send(*disk, Duration::ZERO)).fuse();
     let mut in_flight = FuturesUnordered::new();
     in_flight.extend(remaining.by_ref().take(fanout.initial));
+    let mut closed_delays: Map<Disk, Duration> = Map::default();
     let mut hedge_at = Instant::now() + HEDGE_DELAY;
+    let mut hedges = true;
     loop {
         let answer = tokio::select! {
             answer = in_flight.next() => answer,
-            () = tokio::time::sleep_until(hedge_at) => {
+            () = tokio::time::sleep_until(hedge_at), if hedges => {
                 hedge_at += HEDGE_DELAY;
-                in_flight.extend(remaining.by_ref().take(1));
+                let next = remaining.next();
+                hedges = next.is_some();
+                in_flight.extend(next);
                 continue;
             }
         };
@@ -200,17 +221,22 @@
                     step = "ask history", peer:% = disk;
                     "host can't handle the call: {answer:?}"
                 );
-                in_flight.extend(remaining.by_ref().take(1));
+                in_flight.extend(remaining.next());
+                if answer == Answer::Closed && fanout.on_closed == OnClosed::Retry {
+                    let delay = closed_delays.entry(disk).or_insert(CLOSED_DELAY);
+                    in_flight.extend(send(disk, *delay));
+                    *delay = (*delay * 2).min(MAX_CLOSED_DELAY);
+                }
             }
             Some((disk, Some(answer))) => {
                 if on_answer(disk, answer) == Progress::Done {
                     return Outcome::Done;
                 }
                 if in_flight.is_empty() {
-                    in_flight.extend(remaining.by_ref().take(1));
+                    in_flight.extend(remaining.next());
                 }
             }
-            Some((_, None)) => in_flight.extend(remaining.by_ref().take(1)),
+            Some((_, None)) => in_flight.extend(remaining.next()),
         }
     }
 }
@@ -230,10 +256,20 @@
     }
 }
 
-/// Calls one disk until it answers or the deadline passes.
-async fn call(disk: Disk, peer: Peer, frame: Bytes, deadline: Instant) -> (Disk, Option<Answer>) {
+/// Calls one disk after a delay, until it answers or the deadline passes.
+async fn call(
+    disk: Disk,
+    peer: Peer,
+    frame: Bytes,
+    deadline: Instant,
+    delay: Duration,
+) -> (Disk, Option<Answer>) {
+    let mut delay = delay;
     let mut timeout = ANSWER_TIMEOUT;
     loop {
+        if !delay.is_zero() {
+            tokio::time::sleep_until(deadline.min(Instant::now() + delay)).await;
+        }
         let remaining = deadline.saturating_duration_since(Instant::now());
         if remaining.is_zero() {
             return (disk, None);
@@ -251,6 +287,6 @@
             }
             Err(link::Error::Unreachable | link::Error::Lost) => {}
         }
-        tokio::time::sleep(RETRY_DELAY.min(remaining)).await;
+        delay = RETRY_DELAY;
     }
 }
--- a/crates/history/tests/storing.rs
+++ b/crates/history/tests/storing.rs
@@ -103,3 +103,25 @@
     let kept = keep(&client, "turn-1").await;
     assert!(kept.is_ok(), "{kept:?}");
 }
+
+/// Guards against streams that are cut because a host that joins accepts no records for a moment, while
+/// another one is away: the joining host was called only once.
+#[rstest]
+#[tokio::test]
+async fn a_turn_is_kept_once_a_joining_host_accepts_records_while_another_one_is_away() {
+    const JOINING: Duration = Duration::from_millis(1000);
+    let (hosts, client) = start(3, 1).await;
+    for kind in CallKind::ALL {
+        hosts[0].gate.set_fault(kind, Some(Fault::Ignore));
+    }
+    hosts[1]
+        .gate
+        .set_fault(CallKind::Append, Some(Fault::Refuse));
+    let joining = Arc::clone(&hosts[1].gate);
+    tokio::spawn(async move {
+        tokio::time::sleep(JOINING).await;
+        joining.set_fault(CallKind::Append, None);
+    });
+    let kept = keep(&client, "turn-1").await;
+    assert!(kept.is_ok(), "{kept:?}");
+}
