--- a/crates/history/src/client.rs
+++ b/crates/history/src/client.rs
@@ -22,6 +22,7 @@
 use crate::origin::Origin;
 use crate::quorum;
 use crate::quorum::Fanout;
+use crate::quorum::OnClosed;
 use crate::quorum::Outcome;
 use crate::quorum::Progress;
 use crate::quorum::Route;
@@ -37,9 +38,6 @@
 use crate::retention;
 use crate::time::Timestamp;
 
-/// Maximum number of memberships with which one call is tried.
-const MEMBERSHIP_ATTEMPTS: usize = 4;
-
 /// Client of the history hosts.
 #[derive(Debug)]
 pub struct Client {
@@ -100,6 +98,7 @@
     /// Number of disks called at once; the others are called after a delay or a failure.
     initial: usize,
     route: Route,
+    on_closed: OnClosed,
     deadline: Instant,
 }
 
@@ -194,6 +193,7 @@
             placement_key: &[],
             initial: usize::MAX,
             route,
+            on_closed: OnClosed::Skip,
             deadline,
         };
         let needed = |membership: &Membership| match writes {
@@ -225,12 +225,24 @@
         records: Vec<Record>,
         placement: &str,
         deadline: Instant,
+    ) -> Result<Quorum, Error> {
+        self.store(records, placement, OnClosed::Skip, deadline)
+            .await
+    }
+
+    async fn store(
+        &self,
+        records: Vec<Record>,
+        placement: &str,
+        on_closed: OnClosed,
+        deadline: Instant,
     ) -> Result<Quorum, Error> {
         let query = Query {
             body: message::encode(&Call::Append(records)),
             placement_key: placement.as_bytes(),
             initial: self.tolerated_losses + 1,
             route: Route::Any,
+            on_closed,
             deadline,
         };
         let needed = |membership: &Membership| membership.write_quorum(self.tolerated_losses);
@@ -242,7 +254,8 @@
     }
 
     /// Stores a turn with other records on a write quorum, which is returned, and again those of its
-    /// predecessors that would be retained too short; see [`retention`].
+    /// predecessors that would be retained too short; see [`retention`]. Hosts that accept no records now are
+    /// called again until the deadline.
     ///
     /// Errors: as for [`Client::append`].
     pub async fn keep(
@@ -256,9 +269,10 @@
         let mut batches = retention::batches(turn, predecessors, others);
         let last = batches.pop().unwrap_or_default();
         for batch in batches {
-            self.append(batch, placement, deadline).await?;
+            self.store(batch, placement, OnClosed::Retry, deadline)
+                .await?;
         }
-        self.append(last, placement, deadline).await
+        self.store(last, placement, OnClosed::Retry, deadline).await
     }
 
     /// Calls disks until `needed` answers are counted or one is decisive, and returns the counted ones;
@@ -269,7 +283,8 @@
         needed: impl Fn(&Membership) -> usize,
         mut vote: impl FnMut(Answer) -> Vote,
     ) -> Result<Quorum, Error> {
-        for _ in 0..MEMBERSHIP_ATTEMPTS {
+        // Ends at the deadline: each repetition has a newer membership.
+        loop {
             let view = self.transport.view();
             let needed = needed(&view.membership);
             let order = order(&view, query.placement_key);
@@ -279,6 +294,7 @@
                 initial: query.initial,
                 body: query.body.clone(),
                 route: query.route,
+                on_closed: query.on_closed,
                 deadline: query.deadline,
             };
             let outcome = quorum::fan_out(&self.transport, &view, &fanout, |disk, answer| {
@@ -302,7 +318,6 @@
                 Outcome::Incomplete => return Err(incomplete(&view, counted.len(), needed)),
             }
         }
-        Err(Error::NoMembership)
     }
 
     /// Stores the number of tokens that a turn has used of its reservation.
@@ -338,6 +353,7 @@
             placement_key: &[],
             initial: usize::MAX,
             route: Route::Any,
+            on_closed: OnClosed::Skip,
             deadline,
         };
         let needed = |membership: &Membership| membership.read_quorum(self.tolerated_losses);
@@ -399,6 +415,7 @@
             placement_key: placement.program.as_str().as_bytes(),
             initial: 1,
             route: Route::Any,
+            on_closed: OnClosed::Skip,
             deadline,
         };
         let needed = |membership: &Membership| membership.read_quorum(self.tolerated_losses);
