Hundreds of answers that aren't long leave an entry memory, too

Answers share memory from 16 KB on and bodies of requests from 32 KB on, in portions of 16 KB. Read buffers of connections to targets have 32 KB, not 64, which bounds heads of answers at 32 KB; heads of requests have 16 KB.

--- a/crates/gateway/src/serve/memory.rs
+++ b/crates/gateway/src/serve/memory.rs
@@ -8,14 +8,14 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
-/// Size up to which bytes are kept whatever others occupy; above it, memory is taken in portions of this
-/// size.
-const PORTION_BYTES: usize = 64 * 1024;
+/// Size of the portions in which memory is taken, in bytes.
+const PORTION_BYTES: usize = 16 * 1024;
 
 /// Memory shared by many requests.
 #[derive(Debug)]
 pub struct Memory {
     portions: Arc<Semaphore>,
+    short: usize,
 }
 
 /// Error: others occupy the memory.
@@ -26,6 +26,7 @@
 #[derive(Debug)]
 pub struct Share {
     portions: Arc<Semaphore>,
+    short: usize,
     taken: Option<OwnedSemaphorePermit>,
 }
 
@@ -42,10 +43,12 @@
 }
 
 impl Memory {
-    /// Memory of a number of bytes, for all requests together.
-    pub fn new(bytes: usize) -> Memory {
+    /// Memory of a number of bytes, for all requests together. Up to `short` bytes of each aren't counted,
+    /// so that short ones never fail.
+    pub fn new(bytes: usize, short: usize) -> Memory {
         Memory {
             portions: Arc::new(Semaphore::new(bytes / PORTION_BYTES)),
+            short,
         }
     }
 
@@ -53,6 +56,7 @@
     pub fn share(&self) -> Share {
         Share {
             portions: Arc::clone(&self.portions),
+            short: self.short,
             taken: None,
         }
     }
@@ -72,7 +76,10 @@
     ///
     /// Errors: too little is left.
     pub fn resize(&mut self, bytes: usize) -> Result<(), Exhausted> {
-        let needed = bytes / PORTION_BYTES;
+        let needed = match bytes > self.short {
+            true => bytes.div_ceil(PORTION_BYTES),
+            false => 0,
+        };
         let held = self.taken.as_ref().map_or(0, |taken| taken.num_permits());
         if needed > held {
             let missing = (needed - held) as u32;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -76,6 +76,13 @@
 /// Part of the process's memory that long bodies of requests may occupy together.
 const BODY_MEMORY_DIVISOR: u64 = 6;
 
+/// Size up to which an answer isn't long, in bytes. Hundreds that don't end are held at the same time, each
+/// with the read buffer of its connection.
+const SHORT_ANSWER_BYTES: usize = 16 * 1024;
+
+/// Size up to which the body of a request isn't long, in bytes. It is held until the request has ended.
+const SHORT_BODY_BYTES: usize = 32 * 1024;
+
 /// Configuration in force.
 #[derive(Debug)]
 pub struct Snapshot {
@@ -140,7 +147,7 @@
         let losses = settings.tolerated_losses;
         let rate_excess = settings.rate_excess.unwrap_or(0);
         let memory_bytes = settings.resources.memory_mb * 1024 * 1024;
-        let part = |divisor| Memory::new((memory_bytes / divisor) as usize);
+        let part = |divisor, short| Memory::new((memory_bytes / divisor) as usize, short);
         Arc::new(State {
             settings,
             adapter,
@@ -148,8 +155,8 @@
             pool: Arc::default(),
             instruments: Instruments::new(meter),
             freshness: Freshness::default(),
-            answer_memory: part(ANSWER_MEMORY_DIVISOR),
-            body_memory: part(BODY_MEMORY_DIVISOR),
+            answer_memory: part(ANSWER_MEMORY_DIVISOR, SHORT_ANSWER_BYTES),
+            body_memory: part(BODY_MEMORY_DIVISOR, SHORT_BODY_BYTES),
             chains: Mutex::new(chain::Cache::new(CHAIN_CACHE_BYTES)),
             programs: Mutex::default(),
             prefixes: Mutex::default(),
--- a/crates/gateway/src/target/pool.rs
+++ b/crates/gateway/src/target/pool.rs
@@ -34,8 +34,9 @@
 /// Idle time of a connection if its target doesn't state one.
 const IDLE_DEFAULT: Duration = Duration::from_secs(4);
 
-/// Maximum size of a connection's read buffer, which bounds the head of an answer, in bytes.
-const BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum size of a connection's read buffer, which bounds the head of an answer, in bytes: twice what heads of
+/// requests usually have. Hundreds of connections keep one each.
+const BUFFER_BYTES: usize = 32 * 1024;
 
 /// Time before the target's idle timeout at which a connection is closed here.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
