--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -424,11 +424,11 @@
             Some(order.is_some_and(is_pending))
         }
         Event::Changed(changes, _) => {
-            let orders = changes.iter().filter_map(|change| match change {
+            let mut orders = changes.iter().filter_map(|change| match change {
                 Change::Put(object) => (object.name == host).then(|| is_pending(object)),
                 Change::Deleted(name) => (name == host).then_some(false),
             });
-            orders.last()
+            orders.next_back()
         }
         Event::Unchanged(_) | Event::Unavailable | Event::Available => None,
     }
