--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -86,7 +86,7 @@
         let kind = self.kind;
         loop {
             match self.next_answer(position, &on_event).await {
-                Ok((event, revision)) => {
+                Ok((event, revision, asked)) => {
                     self.record_answer(&event, revision);
                     backoff = new_backoff();
                     failing_since = None;
@@ -94,6 +94,7 @@
                         on_event(kind, &Event::Available);
                     }
                     on_event(kind, &event);
+                    self.freshness.record_check(kind, asked);
                     position = Some(Position::after(position, &event, revision));
                     if matches!(event, Event::Changed(changes, _) if !changes.is_empty()) {
                         tokio::time::sleep(batch_delay(kind)).await;
@@ -122,21 +123,23 @@
         }
     }
 
+    /// Returns the next answer, its revision, and when the store was asked.
     async fn next_answer(
         &self,
         position: Option<Position>,
         on_event: &impl Fn(Kind, &Event),
-    ) -> Result<(Event, Revision), Error> {
+    ) -> Result<(Event, Revision, Instant), Error> {
         match position {
             None => {
+                let asked = Instant::now();
                 let listing = self.objects.list(self.kind).await?;
                 let revision = listing.revision;
-                Ok((Event::Listed(listing.objects, revision), revision))
+                Ok((Event::Listed(listing.objects, revision), revision, asked))
             }
             Some(position) => {
-                let changes = self.watch(position.watched, on_event).await?;
+                let (changes, asked) = self.watch(position.watched, on_event).await?;
                 let revision = changes.revision;
-                Ok((Event::Changed(changes.changes, revision), revision))
+                Ok((Event::Changed(changes.changes, revision), revision, asked))
             }
         }
     }
@@ -147,28 +150,32 @@
         &self,
         since: Revision,
         on_event: &impl Fn(Kind, &Event),
-    ) -> Result<Changes, Error> {
+    ) -> Result<(Changes, Instant), Error> {
         let (objects, kind) = (self.objects, self.kind);
+        let began = Instant::now();
         let watch = objects.watch(kind, since, watch_duration(kind));
         tokio::pin!(watch);
-        let settled = Instant::now() + SETTLE_TIME;
+        let settled = began + SETTLE_TIME;
         loop {
             let check = async {
                 tokio::time::sleep_until(settled).await;
                 self.freshness.overdue(kind, &self.age_limit).await;
-                objects.watch(kind, since, CHECK_DURATION).await
+                let asked = Instant::now();
+                let changes = objects.watch(kind, since, CHECK_DURATION).await;
+                changes.map(|changes| (changes, asked))
             };
             tokio::select! {
                 biased;
-                changes = &mut watch => return changes,
+                changes = &mut watch => return changes.map(|changes| (changes, began)),
                 changes = check => {
-                    let changes = changes?;
+                    let (changes, asked) = changes?;
                     if !changes.changes.is_empty() {
                         log::info!(step = "follow", peer = "platform", kind:% = kind; "waiting watch missed changes: watches anew");
-                        return Ok(changes);
+                        return Ok((changes, asked));
                     }
                     self.freshness.record_answer(kind, Answer::Unchanged, changes.revision, Instant::now());
                     on_event(kind, &Event::Unchanged(changes.revision));
+                    self.freshness.record_check(kind, asked);
                 }
             }
         }
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -87,11 +87,28 @@
     reported: Option<(Revision, Instant)>,
 }
 
+/// Questions to the store that somebody waits for.
+#[derive(Debug, Clone, Copy, Default)]
+struct Checks {
+    /// When the newest question was asked whose answer is in force.
+    asked: Option<Instant>,
+    /// When an answer to a newer question was last needed.
+    wanted: Option<Instant>,
+}
+
+impl Checks {
+    fn is_due(&self) -> bool {
+        self.wanted.is_some_and(|wanted| self.asked < Some(wanted))
+    }
+}
+
 /// Knowledge of all kinds.
 #[derive(Debug, Default)]
 pub struct Freshness {
     kinds: Mutex<Map<Kind, Knowledge>>,
     reported: Notify,
+    checks: Mutex<Map<Kind, Checks>>,
+    checked: Notify,
 }
 
 impl Freshness {
@@ -125,6 +142,40 @@
         before.map(|before| now - before.confirmed)
     }
 
+    /// Records that the answer to a question is in force. An answer may have waited for this process, so
+    /// that it shows nothing of the time after the question.
+    pub fn record_check(&self, kind: Kind, asked: Instant) {
+        let mut checks = self.checks.lock();
+        let checks = checks.entry(kind).or_default();
+        checks.asked = checks.asked.max(Some(asked));
+        self.checked.notify_waiters();
+    }
+
+    /// Waits until an answer to a question is in force that was asked at `since` or later.
+    pub async fn checked_since(&self, kind: Kind, since: Instant) {
+        loop {
+            let checked = self.checked.notified();
+            tokio::pin!(checked);
+            checked.as_mut().enable();
+            if self.is_checked(kind, since) {
+                return;
+            }
+            self.reported.notify_waiters();
+            checked.await;
+        }
+    }
+
+    /// Whether such an answer is in force; otherwise, the store is asked.
+    fn is_checked(&self, kind: Kind, since: Instant) -> bool {
+        let mut checks = self.checks.lock();
+        let checks = checks.entry(kind).or_default();
+        let is_checked = checks.asked >= Some(since);
+        if !is_checked {
+            checks.wanted = checks.wanted.max(Some(since));
+        }
+        is_checked
+    }
+
     /// Merges another entry's statement: it confirms the knowledge, or tells of a change that is missing.
     pub fn merge(&self, statement: Statement, now: Instant) {
         let mut kinds = self.kinds.lock();
@@ -196,6 +247,9 @@
     fn due(&self, kind: Kind, limit: Duration) -> Option<Instant> {
         let kinds = self.kinds.lock();
         let knowledge = kinds.get(&kind)?;
+        if self.checks.lock().get(&kind).is_some_and(Checks::is_due) {
+            return Some(knowledge.answered);
+        }
         let by_age = knowledge.confirmed + limit;
         let by_report = knowledge.reported.map(|(_, since)| since + SETTLE_TIME);
         Some(by_report.map_or(by_age, |by_report| by_report.min(by_age)))
--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -14,6 +14,7 @@
 use history::origin::State as Stored;
 use history::record::Record;
 use history::time::Timestamp;
+use node::object::Kind;
 use tokio::time::Instant;
 
 use crate::adapter::Resumption;
@@ -24,11 +25,15 @@
 use crate::serve::refusal::Refusal;
 use crate::serve::refusal::Unresumable;
 use crate::serve::request::Job;
+use crate::serve::request::retry_delay;
 use crate::state::State;
 
 /// Time for which an origin is kept after its request's deadline.
 const RETENTION: Duration = Duration::from_secs(30);
 
+/// Age up to which a check of the targets serves a further resumption; many streams break together.
+const MAX_AGE: Duration = Duration::from_millis(200);
+
 /// Service and software version of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Source {
@@ -36,14 +41,63 @@
     pub version: SoftwareVersion,
 }
 
-/// Returns where the stream began that a request resumes.
+/// Returns where the stream began that a request resumes, once this entry knows which versions its
+/// targets run now.
 ///
-/// Errors: it isn't known, or the history can't be read.
+/// Errors: it isn't known, or the history or the registrations can't be read.
 pub async fn find(
     state: &State,
     job: &Job,
     resumption: &Resumption,
     deadline: Instant,
+) -> Result<Source, Refusal> {
+    let (source, ()) = tokio::try_join!(
+        read(state, job, resumption, deadline),
+        check_targets(state, deadline)
+    )?;
+    Ok(source)
+}
+
+/// Waits until this entry has asked the object store for changes of targets: one may have restarted
+/// under its id with another version while this entry was out of touch.
+///
+/// Errors: the object store doesn't answer.
+pub async fn check_targets(state: &State, deadline: Instant) -> Result<(), Refusal> {
+    let now = Instant::now();
+    let since = now.checked_sub(MAX_AGE).unwrap_or(now);
+    let checked = state.freshness.checked_since(Kind::Targets, since);
+    let is_checked =
+        !state.is_object_store_lost() && tokio::time::timeout_at(deadline, checked).await.is_ok();
+    match is_checked {
+        true => Ok(()),
+        false => Err(Refusal::Unavailable {
+            cause: "the software versions of the targets aren't known now".to_owned(),
+            retry: retry_delay(),
+        }),
+    }
+}
+
+/// Checks, before an entry goes on with a stream, that the target that began it was known.
+///
+/// Errors: it has restarted, maybe before it began the stream, or the object store doesn't answer.
+pub async fn check_began(state: &State, target: &Target, deadline: Instant) -> Result<(), Refusal> {
+    check_targets(state, deadline).await?;
+    match state.is_superseded(target) {
+        true => Err(Refusal::Lost(
+            "the target that began the stream has restarted".to_owned(),
+        )),
+        false => Ok(()),
+    }
+}
+
+/// Reads where the stream began that a request resumes.
+///
+/// Errors: it isn't known, or the history can't be read.
+async fn read(
+    state: &State,
+    job: &Job,
+    resumption: &Resumption,
+    deadline: Instant,
 ) -> Result<Source, Refusal> {
     let stored = match &resumption.first_request {
         Some(request) => {
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -214,6 +214,12 @@
     running: &mut Running,
     last_event: Option<&str>,
 ) -> Result<Answer, Refusal> {
+    if let (Some(_), Some(target), Rule::Only(_)) =
+        (running.relayed, &running.target, &running.retry.versions)
+    {
+        let deadline = running.job.deadline.min(Instant::now() + HISTORY_TIMEOUT);
+        origin::check_began(state, target, deadline).await?;
+    }
     loop {
         let choice = choose_target(state, running)?;
         let chosen = Instant::now();
