Gateway: the lifecycle of a history host has a module of its own

Moved code, no change of behaviour; the few log lines of a history host's start, end and settings now name the module `gateway::history_host`.

--- a/crates/entry/src/role.rs
+++ b/crates/entry/src/role.rs
@@ -49,13 +49,13 @@
 async fn run_front(settings: Settings, file: &Path, hangups: Signal) -> eyre::Result<()> {
     node::log::start(&settings.host, settings.log_level)?;
     let objects = Client::new(settings.object_store);
-    gateway::controller::run_entry(settings, file, hangups, objects, Arc::new(Platform)).await
+    gateway::controller::run(settings, file, hangups, objects, Arc::new(Platform)).await
 }
 
 async fn run_history(settings: Settings, file: &Path, hangups: Signal) -> eyre::Result<()> {
     node::log::start(&settings.host, settings.log_level)?;
     let objects = Client::new(settings.object_store);
-    gateway::controller::run_history_host(settings, file, hangups, objects).await
+    gateway::history_host::run(settings, file, hangups, objects).await
 }
 
 /// The settings file: as named, or else by the platform's variable.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod follow;
 pub mod freshness;
 pub mod gauges;
+pub mod history_host;
 pub mod membership;
 pub mod metrics;
 pub mod operators;
