--- a/crates/history/src/retire.rs
+++ b/crates/history/src/retire.rs
@@ -56,12 +56,7 @@
     config: &Config,
     ordered: watch::Receiver<bool>,
 ) {
-    let mut retirement = Retirement {
-        server,
-        objects,
-        config,
-        reported: false,
-    };
+    let mut retirement = Retirement::new(server, objects, config);
     loop {
         let possible = retirement.until_possible(ordered.clone());
         place::keep(server, objects, config, possible).await;
@@ -74,13 +69,7 @@
 
 /// Retires this host, retrying until it succeeds or the others can't do without it.
 pub async fn retire<S: ObjectStore>(server: &Server, objects: &S, config: &Config) -> Outcome {
-    let mut retirement = Retirement {
-        server,
-        objects,
-        config,
-        reported: false,
-    };
-    retirement.attempt().await
+    Retirement::new(server, objects, config).attempt().await
 }
 
 /// Retirement of one host.
@@ -92,7 +81,16 @@
     reported: bool,
 }
 
-impl<S: ObjectStore> Retirement<'_, S> {
+impl<'a, S: ObjectStore> Retirement<'a, S> {
+    fn new(server: &'a Server, objects: &'a S, config: &'a Config) -> Retirement<'a, S> {
+        Retirement {
+            server,
+            objects,
+            config,
+            reported: false,
+        }
+    }
+
     /// Waits until the retirement is ordered and the others can do without this host.
     async fn until_possible(&mut self, mut ordered: watch::Receiver<bool>) {
         loop {
@@ -129,7 +127,7 @@
         accepting >= needed
     }
 
-    /// Retires this host, unless the others can't do without it. It accepts records again then.
+    /// Retires this host, unless the others can't do without it; then it accepts records again.
     async fn attempt(&mut self) -> Outcome {
         log::info!(step = "retire", peer = "history"; "host is retiring");
         self.report_running().await;
@@ -137,15 +135,15 @@
         while !self.server.close().await {
             tokio::time::sleep(join::jittered(RETRY_DELAY)).await;
         }
-        let mut is_removed = false;
+        let mut removal_sent = false;
         loop {
-            match self.try_retire(&mut is_removed).await {
+            match self.try_retire(&mut removal_sent).await {
                 Ok(Outcome::Retired) => break,
-                Ok(Outcome::Postponed) => return self.postpone(is_removed).await,
+                Ok(Outcome::Postponed) => return self.postpone(removal_sent).await,
                 Err(error) => {
                     log::warn!(step = "retire", peer = "history"; "not empty yet: {error:#}");
-                    if !is_removed {
-                        return self.postpone(is_removed).await;
+                    if !removal_sent {
+                        return self.postpone(removal_sent).await;
                     }
                     tokio::time::sleep(join::jittered(RETRY_DELAY)).await;
                 }
@@ -160,15 +158,17 @@
 
     /// Accepts records again, if no update of this process may have removed the disk. Otherwise the disk joins
     /// again, which supersedes the update.
-    async fn postpone(&self, is_removed: bool) -> Outcome {
-        if !is_removed && !self.server.reopen().await {
+    async fn postpone(&self, removal_sent: bool) -> Outcome {
+        if !removal_sent && !self.server.reopen().await {
             log::warn!(step = "retire", peer = "disk"; "write to the local disk failed");
         }
         Outcome::Postponed
     }
 
-    /// Does all steps once. `is_removed` is set once an update was sent that removes the disk.
-    async fn try_retire(&self, is_removed: &mut bool) -> eyre::Result<Outcome> {
+    /// Does all steps once; sets `removal_sent` before it sends an update that removes the disk.
+    ///
+    /// Errors: the membership can't be read or written, or was changed meanwhile.
+    async fn try_retire(&self, removal_sent: &mut bool) -> eyre::Result<Outcome> {
         let (me, losses) = (self.config.me.disk, self.config.tolerated_losses);
         let object = self.objects.get(Kind::Members, join::MEMBERSHIP_OBJECT);
         let object = object.await.wrap_err("membership can't be read")?;
@@ -188,7 +188,7 @@
         if current.find(me).is_none() {
             return Ok(Outcome::Retired);
         }
-        *is_removed = true;
+        *removal_sent = true;
         join::write_membership(self.objects, &next, Some(object.revision)).await?;
         // Readers with an older membership are referred to the new one until the host is removed.
         let record = Record::Membership(next.clone());
