--- a/crates/history/tests/announcing.rs
+++ b/crates/history/tests/announcing.rs
@@ -14,7 +14,6 @@
 use tokio::time::Instant;
 
 use crate::support::CallKind;
-use crate::support::Fault;
 use crate::support::Host;
 use crate::support::Store;
 use crate::support::TIMEOUT;
@@ -42,13 +41,6 @@
     (host, place)
 }
 
-/// Lets a host answer nothing.
-fn silence(host: &Host) {
-    for kind in CallKind::ALL {
-        host.gate.set_fault(kind, Some(Fault::Ignore));
-    }
-}
-
 /// Probes the hosts as an entry does, for the time of two probes.
 async fn probe(client: &Client) {
     for _ in 0..2 {
@@ -79,7 +71,7 @@
     probe(&client).await;
     for (host, place) in &hosts[..losses] {
         place.abort();
-        silence(host);
+        host.gate.silence();
     }
     let records = vec![Record::Turn(turn("turn-1"))];
     let stored = client.append(records, "p", Instant::now() + TIMEOUT).await;
@@ -99,7 +91,7 @@
     const LOSSES: usize = 1;
     let store = Arc::new(Store::default());
     let first = start(&store, 0, LOSSES).await;
-    silence(&first.0);
+    first.0.gate.silence();
     let _second = start(&store, 1, LOSSES).await;
     let _third = start(&store, 2, LOSSES).await;
     // Calls that were made while it was out of reach have ended.
--- a/crates/history/tests/eviction.rs
+++ b/crates/history/tests/eviction.rs
@@ -16,7 +16,6 @@
 use tokio::time::Instant;
 
 use crate::support::CallKind;
-use crate::support::Fault;
 use crate::support::Host;
 use crate::support::Store;
 use crate::support::TIMEOUT;
@@ -77,9 +76,7 @@
         let (host, place) = self.hosts.remove(at);
         place.abort();
         // Open connections of a dropped host would still be answered.
-        for kind in CallKind::ALL {
-            host.gate.set_fault(kind, Some(Fault::Ignore));
-        }
+        host.gate.silence();
         (host.member.disk, host.member.host.to_string())
     }
 
@@ -215,9 +212,7 @@
     let fleet = Fleet::start(4, 1, 0).await;
     let gate = &fleet.hosts[1].0.gate;
     let before = fleet.store.membership().epoch;
-    for kind in CallKind::ALL {
-        gate.set_fault(kind, Some(Fault::Ignore));
-    }
+    gate.silence();
     tokio::time::sleep(silence).await;
     let evicted = fleet.store.membership().epoch != before;
     assert_eq!(evicted, !keeps_place);
--- a/crates/history/tests/joining.rs
+++ b/crates/history/tests/joining.rs
@@ -274,9 +274,7 @@
     let replaced = hosts.pop().expect("host");
     let new_host = Host::start(&replaced.member.host).await;
     drop(replaced);
-    for kind in CallKind::ALL {
-        hosts[0].gate.set_fault(kind, Some(Fault::Ignore));
-    }
+    hosts[0].gate.silence();
     let joining = new_host.join(&store, LOSSES);
     let joined = tokio::time::timeout(CATCH_UP, joining).await;
     assert!(joined.is_ok() && !new_host.server.joining());
--- a/crates/history/tests/orders.rs
+++ b/crates/history/tests/orders.rs
@@ -83,9 +83,7 @@
     fn remove(&mut self, at: usize) -> Host {
         let (host, place) = self.hosts.remove(at);
         place.abort();
-        for kind in CallKind::ALL {
-            host.gate.set_fault(kind, Some(Fault::Ignore));
-        }
+        host.gate.silence();
         host
     }
 
--- a/crates/history/tests/retiring.rs
+++ b/crates/history/tests/retiring.rs
@@ -14,7 +14,6 @@
 
 use crate::support::CallKind;
 use crate::support::Fault;
-use crate::support::Gate;
 use crate::support::Host;
 use crate::support::Store;
 use crate::support::TIMEOUT;
@@ -43,13 +42,6 @@
     (order, place)
 }
 
-/// Lets a host answer nothing any more.
-fn silence(gate: &Gate) {
-    for kind in CallKind::ALL {
-        gate.set_fault(kind, Some(Fault::Ignore));
-    }
-}
-
 /// Whether a client that has just read the membership stores a turn and finds it again.
 async fn serves(store: &Store, losses: usize, id: &str) -> bool {
     let client = client(store, losses);
@@ -126,7 +118,7 @@
         .iter()
         .map(|host| keep(host, &store, LOSSES))
         .collect();
-    silence(&hosts[1].gate);
+    hosts[1].gate.silence();
     places.remove(1).1.abort();
     let gone = hosts.remove(1);
     places[0].0.send_replace(true);
@@ -161,7 +153,7 @@
     hosts[1].gate.before(CallKind::Append, move |_| {
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(100)).await;
-            silence(&gate);
+            gate.silence();
         });
     });
     places[0].0.send_replace(true);
--- a/crates/history/tests/storing.rs
+++ b/crates/history/tests/storing.rs
@@ -64,9 +64,7 @@
     const LIMIT: Duration = Duration::from_millis(500);
     let (hosts, client) = start(7, 2).await;
     for host in &hosts[..2] {
-        for kind in CallKind::ALL {
-            host.gate.set_fault(kind, Some(Fault::Ignore));
-        }
+        host.gate.silence();
     }
     for number in 0..20 {
         let started = Instant::now();
@@ -111,9 +109,7 @@
 async fn a_turn_is_kept_once_a_joining_host_accepts_records_while_another_one_is_away() {
     const JOINING: Duration = Duration::from_millis(1000);
     let (hosts, client) = start(3, 1).await;
-    for kind in CallKind::ALL {
-        hosts[0].gate.set_fault(kind, Some(Fault::Ignore));
-    }
+    hosts[0].gate.silence();
     hosts[1]
         .gate
         .set_fault(CallKind::Append, Some(Fault::Refuse));
--- a/crates/history/tests/support/mod.rs
+++ b/crates/history/tests/support/mod.rs
@@ -105,6 +105,13 @@
         };
     }
 
+    /// Handles and answers no calls from now on, also on open connections.
+    pub fn silence(&self) {
+        for kind in CallKind::ALL {
+            self.set_fault(kind, Some(Fault::Ignore));
+        }
+    }
+
     /// Calls `hook` before the next call of this kind is handled.
     pub fn before(&self, kind: CallKind, hook: impl FnOnce(&Gate) + Send + 'static) {
         *self.hook.lock() = Some((kind, Box::new(hook)));
