One faulty target no longer takes the memory of all long answers

Callers saw: while one target sends answers that don't end, answers above 16 KB of other targets at the same entry end with 502 (plain) or are cut (streams).

Cause: the memory for long answers (an eighth, 11 MB on the smallest entry) was one counter. Twelve incomplete events of one target occupied all of it until their deadlines. The same holds for bodies of one customer.

--- a/crates/gateway/src/serve/answer.rs
+++ b/crates/gateway/src/serve/answer.rs
@@ -26,6 +26,8 @@
 use crate::config::Version;
 use crate::serve::admission;
 use crate::serve::body::Body;
+use crate::serve::memory::Share;
+use crate::serve::memory::Source;
 use crate::serve::plain;
 use crate::serve::refusal::Refusal;
 use crate::serve::request::Job;
@@ -185,7 +187,10 @@
         admission::check(state, customer, deadline)?;
     }
     let limit = snapshot.table.config.limits.body_bytes;
-    let body = tokio::time::timeout_at(deadline, read_body(state, body, limit)).await;
+    let source = customer.as_ref();
+    let source = source.map_or("", |customer| customer.name.as_str());
+    let share = state.body_memory.share(Source::customer(source));
+    let body = tokio::time::timeout_at(deadline, read_body(share, body, limit)).await;
     let body = body.map_err(|_| Refusal::SlowBody)??;
     let job = Job {
         service: choose_service(&route, &call)?,
@@ -254,12 +259,11 @@
     })
 }
 
-/// Reads a whole body. It occupies memory until the request has ended.
+/// Reads a whole body. It occupies memory of `share` until the request has ended.
 ///
 /// Errors: the body ends early, or is longer than the limits allow.
-async fn read_body(state: &State, body: &mut Incoming, limit: usize) -> Result<Bytes, Refusal> {
+async fn read_body(mut share: Share, body: &mut Incoming, limit: usize) -> Result<Bytes, Refusal> {
     let mut bytes = BytesMut::new();
-    let mut share = state.body_memory.share();
     let mut first_chunk = None;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| Refusal::Malformed(error.to_string()))?;
--- a/crates/gateway/src/serve/collect.rs
+++ b/crates/gateway/src/serve/collect.rs
@@ -11,7 +11,7 @@
 
 use crate::error::Error as AttemptError;
 use crate::serve::memory::Exhausted;
-use crate::serve::memory::Memory;
+use crate::serve::memory::Share;
 
 /// Maximum size of an answer, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -57,12 +57,11 @@
     }
 }
 
-/// Reads a whole body. It occupies memory until it is dropped, as its caller may be slow to read it.
+/// Reads a whole body. It occupies memory of `share` until it is dropped, as its caller may be slow to read it.
 ///
 /// Errors: the body ends early, or is longer than the limits allow.
-pub async fn collect(memory: &Memory, mut body: Incoming) -> Result<Bytes, Error> {
+pub async fn collect(mut share: Share, mut body: Incoming) -> Result<Bytes, Error> {
     let mut bytes = BytesMut::new();
-    let mut share = memory.share();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| Error::CutShort(error.to_string()))?;
         let Ok(data) = frame.into_data() else {
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -12,6 +12,7 @@
 use crate::serve::body::Body;
 use crate::serve::collect;
 use crate::serve::header::strip_hop_by_hop;
+use crate::serve::memory::Source;
 use crate::serve::refusal::Refusal;
 use crate::serve::request::Job;
 use crate::serve::retry::RetryState;
@@ -104,7 +105,8 @@
         idle,
         ..
     } = answer;
-    let read = collect::collect(&state.answer_memory, body);
+    let share = state.answer_memory.share(Source::target(lease.target_id()));
+    let read = collect::collect(share, body);
     let bytes = match tokio::time::timeout_at(send::response_deadline(job), read).await {
         Ok(bytes) => bytes?,
         Err(_) => return Err(collect::Error::Timeout),
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -34,6 +34,7 @@
 use crate::serve::event::Scanner;
 use crate::serve::memory::Exhausted;
 use crate::serve::memory::Share;
+use crate::serve::memory::Source as MemorySource;
 use crate::serve::position::Position;
 use crate::serve::refusal::Refusal;
 use crate::serve::turn;
@@ -141,7 +142,9 @@
         let relay = Relay {
             position: Position::after(last_event),
             is_first: true,
-            memory: state.answer_memory.share(),
+            memory: state
+                .answer_memory
+                .share(MemorySource::target(source.lease.target_id())),
             state,
             running: Some(running),
             phase: Phase::Relaying(source),
@@ -262,7 +265,13 @@
         }
         self.take_memory()?;
         // The caller may be slow to read them.
-        Ok(self.state.answer_memory.hold(bytes)?)
+        let customer = self
+            .running
+            .as_ref()
+            .map(|running| running.job.customer_name());
+        let customer = customer.as_ref().map_or("", |customer| customer.as_str());
+        let source = MemorySource::customer(customer);
+        Ok(self.state.answer_memory.hold(source, bytes)?)
     }
 
     /// Takes or returns memory for what is kept of the stream.
@@ -316,7 +325,11 @@
     }
 
     fn resume(&mut self, answer: Answer) {
-        self.phase = Phase::Relaying(Source::of(answer).0);
+        let (source, _) = Source::of(answer);
+        // What is kept of the former target's events is counted again with the next ones.
+        let memory = &self.state.answer_memory;
+        self.memory = memory.share(MemorySource::target(source.lease.target_id()));
+        self.phase = Phase::Relaying(source);
     }
 
     /// Handles the end of the engine's stream: stores the turn if the route stores turns.
--- a/crates/gateway/src/target/pool.rs
+++ b/crates/gateway/src/target/pool.rs
@@ -239,6 +239,11 @@
 }
 
 impl Lease {
+    /// Id of the target.
+    pub fn target_id(&self) -> &str {
+        &self.key.0
+    }
+
     /// Connection on which to send a request.
     pub fn sender(&mut self) -> Option<&mut Sender> {
         let connection = self.connection.as_mut()?;
