History: a record that a member lists and loses in a power loss isn't one of its copies

Cause: a host lists records that it hasn't synced yet. Hosts that hand over (`copy::push_missing`) and that restore copies (`restore::try_read_holder`) therefore send an empty call, which is answered after the next sync. If the member loses power between its list and that call, the record is gone, the restarted process answers the call, and the member counts as holding the record: a retirement is reported as completed, or a vacancy removed, with a copy too few.

Fix: both compare the member's incarnation after the call, as `restore` did for the hosts that it copied from. The list belongs to one process, so that a restarted member doesn't count in this attempt; the next one lists it anew.

The membership model mirrors the comparison; that it finds the fault wasn't tried.

--- a/crates/history/src/copy.rs
+++ b/crates/history/src/copy.rs
@@ -218,7 +218,7 @@
 /// Errors: the member is unreachable or rejects the records.
 pub async fn push_missing(server: &Server, member: &Member) -> eyre::Result<()> {
     let link = Link::new(member.address);
-    let remote = remote_fingerprints(&link, member).await?;
+    let (remote, incarnation) = remote_fingerprints(&link, member).await?;
     let mut from = Position::default();
     loop {
         let (fingerprints, next, end) = server.digest(from);
@@ -234,13 +234,22 @@
             }
         }
         if end {
-            // The member may not have synced yet what its digest listed.
-            return append(&link, member, Vec::new()).await;
+            // The member may not have synced yet what its digest listed, and loses that in a power loss.
+            append(&link, member, Vec::new()).await?;
+            return check_incarnation(&link, member, incarnation).await;
         }
         from = next;
     }
 }
 
+/// Errors: the member is unreachable or has restarted, so that it may hold other records than it listed.
+pub async fn check_incarnation(link: &Link, member: &Member, expected: u64) -> eyre::Result<()> {
+    match call(link, member.disk, &Call::Digest(Position(u64::MAX))).await? {
+        Answer::Digest { incarnation, .. } if incarnation == expected => Ok(()),
+        _ => bail!("{} has restarted", member.host),
+    }
+}
+
 /// Stores records at a member; returns once it has synced them and all that it received before.
 ///
 /// Errors: the member is unreachable or rejects the records.
@@ -276,21 +285,28 @@
     }
 }
 
-async fn remote_fingerprints(link: &Link, member: &Member) -> eyre::Result<Set<u64>> {
+/// The fingerprints of all records that a member lists, and the incarnation that lists them.
+///
+/// Errors: the member is unreachable or restarts meanwhile.
+async fn remote_fingerprints(link: &Link, member: &Member) -> eyre::Result<(Set<u64>, u64)> {
     let mut all = Set::default();
     let mut from = Position::default();
+    let mut first = None;
     loop {
         match call(link, member.disk, &Call::Digest(from)).await? {
             Answer::Digest {
+                incarnation,
                 fingerprints,
                 next,
                 end,
-                ..
             } => {
+                if *first.get_or_insert(incarnation) != incarnation {
+                    bail!("{} has restarted", member.host);
+                }
                 all.extend(fingerprints);
                 from = next;
                 if end {
-                    return Ok(all);
+                    return Ok((all, incarnation));
                 }
             }
             answer => bail!("unexpected answer from {}: {answer:?}", member.host),
--- a/crates/history/src/restore.rs
+++ b/crates/history/src/restore.rs
@@ -127,8 +127,9 @@
             break;
         }
     }
-    // The member may not have synced yet what its digest listed.
+    // The member may not have synced yet what its digest listed, and loses that in a power loss.
     holder.accepts = copy::append(&link, member, Vec::new()).await.is_ok();
+    copy::check_incarnation(&link, member, holder.incarnation).await?;
     Ok(Some(holder))
 }
 
@@ -252,10 +253,7 @@
     let Some(link) = &holder.link else {
         return Ok(());
     };
-    let probe = Call::Digest(Position(u64::MAX));
-    let answer = copy::call(link, holder.member.disk, &probe).await;
-    match answer.wrap_err("restored copies can't be checked")? {
-        Answer::Digest { incarnation, .. } if incarnation == holder.incarnation => Ok(()),
-        _ => bail!("{} has restarted", holder.member.host),
-    }
+    copy::check_incarnation(link, &holder.member, holder.incarnation)
+        .await
+        .wrap_err("restored copies can't be checked")
 }
--- a/crates/history/tests/membership_model/copy.rs
+++ b/crates/history/tests/membership_model/copy.rs
@@ -107,10 +107,15 @@
 
 /// Sends a member all records that it lacks.
 pub async fn push_missing(process: &Process, disk: Disk) -> Result<(), Failed> {
-    let remote: Set<u64> = match process.call(disk, Call::Digest(Position::default())).await {
-        Some(Answer::Digest { fingerprints, .. }) => fingerprints.into_iter().collect(),
-        _ => return Err(Failed),
-    };
+    let (remote, listing): (Set<u64>, u64) =
+        match process.call(disk, Call::Digest(Position::default())).await {
+            Some(Answer::Digest {
+                fingerprints,
+                incarnation,
+                ..
+            }) => (fingerprints.into_iter().collect(), incarnation),
+            _ => return Err(Failed),
+        };
     // The last call is answered once all that the digest listed is synced.
     for records in [missing_records(process, &remote), Vec::new()] {
         match process.call(disk, Call::Append(records)).await {
@@ -118,7 +123,15 @@
             _ => return Err(Failed),
         }
     }
-    Ok(())
+    check_incarnation(process, disk, listing).await
+}
+
+/// Fails if a member has restarted, so that it may hold other records than it listed.
+pub async fn check_incarnation(process: &Process, disk: Disk, expected: u64) -> Result<(), Failed> {
+    match process.call(disk, probe()).await {
+        Some(Answer::Digest { incarnation, .. }) if incarnation == expected => Ok(()),
+        _ => Err(Failed),
+    }
 }
 
 /// Records on this host's disk that aren't among these.
--- a/crates/history/tests/membership_model/evict.rs
+++ b/crates/history/tests/membership_model/evict.rs
@@ -162,10 +162,8 @@
     }
     for source in sources {
         let holder = &holders[source];
-        match process.call(holder.disk, copy::probe()).await {
-            _ if holder.disk == process.me().disk => {}
-            Some(Answer::Digest { incarnation, .. }) if incarnation == holder.incarnation => {}
-            _ => return Err(Failed),
+        if holder.disk != process.me().disk {
+            copy::check_incarnation(process, holder.disk, holder.incarnation).await?;
         }
     }
     Ok(())
@@ -187,6 +185,8 @@
         return None;
     };
     let synced = process.call(disk, Call::Append(Vec::new())).await;
+    let listing = copy::check_incarnation(process, disk, incarnation).await;
+    listing.ok()?;
     Some(Holder {
         disk,
         incarnation,
