History: a relay waits as long as its caller for a host's answer

Callers saw: a stream at an entry that reaches the history hosts only through another entry is cut at its request's deadline, though all hosts store its turn.

Cause: the caller of a host gives each further attempt twice the time of the former one, 0.5 s to 4 s. A relay gave up after 450 ms each time, so with syncs that take longer no attempt was answered, and each repeated call waited for another sync.

Fix: the relay's limit is the longest of the caller's. The caller ends each attempt by itself; the answer to an attempt that it has given up is dropped as before. A relay holds no body meanwhile, only the call's number.

Evidence: `relaying`, syncs of 650 and 1300 ms at three hosts, requests with 5 s left: 2 of 2 cases failed before, 2 of 2 pass. `relay` passes. Of the other test programs of the crate those up to `joining` were run and pass.

--- a/crates/history/src/quorum.rs
+++ b/crates/history/src/quorum.rs
@@ -24,7 +24,8 @@
 /// one: a host whose syncs take longer would never answer in time.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
-const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(4000);
+/// Longest of these timeouts.
+pub const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(4000);
 
 /// Delay before a call that failed is sent to the host again.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
--- a/crates/history/src/relay.rs
+++ b/crates/history/src/relay.rs
@@ -15,10 +15,12 @@
 use node::link::Responder;
 
 use crate::message;
+use crate::quorum;
 use crate::quorum::Transport;
 
-/// Timeout for a host's answer; below the 500 ms after which the caller sends the call again.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(450);
+/// Timeout for a host's answer; the longest after which the caller sends the call again. With a shorter one, a
+/// host whose syncs take longer would never answer in time.
+const ANSWER_TIMEOUT: Duration = quorum::MAX_ANSWER_TIMEOUT;
 
 /// First byte of a relay's answer if the host didn't answer.
 const UNREACHED: u8 = 0;
