Gateway: the chains that turns continue have bounds, each and together

What callers saw: one program whose turns are long brought an entry above its memory; the entry is killed, and the requests of all its callers end.

Cause: the chain of a turn was collected from the history whatever its length, and copied once more into the input. Nothing bounded what many inputs occupy together.

The fix: chains share a sixth of the memory (serve::memory), taken while they are received and until the input is dropped. Parts of a few chains are received at a time. One chain may have half of the share, since it is copied once. Without room, the turn gets 503 with a time to come back. A chain that an entry of this size can never hold gets 413: 503 would promise in vain, and 404 or 410 would deny a turn that is retained. The input, the output's spare room and the list of predecessors are released before a turn is stored, and a call is encoded into a buffer of its size.

--- a/crates/gateway/src/serve/memory.rs
+++ b/crates/gateway/src/serve/memory.rs
@@ -15,6 +15,7 @@
 #[derive(Debug)]
 pub struct Memory {
     portions: Arc<Semaphore>,
+    bytes: usize,
     short: usize,
 }
 
@@ -48,10 +49,16 @@
     pub fn new(bytes: usize, short: usize) -> Memory {
         Memory {
             portions: Arc::new(Semaphore::new(bytes / PORTION_BYTES)),
+            bytes,
             short,
         }
     }
 
+    /// Size of the whole, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// A share that occupies nothing yet.
     pub fn share(&self) -> Share {
         Share {
--- a/crates/gateway/src/serve/refusal.rs
+++ b/crates/gateway/src/serve/refusal.rs
@@ -22,6 +22,8 @@
     Malformed(String),
     /// The body exceeds the configured limit.
     TooLong,
+    /// The turns that a turn continues take more memory than an entry of this size ever has for them.
+    ChainTooLong,
     /// The body didn't arrive before the request's deadline.
     SlowBody,
     /// This entry has no configuration yet, or its configuration may be outdated.
@@ -79,7 +81,7 @@
 impl From<Exhausted> for Refusal {
     fn from(_: Exhausted) -> Refusal {
         Refusal::Unavailable {
-            cause: "no memory for a long body".to_owned(),
+            cause: "no memory for a long body or a long chain of turns".to_owned(),
             retry: retry_delay(),
         }
     }
@@ -106,7 +108,7 @@
     pub fn status(&self) -> StatusCode {
         match self {
             Refusal::Malformed(_) => StatusCode::BAD_REQUEST,
-            Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::TooLong | Refusal::ChainTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Refusal::NotConfigured
             | Refusal::Unavailable { .. }
@@ -126,6 +128,7 @@
         match self {
             Refusal::Malformed(_) => "malformed",
             Refusal::TooLong => "too_long",
+            Refusal::ChainTooLong => "chain_too_long",
             Refusal::SlowBody => "slow_body",
             Refusal::NotConfigured => "not_configured",
             Refusal::NoRoute => "no_route",
@@ -183,6 +186,9 @@
         match self {
             Refusal::Malformed(cause) => write!(f, "malformed request: {cause}"),
             Refusal::TooLong => f.write_str("body too long"),
+            Refusal::ChainTooLong => {
+                f.write_str("not run: the turns that this one continues are too long")
+            }
             Refusal::SlowBody => f.write_str("not run: the body didn't arrive in time"),
             Refusal::NotConfigured => f.write_str("not run: no configuration yet"),
             Refusal::NoRoute => f.write_str("no such route"),
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -341,6 +341,10 @@
         let settled = reservation.map(|reservation| reservation.settle());
         let settled: Vec<Record> = settled.into_iter().collect();
         let due = retention::due(&running.predecessors, turn.expires);
+        // The turn isn't sent again; storing it takes memory of its own.
+        running.predecessors = Vec::new();
+        running.body = Bytes::new();
+        running.job.body = Bytes::new();
         let state = Arc::clone(&self.state);
         self.phase = Phase::Storing(Box::pin(async move {
             let program = running.job.program_name();
@@ -390,9 +394,11 @@
 
     /// Builds the turn's record from its input and output.
     fn build_turn(&mut self, running: &Running) -> Turn {
-        let mut content = Vec::with_capacity(running.job.body.len() + self.output.len());
+        // Not needed any more; its allocation is up to twice as large as what it holds.
+        let output = std::mem::take(&mut self.output);
+        let mut content = Vec::with_capacity(running.job.body.len() + output.len());
         content.extend_from_slice(&running.job.body);
-        content.append(&mut self.output);
+        content.extend_from_slice(&output);
         Turn {
             id: running.job.call.request.clone(),
             customer: running.job.customer_name(),
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -26,6 +26,8 @@
 use crate::serve::chain::Lookup;
 use crate::serve::header::MediaType;
 use crate::serve::header::strip_hop_by_hop;
+use crate::serve::memory::Exhausted;
+use crate::serve::memory::Share;
 use crate::serve::origin;
 use crate::serve::plain;
 use crate::serve::refusal::Refusal;
@@ -401,15 +403,23 @@
         _ => return Ok((input.clone(), Vec::new())),
     };
     let customer = job.customer_name();
-    let mut chain = find_chain(state, job, previous, &customer, deadline).await?;
-    let contents = chain.iter().map(|known| known.turn.content.len());
-    let size = contents.sum::<usize>() + input.len();
+    let mut share = state.chain_memory.share();
+    let chain = find_chain(state, job, previous, &customer, &mut share, deadline);
+    let mut chain = chain.await?;
+    let contents = content_bytes(&chain);
+    let size = contents + input.len();
+    if contents > max_chain_bytes(state) {
+        return Err(Refusal::ChainTooLong);
+    }
+    // The chain and its copy.
+    share.resize(contents + size)?;
     let mut body = BytesMut::with_capacity(size);
     for known in &chain {
         body.extend_from_slice(&known.turn.content);
     }
     body.extend_from_slice(input);
-    let body = body.freeze();
+    share.resize(size)?;
+    let body = share.attach(body.freeze());
     // The turn would keep the contents allocated until it ends, also after the cache has evicted them.
     let mut start = 0;
     for known in &mut chain {
@@ -420,17 +430,38 @@
     Ok((body, chain))
 }
 
+/// Largest chain that a turn may continue, in bytes.
+fn max_chain_bytes(state: &State) -> usize {
+    state.chain_memory.bytes() / 2
+}
+
+fn content_bytes(chain: &[Predecessor]) -> usize {
+    chain.iter().map(|known| known.turn.content.len()).sum()
+}
+
 /// Returns a stored turn and its predecessors, oldest last, or `None` if one of them is certainly absent:
-/// also under the newest membership, which a disk of an older build may not have sent to the others.
+/// also under the newest membership, which a disk of an older build may not have sent to the others. `share`
+/// takes the memory of the turns and of `cached` bytes besides.
 async fn find_stored(
     state: &State,
     turn: &Request,
     placement: &Account,
+    cached: usize,
+    share: &mut Share,
     deadline: Instant,
 ) -> Result<Option<Vec<Turn>>, Refusal> {
-    let find = || async {
-        let chain = state.history.chain(turn, placement, deadline).await;
-        chain.map_err(|error| Refusal::history_unavailable(&error))
+    let limit = max_chain_bytes(state);
+    let mut find = async || {
+        let admit = |bytes| cached + bytes <= limit && share.resize(cached + bytes).is_ok();
+        let history = &state.history;
+        let chain = history.admitted_chain(turn, placement, admit, deadline);
+        chain.await.map_err(|error| match error {
+            history::error::Error::NotAdmitted(bytes) if cached + bytes > limit => {
+                Refusal::ChainTooLong
+            }
+            history::error::Error::NotAdmitted(_) => Exhausted.into(),
+            error => Refusal::history_unavailable(&error),
+        })
     };
     let known = state.history.membership().epoch;
     if let Some(chain) = find().await? {
@@ -449,12 +480,13 @@
 }
 
 /// Returns the chain that ends with `previous`, oldest first, and caches the turns fetched from the
-/// history hosts.
+/// history hosts. `share` takes the memory of the chain unless it is cached.
 async fn find_chain(
     state: &Arc<State>,
     job: &Job,
     previous: &Request,
     customer: &Customer,
+    share: &mut Share,
     deadline: Instant,
 ) -> Result<Vec<Predecessor>, Refusal> {
     let lookup = state.chains.lock().find(previous, customer);
@@ -468,7 +500,13 @@
         program: job.program_name(),
     };
     let started = Instant::now();
-    let chain = find_stored(state, &missing, &account, deadline).await;
+    let fetch = tokio::time::timeout_at(deadline, state.chain_fetches.acquire()).await;
+    let Ok(Ok(fetch)) = fetch else {
+        return Err(Exhausted.into());
+    };
+    let cached_bytes = content_bytes(&cached);
+    let chain = find_stored(state, &missing, &account, cached_bytes, share, deadline).await;
+    drop(fetch);
     state
         .instruments
         .record_history_call(HistoryCall::Chain, started.elapsed());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use parking_lot::RwLock;
 use sched::suspect::Suspects;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use crate::Set;
@@ -77,6 +78,16 @@
 /// Part of the process's memory that long bodies of requests may occupy together.
 const BODY_MEMORY_DIVISOR: u64 = 6;
 
+/// Part of the process's memory that the inputs of turns with their chains may occupy together. One may take
+/// half of it, as it is copied once: 7 MB on the smallest entry. A program of 300,000 tokens has under 2 MB.
+const CHAIN_MEMORY_DIVISOR: u64 = 6;
+
+/// Part of the process's memory for chains that are being received from the history hosts.
+const CHAIN_FETCH_DIVISOR: u64 = 8;
+
+/// Memory of one chain's part that is being received, in bytes: a page and a long turn.
+const CHAIN_FETCH_BYTES: u64 = 4 * 1024 * 1024;
+
 /// Size up to which an answer isn't long, in bytes. Hundreds that don't end are held at the same time, each
 /// with the read buffer of its connection.
 const SHORT_ANSWER_BYTES: usize = 16 * 1024;
@@ -104,6 +115,10 @@
     pub answer_memory: Memory,
     /// For long bodies of requests.
     pub body_memory: Memory,
+    /// For the inputs of turns with long chains.
+    pub chain_memory: Memory,
+    /// Limits the number of chains that are received from the history hosts at a time.
+    pub chain_fetches: Semaphore,
     pub chains: Mutex<chain::Cache>,
     pub programs: Mutex<Programs>,
     pub prefixes: Mutex<Prefixes>,
@@ -137,6 +152,12 @@
     pub(crate) evacuations: Mutex<Evacuations>,
 }
 
+/// Number of chains that a process with this memory receives at a time.
+fn chain_fetches(memory_bytes: u64) -> usize {
+    let fetches = memory_bytes / CHAIN_FETCH_DIVISOR / CHAIN_FETCH_BYTES;
+    fetches.max(1) as usize
+}
+
 impl std::fmt::Debug for State {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("State").finish_non_exhaustive()
@@ -159,6 +180,8 @@
             freshness: Freshness::default(),
             answer_memory: part(ANSWER_MEMORY_DIVISOR, SHORT_ANSWER_BYTES),
             body_memory: part(BODY_MEMORY_DIVISOR, SHORT_BODY_BYTES),
+            chain_memory: part(CHAIN_MEMORY_DIVISOR, SHORT_BODY_BYTES),
+            chain_fetches: Semaphore::new(chain_fetches(memory_bytes)),
             chains: Mutex::new(chain::Cache::new(CHAIN_CACHE_BYTES)),
             programs: Mutex::default(),
             prefixes: Mutex::default(),
--- a/crates/history/src/client.rs
+++ b/crates/history/src/client.rs
@@ -384,14 +384,34 @@
         turn: &Request,
         placement: &Account,
         deadline: Instant,
+    ) -> Result<Option<Vec<Turn>>, Error> {
+        self.admitted_chain(turn, placement, |_| true, deadline)
+            .await
+    }
+
+    /// [`Client::chain`] that ends as soon as `admit` returns false for the size of the contents that were
+    /// received so far, in bytes.
+    ///
+    /// Errors: as for [`Client::chain`], or the chain isn't admitted.
+    pub async fn admitted_chain(
+        &self,
+        turn: &Request,
+        placement: &Account,
+        mut admit: impl FnMut(usize) -> bool,
+        deadline: Instant,
     ) -> Result<Option<Vec<Turn>>, Error> {
         let mut found: Map<Request, Turn> = Map::default();
-        let mut chain = Vec::new();
+        let mut chain: Vec<Turn> = Vec::new();
         let mut next = Some(turn.clone());
         while let Some(id) = next {
             if !found.contains_key(&id) && !self.find(&id, &mut found, placement, deadline).await? {
                 return Ok(None);
             }
+            let received = chain.iter().chain(found.values());
+            let bytes = received.map(|turn| turn.content.len()).sum();
+            if !admit(bytes) {
+                return Err(Error::NotAdmitted(bytes));
+            }
             let Some(turn) = found.remove(&id) else {
                 return Ok(None);
             };
--- a/crates/history/src/error.rs
+++ b/crates/history/src/error.rs
@@ -14,6 +14,8 @@
         /// Size of the quorum.
         needed: usize,
     },
+    /// The caller doesn't admit a chain of this size, in bytes.
+    NotAdmitted(usize),
 }
 
 impl fmt::Display for Error {
@@ -23,6 +25,9 @@
             Error::NoQuorum { answered, needed } => {
                 write!(f, "{answered} of {needed} history hosts answered")
             }
+            Error::NotAdmitted(bytes) => {
+                write!(f, "a chain of {bytes} bytes or more isn't admitted")
+            }
         }
     }
 }
--- a/crates/history/src/message.rs
+++ b/crates/history/src/message.rs
@@ -106,7 +106,10 @@
 
 /// Encodes a call's body, an answer or a record.
 pub fn encode<T: Serialize>(message: &T) -> Bytes {
-    match postcard::to_stdvec(message) {
+    let size = postcard::experimental::serialized_size(message);
+    // A vector that grows would take up to three times the message's size.
+    let buffer = Vec::with_capacity(size.unwrap_or(0));
+    match postcard::to_extend(message, buffer) {
         Ok(bytes) => Bytes::from(bytes),
         Err(error) => unreachable!("all message types are encodable: {error}"),
     }
