--- a/crates/gateway/src/serve/memory.rs
+++ b/crates/gateway/src/serve/memory.rs
@@ -38,6 +38,7 @@
 #[derive(Debug)]
 pub struct Memory {
     portions: Arc<Mutex<Portions>>,
+    bytes: usize,
     short: usize,
 }
 
@@ -111,10 +112,16 @@
                 free: bytes / PORTION_BYTES,
                 taken: Map::default(),
             })),
+            bytes,
             short,
         }
     }
 
+    /// What one source may occupy while others occupy nothing, in bytes.
+    pub fn source_bytes(&self) -> usize {
+        self.bytes / (SOURCE_RATIO + 1) * SOURCE_RATIO
+    }
+
     /// A share that occupies nothing yet.
     pub fn share(&self, source: Source) -> Share {
         Share {
