History: a host watches the others while it evicts one

A host that is killed and back within a second could be evicted at once, and had to join again, with the copies and the tolerated loss that this takes.

Cause: `keep_evicting` didn't check any member during an eviction, but kept what it had seen of them. One failed check before and one after the eviction counted as a silence in a row and for all of the time between. Since an eviction is attempted until it succeeds, also through an outage of the object store, so that this time has no bound.

Fix: the checks go on while the eviction runs. A member that answers meanwhile is no longer silent; one that is gone too is still due right after.

--- a/crates/history/src/evict.rs
+++ b/crates/history/src/evict.rs
@@ -42,7 +42,10 @@
             vacancy: Disk::vacancy(rand::random()),
             vacated: false,
         };
-        eviction.run(&gone).await;
+        tokio::select! {
+            () = eviction.run(&gone) => {}
+            () = watch.keep_observing(server, config.me.disk, losses) => {}
+        }
         if eviction.vacated {
             watch.record_eviction(&gone.host);
         }
--- a/crates/history/src/watch.rs
+++ b/crates/history/src/watch.rs
@@ -65,18 +65,7 @@
         tolerated_losses: usize,
     ) -> Member {
         loop {
-            let delay = match self.silent.is_empty() {
-                true => CHECK_DELAY,
-                false => RECHECK_DELAY,
-            };
-            tokio::time::sleep(join::jittered(delay)).await;
-            let membership = server.membership();
-            // Without a spare disk there is nothing to do: a member that is gone has to be replaced.
-            let watched = match membership.has_spare(tolerated_losses) {
-                true => membership.followers(me, tolerated_losses + 1),
-                false => Vec::new(),
-            };
-            self.check(&watched).await;
+            let watched = self.observe(server, me, tolerated_losses).await;
             let due = watched.into_iter().enumerate();
             let mut due = due.filter(|(distance, member)| self.is_due(*distance, member));
             if let Some((_, member)) = due.next() {
@@ -86,6 +75,30 @@
         }
     }
 
+    /// Checks the watched members, as long as it is polled: what is known of them would be outdated afterwards.
+    pub async fn keep_observing(&mut self, server: &Server, me: Disk, tolerated_losses: usize) {
+        loop {
+            self.observe(server, me, tolerated_losses).await;
+        }
+    }
+
+    /// Waits until the next check, checks the watched members, and returns them.
+    async fn observe(&mut self, server: &Server, me: Disk, tolerated_losses: usize) -> Vec<Member> {
+        let delay = match self.silent.is_empty() {
+            true => CHECK_DELAY,
+            false => RECHECK_DELAY,
+        };
+        tokio::time::sleep(join::jittered(delay)).await;
+        let membership = server.membership();
+        // Without a spare disk there is nothing to do: a member that is gone has to be replaced.
+        let watched = match membership.has_spare(tolerated_losses) {
+            true => membership.followers(me, tolerated_losses + 1),
+            false => Vec::new(),
+        };
+        self.check(&watched).await;
+        watched
+    }
+
     /// Records that this host has evicted another one. If that one comes back, it was only out of reach, and
     /// is given more time to answer.
     pub fn record_eviction(&mut self, host: &Host) {
