History: a host that was taken for gone takes its place back from the vacancy

What callers saw: nothing yet; the membership model found it.

Cause, from the trace of (21 hosts, t = 2, Events::ALL): a host is killed, another one takes it for gone and sends the update that puts a vacancy in its place; two disks are lost before that update takes effect. The host starts again with all its records, but isn't a member, and had to replace the vacancy, which needs copies of n - t = 19 complete others. 18 are left. The hosts of the lost disks need 19 as well, and so does the eviction. It isn't the model's patience: each of them needs one member more than there are, so nothing can change. A killed host isn't a lost disk, so no more disks were lost than tolerated. The same holds while an eviction copies, which takes seconds.

Fix: the vacancy's identifier is made from that of the disk whose place it takes, so that this disk recognises it (`Change::Return`), and takes its place back by a conditional update, without copying. The update fails once the vacancy is removed; then the host is added, as before. It is safe because the vacancy answers nothing: each quorum of the membership with the vacancy is one of the membership with the disk too, so that the disk is like a member that didn't answer for a while; the removal of the vacancy fails after the return, as the object has changed. Vacancies of builds before this one have random identifiers and are replaced as before. The encoding hasn't changed.

--- a/crates/history/src/join.rs
+++ b/crates/history/src/join.rs
@@ -120,6 +120,16 @@
             attempts.superseded = true;
             begin(server, next, config).await
         }
+        Change::Return => {
+            let next = current.with_member(me.clone(), Some(me.disk.vacancy()));
+            write_membership(objects, &next, revision).await?;
+            log::info!(
+                step = "join", peer = "history", epoch:% = next.epoch;
+                "disk takes its place back"
+            );
+            attempts.superseded = true;
+            begin(server, next, config).await
+        }
         // An earlier request to replace another disk may still take effect. If this disk were added now
         // and killed, it couldn't tell which of the two made it a member, and would wait for others to
         // copy; a newer revision of the object prevents that.
--- a/crates/history/src/membership.rs
+++ b/crates/history/src/membership.rs
@@ -25,6 +25,11 @@
 //!   records that fewer than `t + 1` members hold is copied to more of them.
 //! - The vacancy is removed. Each committed record has `t + 1` copies without it.
 //!
+//! Until then, a disk that was only out of reach takes its place back by an update that fails once the
+//! vacancy is removed. It is as if it hadn't answered in the meantime: no quorum counted the vacancy, so any
+//! quorum is one of the membership before the eviction as well. It mustn't copy others first: as many disks as
+//! tolerated may have been lost meanwhile, and all of them would wait for one more.
+//!
 //! Only a membership with more than `2t + 1` disks is reduced in this way.
 
 use std::net::SocketAddr;
@@ -71,6 +76,8 @@
     Move,
     /// The disk is added without copying records.
     Add,
+    /// A vacancy has taken the disk's place, and gives it back.
+    Return,
     /// The disk replaces the given member, after it has copied the records of the others.
     Replace(Disk),
 }
@@ -144,6 +151,7 @@
         match self.find(me.disk) {
             Some(member) if member == me => Change::None,
             Some(_) => Change::Move,
+            None if self.find(me.disk.vacancy()).is_some() => Change::Return,
             None if first_start => Change::Add,
             None => match same_host.or(unreachable_member) {
                 Some(old) => Change::Replace(old.disk),
@@ -161,13 +169,13 @@
     }
 
     /// The next membership, in which a vacancy has taken a member's place. It bears the name and the
-    /// address of the member's host, which replaces it if it comes back.
-    pub fn with_vacancy(&self, evicted: Disk, vacancy: Disk) -> Membership {
+    /// address of the member's host, which takes the place back or replaces the vacancy with an empty disk.
+    pub fn with_vacancy(&self, evicted: Disk) -> Membership {
         let mut next = self.clone();
         next.epoch = Epoch(self.epoch.0 + 1);
         for member in &mut next.members {
             if member.disk == evicted {
-                member.disk = vacancy;
+                member.disk = evicted.vacancy();
             }
         }
         next
--- a/crates/history/tests/eviction.rs
+++ b/crates/history/tests/eviction.rs
@@ -245,6 +245,50 @@
     fleet.settle().await.expect("the vacancy is removed");
 }
 
+/// Guards against a history that serves no turn: a host was only out of reach, a vacancy had taken its place, and
+/// as many disks as tolerated were lost. All of them waited to copy from one member more than were left.
+#[rstest]
+#[case::one_loss(4, 1)]
+#[case::two_losses(6, 2)]
+#[tokio::test]
+async fn as_many_disks_as_tolerated_are_lost_while_a_vacancy_stands_in_for_a_host_that_comes_back(
+    #[case] count: usize,
+    #[case] losses: usize,
+) {
+    let mut fleet = Fleet::start(count, losses, 0).await;
+    // The first host and those whose disks are lost hold the turn.
+    let holders: Vec<usize> = (0..=losses).collect();
+    fleet.store_on("turn-1", &holders).await;
+    let evicted = fleet.hosts[0].0.member.disk;
+    // All processes end once the vacancy has taken the place.
+    fleet.hosts[0].0.gate.silence();
+    fleet.store.withhold_answers(true);
+    let vacated = fleet.store.wait_for_member(evicted, false);
+    let vacated = tokio::time::timeout(RECOVERY, vacated).await;
+    assert!(vacated.is_ok(), "nothing takes the silent host's place");
+    fleet.hosts.iter().for_each(|(_, place)| place.abort());
+    fleet.store.withhold_answers(false);
+    let lost: Vec<(Disk, String)> = (0..losses).map(|_| fleet.remove(1)).collect();
+    for at in 0..fleet.hosts.len() {
+        fleet.restart(at).await;
+    }
+    for (_, name) in &lost {
+        let host = Host::start(name).await;
+        let place = host.keep(&fleet.store, losses);
+        fleet.hosts.push((host, place));
+    }
+    fleet.settle().await.expect("all hosts are members");
+    let complete = async {
+        while fleet.hosts.iter().any(|(host, _)| host.server.joining()) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let complete = tokio::time::timeout(RECOVERY, complete).await;
+    assert!(complete.is_ok(), "hosts with lost disks don't join");
+    assert!(fleet.finds("turn-1").await);
+    assert!(fleet.stores("turn-2").await);
+}
+
 /// Guards against a member that is evicted although too few others could hold its records: only a spare one
 /// is.
 #[rstest]
--- a/crates/history/tests/membership_model/faults.rs
+++ b/crates/history/tests/membership_model/faults.rs
@@ -82,3 +82,8 @@
     removals: false,
     ..Events::ALL
 };
+
+/// A member is only killed and begins to be evicted; as many disks as tolerated are lost before its vacancy takes
+/// effect. Had it to copy others to replace the vacancy, it and the lost disks' hosts would wait for one more than
+/// are left.
+pub const DISKS_LOST_BESIDE_A_VACANCY: Events = Events::ALL;
--- a/crates/history/tests/membership_model/host.rs
+++ b/crates/history/tests/membership_model/host.rs
@@ -170,6 +170,13 @@
             *superseded = true;
             begin(process, next).await
         }
+        Change::Return => {
+            let vacancy = me.disk.vacancy();
+            let next = current.with_member(me, Some(vacancy));
+            process.update_object(&next, current.epoch).await?;
+            *superseded = true;
+            begin(process, next).await
+        }
         Change::Add if process.joining() && !current.only_grew() => {
             let next = current.without(me.disk);
             process.update_object(&next, current.epoch).await?;
--- a/crates/history/tests/membership_model/main.rs
+++ b/crates/history/tests/membership_model/main.rs
@@ -167,6 +167,7 @@
 #[case::two_joining_hosts_wait_for_each_other(3, 1, faults::ADDED_AFTER_A_FAILED_REPLACEMENT, 94)]
 #[case::an_added_host_waits_for_a_wiped_one(3, 1, faults::ADDED_AFTER_A_FAILED_REPLACEMENT, 76)]
 #[case::joining_ends_under_an_older_membership(3, 1, ADDED, 491119)]
+#[case::disks_are_lost_beside_a_vacancy(21, 2, faults::DISKS_LOST_BESIDE_A_VACANCY, 9100205)]
 fn a_run_that_broke_todays_rules_passes(
     #[case] hosts: usize,
     #[case] losses: usize,
