History: calls follow a change between direct connections and a relay

Callers saw: a stream is cut at its request's deadline though the history hosts answer, directly or through another entry. Found by reading; that users saw it isn't shown.

Cause: a call to several hosts kept the way with which it had begun until its deadline. A turn that was being stored while its relay went silent was sent to that relay only, also once direct calls worked again; one that had begun directly didn't use a relay that was found later. Besides, an entry was tried as a relay by setting it for all calls, for up to 0.7 s, though it may have gone silent after its last report.

Fix: each attempt uses the way that is set at its start, and is repeated at once when that changes: all calls may be repeated, as they are after each timeout. A relay is set once a read quorum has answered through it; a former one that doesn't answer is dropped before another one is tried.

`relay`, `storing`, and of the platform `cut_off`, `kept` and `removed` pass.

--- a/crates/gateway/src/controller.rs
+++ b/crates/gateway/src/controller.rs
@@ -287,28 +287,23 @@
 }
 
 /// Keeps the current relay if it works, otherwise tries another one at random. Returns whether a
-/// relay works.
+/// relay works. Calls use a relay only once it has answered: it may have gone silent after its last report.
 async fn select_relay(state: &State) -> bool {
     let relays = state.relays();
     let current = state.history.relay_address();
-    let current = current.filter(|relay| relays.contains(relay));
-    let others = relays
-        .iter()
-        .copied()
-        .filter(|relay| Some(*relay) != current);
-    let alternative = others.choose(&mut rand::rng());
-    for relay in current.into_iter().chain(alternative) {
-        state.history.set_relay(Some(relay));
-        if state
-            .history
-            .has_quorum(Route::Any, HISTORY_PROBE_TIMEOUT)
-            .await
-        {
-            return true;
-        }
+    let listed = current.filter(|relay| relays.contains(relay));
+    if let Some(relay) = listed
+        && state.history.try_relay(relay, HISTORY_PROBE_TIMEOUT).await
+    {
+        return true;
     }
     state.history.set_relay(None);
-    false
+    let others = relays.into_iter().filter(|relay| Some(*relay) != current);
+    let other = others.choose(&mut rand::rng());
+    match other {
+        Some(relay) => state.history.try_relay(relay, HISTORY_PROBE_TIMEOUT).await,
+        None => false,
+    }
 }
 
 async fn remove_expired(state: Arc<State>) {
--- a/crates/history/src/client.rs
+++ b/crates/history/src/client.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use coord::id::Customer;
 use coord::id::Request;
+use node::link::Link;
 use tokio::time::Instant;
 
 use crate::Map;
@@ -293,7 +294,7 @@
                 order: &order,
                 initial: query.initial,
                 body: query.body.clone(),
-                route: query.route,
+                route: query.route.clone(),
                 on_closed: query.on_closed,
                 deadline: query.deadline,
             };
@@ -450,14 +451,28 @@
         Ok(present)
     }
 
-    /// Sets the entry used as a relay; `None` switches back to direct connections.
+    /// Uses an entry as a relay if a read quorum answers through it within `timeout`; returns whether it does.
+    pub async fn try_relay(&self, address: SocketAddr, timeout: Duration) -> bool {
+        let current = self.transport.relay();
+        let current = current.filter(|relay| relay.address() == address);
+        let relay = current.unwrap_or_else(|| Link::new(address));
+        let answers = self
+            .has_quorum(Route::Through(relay.clone()), timeout)
+            .await;
+        if answers {
+            self.transport.set_relay(Some(relay));
+        }
+        answers
+    }
+
+    /// Sets the entry used as a relay; `None` switches back to direct connections. Calls in progress follow.
     pub fn set_relay(&self, address: Option<SocketAddr>) {
-        self.transport.set_relay(address);
+        self.transport.set_relay(address.map(Link::new));
     }
 
     /// Address of the relay in use; `None` while hosts are called directly.
     pub fn relay_address(&self) -> Option<SocketAddr> {
-        self.transport.relay_address()
+        self.transport.relay().as_ref().map(Link::address)
     }
 
     /// A relay that forwards calls of other entries over this client's direct connections.
--- a/crates/history/src/quorum.rs
+++ b/crates/history/src/quorum.rs
@@ -1,6 +1,5 @@
 //! Concurrent calls to several disks, with retries and hedging.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +9,7 @@
 use node::link;
 use node::link::Link;
 use parking_lot::RwLock;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::Map;
@@ -65,15 +65,17 @@
 pub struct Transport {
     view: RwLock<Arc<View>>,
     /// Entry through which hosts are called while direct connections fail.
-    relay: RwLock<Option<Link>>,
+    relay: watch::Sender<Option<Link>>,
 }
 
 /// Connections that a call may use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub enum Route {
     /// Direct connections only.
     Direct,
-    /// The relay if one is set, else direct connections.
+    /// This relay only.
+    Through(Link),
+    /// The relay if one is set, else direct connections. Changes with the relay while the call lasts.
     Any,
 }
 
@@ -105,17 +107,21 @@
         Arc::clone(&self.view.read())
     }
 
-    /// Sets the entry used as a relay; `None` switches back to direct connections.
-    pub fn set_relay(&self, address: Option<SocketAddr>) {
-        let mut relay = self.relay.write();
-        if relay.as_ref().map(Link::address) != address {
-            *relay = address.map(Link::new);
-        }
+    /// Sets the entry used as a relay; `None` switches back to direct connections. Calls in progress follow.
+    pub fn set_relay(&self, relay: Option<Link>) {
+        self.relay.send_if_modified(|current| {
+            let address = relay.as_ref().map(Link::address);
+            let is_changed = current.as_ref().map(Link::address) != address;
+            if is_changed {
+                *current = relay;
+            }
+            is_changed
+        });
     }
 
-    /// Address of the relay in use.
-    pub fn relay_address(&self) -> Option<SocketAddr> {
-        self.relay.read().as_ref().map(Link::address)
+    /// Link to the relay in use.
+    pub fn relay(&self) -> Option<Link> {
+        self.relay.borrow().clone()
     }
 
     /// Replaces the membership if `membership` has a higher epoch; returns whether it has.
@@ -177,18 +183,18 @@
     mut on_answer: impl FnMut(Disk, Answer) -> Progress,
 ) -> Outcome {
     let epoch = view.membership.epoch;
-    let relay = match fanout.route {
-        Route::Direct => None,
-        Route::Any => transport.relay.read().clone(),
-    };
     let send = |disk: Disk, delay: Duration| {
-        let peer = match &relay {
-            Some(relay) => Peer::Relay(relay.clone()),
-            None => Peer::Host(view.link(disk)?),
+        let way = match &fanout.route {
+            Route::Direct => Way::Host(view.link(disk)?),
+            Route::Through(relay) => Way::Relay(relay.clone()),
+            Route::Any => Way::Changing {
+                host: view.link(disk)?,
+                relay: transport.relay.subscribe(),
+            },
         };
         let header = Header { disk, epoch };
         let frame = message::frame(header, &fanout.body);
-        Some(call(disk, peer, frame, fanout.deadline, delay))
+        Some(call(disk, way, frame, fanout.deadline, delay))
     };
     let order = fanout.order.iter();
     let mut remaining = order.filter_map(|disk| send(*disk, Duration::ZERO)).fuse();
@@ -242,25 +248,50 @@
     }
 }
 
-/// Process that a call is sent to.
-enum Peer {
+/// Way in which calls reach a host.
+enum Way {
     Host(Link),
     Relay(Link),
+    /// Through the relay while there is one.
+    Changing {
+        host: Link,
+        relay: watch::Receiver<Option<Link>>,
+    },
 }
 
-impl Peer {
-    async fn call(&self, frame: Bytes, timeout: Duration) -> Result<Bytes, link::Error> {
+impl Way {
+    /// Calls the host; returns `None` as soon as the way to it has changed.
+    async fn call(
+        &mut self,
+        frame: Bytes,
+        timeout: Duration,
+    ) -> Option<Result<Bytes, link::Error>> {
         match self {
-            Peer::Host(host) => host.call(frame, timeout).await,
-            Peer::Relay(entry) => relay::call(entry, frame, timeout).await,
+            Way::Host(host) => Some(host.call(frame, timeout).await),
+            Way::Relay(relay) => Some(relay::call(relay, frame, timeout).await),
+            Way::Changing { host, relay } => {
+                let current = relay.borrow_and_update().clone();
+                let calling = async {
+                    match &current {
+                        Some(relay) => relay::call(relay, frame, timeout).await,
+                        None => host.call(frame, timeout).await,
+                    }
+                };
+                tokio::select! {
+                    biased;
+                    answer = calling => Some(answer),
+                    Ok(()) = relay.changed() => None,
+                }
+            }
         }
     }
 }
 
-/// Calls one disk after a delay, until it answers or the deadline passes.
+/// Calls one disk after a delay, until it answers or the deadline passes. The call is sent again at once when
+/// the way to the host changes: the former one may stay silent.
 async fn call(
     disk: Disk,
-    peer: Peer,
+    mut way: Way,
     frame: Bytes,
     deadline: Instant,
     delay: Duration,
@@ -276,7 +307,10 @@
             return (disk, None);
         }
         let sent = Instant::now();
-        let answer = peer.call(frame.clone(), remaining.min(timeout)).await;
+        let Some(answer) = way.call(frame.clone(), remaining.min(timeout)).await else {
+            (delay, timeout) = (Duration::ZERO, ANSWER_TIMEOUT);
+            continue;
+        };
         match answer.map(|frame| message::read_answer(&frame)) {
             Ok(Ok(answer)) => return (disk, Some(answer)),
             Ok(Err(error)) => {
