Gateway: a chunk's size without end closes the connection of its target

What callers saw: a request whose target sends zeros before a chunk's size without end, or spaces after it, was held until its deadline, while the entry read as fast as it could.

Cause: the HTTP library accepts any number of such bytes, and none of them reaches the reader of the body, whose limit counts data only. target::meter bounded heads and let anything pass after them.

The fix: the allowance of a connection goes on in the body. It begins with 256 KB, and each byte of data adds 32, up to 256 KB again.

--- a/crates/gateway/src/serve/collect.rs
+++ b/crates/gateway/src/serve/collect.rs
@@ -12,6 +12,7 @@
 use crate::error::Error as AttemptError;
 use crate::serve::memory::Exhausted;
 use crate::serve::memory::Memory;
+use crate::target::pool::Lease;
 
 /// Maximum size of an answer, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -60,7 +61,7 @@
 /// Reads a whole body. It occupies memory until it is dropped, as its caller may be slow to read it.
 ///
 /// Errors: the body ends early, or is longer than the limits allow.
-pub async fn collect(memory: &Memory, mut body: Incoming) -> Result<Bytes, Error> {
+pub async fn collect(memory: &Memory, lease: &Lease, mut body: Incoming) -> Result<Bytes, Error> {
     let mut bytes = BytesMut::new();
     let mut share = memory.share();
     while let Some(frame) = body.frame().await {
@@ -68,6 +69,7 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
+        lease.record_data(data.len());
         let size = bytes.len() + data.len();
         if size > MAX_ANSWER_BYTES {
             return Err(Error::TooLong);
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -104,7 +104,7 @@
         idle,
         ..
     } = answer;
-    let read = collect::collect(&state.answer_memory, body);
+    let read = collect::collect(&state.answer_memory, &lease, body);
     let bytes = match tokio::time::timeout_at(send::response_deadline(job), read).await {
         Ok(bytes) => bytes?,
         Err(_) => return Err(collect::Error::Timeout),
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -225,6 +225,9 @@
     ///
     /// Errors: the chunk can't be relayed.
     fn scan(&mut self, data: Bytes) -> Result<Bytes, Unusable> {
+        if let Phase::Relaying(source) = &self.phase {
+            source.lease.record_data(data.len());
+        }
         let pushed = self.scanner.push(data);
         let CompleteEvents { bytes, count } = pushed
             .map_err(|event::TooLong| Unusable::TooLong("an event exceeds the size limit"))?;
--- a/crates/gateway/src/target/meter.rs
+++ b/crates/gateway/src/target/meter.rs
@@ -1,6 +1,7 @@
-//! Limits the bytes that are read from a connection before the head of an answer is complete.
+//! Limits the bytes that are read from a connection without anything that a reader counts.
 //!
-//! The HTTP library bounds one head, but not the number of interim answers before it.
+//! The HTTP library bounds one head, but neither the number of interim answers before it nor the digits and
+//! spaces of a chunk's size.
 
 use std::io;
 use std::pin::Pin;
@@ -15,8 +16,12 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-/// Bytes that may be read until the head of an answer is complete.
-const HEAD_BYTES: usize = 256 * 1024;
+/// Bytes that may be read until the head of an answer is complete, or besides the data of a body.
+const OVERHEAD_BYTES: usize = 256 * 1024;
+
+/// Bytes that may be read for each byte of a body's data: chunks of one byte take six, or more if their sizes
+/// have leading zeros.
+const BYTES_PER_DATA: usize = 32;
 
 /// Number of bytes that may still be read from a connection.
 #[derive(Debug, Clone)]
@@ -25,19 +30,32 @@
 impl Default for Allowance {
     /// Allows a head.
     fn default() -> Allowance {
-        Allowance(Arc::new(AtomicUsize::new(HEAD_BYTES)))
+        Allowance(Arc::new(AtomicUsize::new(OVERHEAD_BYTES)))
     }
 }
 
 impl Allowance {
-    /// Begins to wait for a head.
-    pub fn expect_head(&self) {
-        self.0.store(HEAD_BYTES, Ordering::Relaxed);
+    /// Begins to wait for a head, or for a body after it.
+    pub fn renew(&self) {
+        self.0.store(OVERHEAD_BYTES, Ordering::Relaxed);
+    }
+
+    /// Allows more after some data of a body, which its reader counts.
+    pub fn record_data(&self, bytes: usize) {
+        let more = bytes.saturating_mul(BYTES_PER_DATA);
+        let add = |allowed: usize| Some(allowed.saturating_add(more).min(OVERHEAD_BYTES));
+        let _ = self
+            .0
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
     }
 
-    /// Allows any number of bytes, as the reader of a body counts them.
-    pub fn expect_body(&self) {
-        self.0.store(usize::MAX, Ordering::Relaxed);
+    /// Takes bytes that were read; returns whether they were allowed.
+    fn take(&self, bytes: usize) -> bool {
+        let take = |allowed: usize| allowed.checked_sub(bytes);
+        let taken = self
+            .0
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        taken.is_ok()
     }
 }
 
@@ -57,24 +75,10 @@
         let before = buffer.filled().len();
         std::task::ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let read = buffer.filled().len() - before;
-        let allowed = self.allowance.0.load(Ordering::Relaxed);
-        match allowed {
-            usize::MAX => {}
-            allowed if read > allowed => {
-                return Poll::Ready(Err(io::Error::other("bytes without the end of a head")));
-            }
-            allowed => {
-                // Lost if the allowance has just been changed, which only makes it larger.
-                let rest = allowed - read;
-                let _ = self.allowance.0.compare_exchange(
-                    allowed,
-                    rest,
-                    Ordering::Relaxed,
-                    Ordering::Relaxed,
-                );
-            }
-        }
-        Poll::Ready(Ok(()))
+        Poll::Ready(match self.allowance.take(read) {
+            true => Ok(()),
+            false => Err(io::Error::other("bytes without the end of a head or data")),
+        })
     }
 }
 
--- a/crates/gateway/src/target/pool.rs
+++ b/crates/gateway/src/target/pool.rs
@@ -242,14 +242,21 @@
     /// Connection on which to send a request.
     pub fn sender(&mut self) -> Option<&mut Sender> {
         let connection = self.connection.as_mut()?;
-        connection.allowance.expect_head();
+        connection.allowance.renew();
         Some(&mut connection.sender)
     }
 
     /// Allows the body of the answer whose head has come.
     pub fn expect_body(&self) {
         if let Some(connection) = &self.connection {
-            connection.allowance.expect_body();
+            connection.allowance.renew();
+        }
+    }
+
+    /// Allows more of a body after some of its data.
+    pub fn record_data(&self, bytes: usize) {
+        if let Some(connection) = &self.connection {
+            connection.allowance.record_data(bytes);
         }
     }
 
