--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -70,6 +70,7 @@
         urgency: None,
         last_event: None,
         chosen: Instant::now(),
+        needs_version: false,
     };
     let answer = send::send(state, &choice, &attempt).await?;
     let entry = choice.candidate;
--- a/crates/gateway/src/target/pool.rs
+++ b/crates/gateway/src/target/pool.rs
@@ -65,6 +65,7 @@
 struct Connection {
     sender: Sender,
     allowance: Allowance,
+    opened: Instant,
 }
 
 struct Idle {
@@ -100,6 +101,8 @@
     connection: Option<Connection>,
     /// Whether the connection has served a request before.
     pub reused: bool,
+    /// When the connection was open. It belongs to one start of its target, which had begun by then.
+    pub opened: Instant,
 }
 
 impl std::fmt::Debug for Lease {
@@ -127,11 +130,13 @@
             load: Arc::clone(&candidate.load),
             connection: None,
             reused: false,
+            opened: Instant::now(),
         };
         lease.load.running.fetch_add(1, Ordering::Relaxed);
         while let Some(mut connection) = self.take_idle(&lease.key, pick) {
             let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
+                lease.opened = connection.opened;
                 lease.connection = Some(connection);
                 lease.reused = true;
                 return Ok(lease);
@@ -145,6 +150,7 @@
         let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         match tokio::time::timeout_at(connect_deadline, self.connect(&lease.key)).await {
             Ok(Ok(connection)) => {
+                lease.opened = connection.opened;
                 lease.connection = Some(connection);
                 Ok(lease)
             }
@@ -195,7 +201,11 @@
             }
             drop(open_count);
         });
-        Ok(Connection { sender, allowance })
+        Ok(Connection {
+            sender,
+            allowance,
+            opened: Instant::now(),
+        })
     }
 
     /// Closes expired idle connections and removes targets without connections.
