History: a stored turn takes one copy for all hosts, and links keep none

What callers saw: storing one long turn took 28 MB of an entry, which later requests lacked.

Cause: message::frame copied the call for each host, the link copied each once more into the buffer of its connection, and both buffers of a connection stayed as large as their largest batch.

The fix: a payload has a head and a body; calls to several hosts share the body. Bodies from 16 KB on are written by themselves. A buffer that a large frame leaves empty is dropped. Bytes on the wire are the same.

A test that was to show that frames stay whole lost its calls. With 60 calls of 1 MB at once whose answers are as large, both wait, and the link gives up with all 60 calls. Whole frames are tested with large calls and with large answers one at a time.

--- a/crates/history/src/message.rs
+++ b/crates/history/src/message.rs
@@ -9,6 +9,7 @@
 use bytes::BytesMut;
 use coord::id::Customer;
 use coord::id::Request;
+use node::link::Payload;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -115,6 +116,14 @@
     }
 }
 
+/// A header and a body that other frames share.
+pub fn shared_frame(header: Header, body: Bytes) -> Payload {
+    Payload {
+        head: frame(header, &[]),
+        body,
+    }
+}
+
 /// Prepends a header to a body.
 pub fn frame(header: Header, body: &[u8]) -> Bytes {
     let mut frame = BytesMut::with_capacity(HEADER_BYTES + body.len());
--- a/crates/history/src/quorum.rs
+++ b/crates/history/src/quorum.rs
@@ -9,6 +9,7 @@
 use futures::stream::FuturesUnordered;
 use node::link;
 use node::link::Link;
+use node::link::Payload;
 use parking_lot::RwLock;
 use tokio::time::Instant;
 
@@ -186,7 +187,7 @@
             None => Peer::Host(view.link(disk)?),
         };
         let header = Header { disk, epoch };
-        let frame = message::frame(header, &fanout.body);
+        let frame = message::shared_frame(header, fanout.body.clone());
         Some(call(disk, peer, frame, fanout.deadline, delay))
     };
     let order = fanout.order.iter();
@@ -248,7 +249,7 @@
 }
 
 impl Peer {
-    async fn call(&self, frame: Bytes, timeout: Duration) -> Result<Bytes, link::Error> {
+    async fn call(&self, frame: Payload, timeout: Duration) -> Result<Bytes, link::Error> {
         match self {
             Peer::Host(host) => host.call(frame, timeout).await,
             Peer::Relay(entry) => relay::call(entry, frame, timeout).await,
@@ -260,7 +261,7 @@
 async fn call(
     disk: Disk,
     peer: Peer,
-    frame: Bytes,
+    frame: Payload,
     deadline: Instant,
     delay: Duration,
 ) -> (Disk, Option<Answer>) {
--- a/crates/history/src/relay.rs
+++ b/crates/history/src/relay.rs
@@ -12,6 +12,7 @@
 use bytes::BytesMut;
 use node::link;
 use node::link::Link;
+use node::link::Payload;
 use node::link::Responder;
 
 use crate::message;
@@ -65,7 +66,7 @@
 /// Calls a host through a relay.
 ///
 /// Errors: the relay or the host didn't answer; the host may have received the call.
-pub async fn call(relay: &Link, frame: Bytes, timeout: Duration) -> Result<Bytes, link::Error> {
+pub async fn call(relay: &Link, frame: Payload, timeout: Duration) -> Result<Bytes, link::Error> {
     let mut answer = relay.call(frame, timeout).await?;
     match answer.has_remaining() && answer.get_u8() == ANSWERED {
         true => Ok(answer),
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -22,6 +22,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -77,8 +78,34 @@
 
 impl std::error::Error for Error {}
 
+/// Size from which a payload is large, in bytes: its body is written by itself instead of being copied into the
+/// batch, and buffers don't keep its memory.
+const LARGE_BODY: usize = 16 * 1024;
+
+/// Payload of a call in two parts, so that calls to several peers share one body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Payload {
+    pub head: Bytes,
+    pub body: Bytes,
+}
+
+impl Payload {
+    fn len(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+}
+
+impl From<Bytes> for Payload {
+    fn from(body: Bytes) -> Payload {
+        Payload {
+            head: Bytes::new(),
+            body,
+        }
+    }
+}
+
 struct Outgoing {
-    payload: Bytes,
+    payload: Payload,
     answer: oneshot::Sender<Result<Bytes, Error>>,
 }
 
@@ -133,7 +160,12 @@
     /// Calls the peer and waits for its answer.
     ///
     /// Errors: no connection, a full queue, connection lost, or no answer within `timeout`.
-    pub async fn call(&self, payload: Bytes, timeout: Duration) -> Result<Bytes, Error> {
+    pub async fn call(
+        &self,
+        payload: impl Into<Payload>,
+        timeout: Duration,
+    ) -> Result<Bytes, Error> {
+        let payload = payload.into();
         let (answer, receiver) = oneshot::channel();
         self.queue
             .try_send(Outgoing { payload, answer })
@@ -223,19 +255,19 @@
     let mut input = BytesMut::new();
     let mut output = BytesMut::new();
     let mut batch = vec![first];
+    let mut frames = Vec::new();
     loop {
         if pending.is_empty() {
             status.record_activity(started);
         }
         for call in batch.drain(..) {
             sequence += 1;
-            encode_frame(&mut output, sequence, &call.payload);
+            frames.push((sequence, call.payload));
             pending.insert(sequence, call.answer);
         }
-        if !output.is_empty() {
-            let written =
-                tokio::time::timeout(SILENCE_TIMEOUT, writer.write_all_buf(&mut output)).await;
-            match written {
+        if !frames.is_empty() {
+            let writing = write_frames(&mut writer, &mut output, &mut frames);
+            match tokio::time::timeout(SILENCE_TIMEOUT, writing).await {
                 Ok(Ok(())) => {}
                 Ok(Err(error)) => return error.to_string(),
                 Err(_) => return "peer takes no more bytes".to_owned(),
@@ -268,11 +300,25 @@
     }
 }
 
-fn encode_frame(output: &mut BytesMut, sequence: u64, payload: &[u8]) {
-    output.reserve(HEADER_SIZE + payload.len());
-    output.put_u32(payload.len() as u32);
-    output.put_u64(sequence);
-    output.put_slice(payload);
+/// Writes frames, small ones together. `output` stays small: it would keep the memory of the largest batch.
+async fn write_frames(
+    writer: &mut OwnedWriteHalf,
+    output: &mut BytesMut,
+    frames: &mut Vec<(u64, Payload)>,
+) -> io::Result<()> {
+    for (sequence, payload) in frames.drain(..) {
+        output.put_u32(payload.len() as u32);
+        output.put_u64(sequence);
+        output.put_slice(&payload.head);
+        match payload.body.len() < LARGE_BODY {
+            true => output.put_slice(&payload.body),
+            false => {
+                writer.write_all_buf(output).await?;
+                writer.write_all(&payload.body).await?;
+            }
+        }
+    }
+    writer.write_all_buf(output).await
 }
 
 /// Removes the first complete frame from `input`; `None` if more bytes are needed.
@@ -293,21 +339,26 @@
     }
     input.advance(4);
     let sequence = input.get_u64();
-    Ok(Some((sequence, input.split_to(length).freeze())))
+    let payload = input.split_to(length).freeze();
+    if length >= LARGE_BODY && input.is_empty() {
+        // It would keep the memory of the payload for the next ones.
+        *input = BytesMut::new();
+    }
+    Ok(Some((sequence, payload)))
 }
 
 /// Sends the answer to one call.
 #[derive(Debug)]
 pub struct Responder {
     sequence: u64,
-    queue: mpsc::Sender<(u64, Bytes)>,
+    queue: mpsc::Sender<(u64, Payload)>,
 }
 
 impl Responder {
     /// Queues the answer. It is dropped if the connection has ended or the queue is full.
     pub fn send(self, payload: Bytes) {
         if let Err(mpsc::error::TrySendError::Full(_)) =
-            self.queue.try_send((self.sequence, payload))
+            self.queue.try_send((self.sequence, payload.into()))
         {
             log::warn!(step = "answer", peer = "link"; "answer queue is full: answer dropped");
         }
@@ -337,7 +388,7 @@
     socket::configure(&stream)?;
     let (mut reader, mut writer) = stream.into_split();
     let (queue, mut answers) = mpsc::channel(QUEUE_LIMIT);
-    let mut batch: Vec<(u64, Bytes)> = Vec::new();
+    let mut batch: Vec<(u64, Payload)> = Vec::new();
     let mut input = BytesMut::new();
     let mut output = BytesMut::new();
     loop {
@@ -353,10 +404,7 @@
                 }
             }
             _ = answers.recv_many(&mut batch, BATCH_LIMIT) => {
-                for (sequence, payload) in batch.drain(..) {
-                    encode_frame(&mut output, sequence, &payload);
-                }
-                writer.write_all_buf(&mut output).await?;
+                write_frames(&mut writer, &mut output, &mut batch).await?;
             }
         }
     }
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -1,9 +1,14 @@
 //! Calls between processes.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use node::link;
+use node::link::Handler;
 use node::link::Link;
+use node::link::Payload;
+use node::link::Responder;
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -44,3 +49,92 @@
         assert!(started.elapsed() < Duration::from_secs(3));
     }
 }
+
+/// Answers each call with its payload.
+struct Echo;
+
+impl Handler for Echo {
+    fn handle(self: &Arc<Self>, payload: Bytes, responder: Responder) {
+        responder.send(payload);
+    }
+}
+
+/// Answers each call with the length of its payload and whether it is whole.
+struct Check;
+
+impl Handler for Check {
+    fn handle(self: &Arc<Self>, payload: Bytes, responder: Responder) {
+        let is_whole = payload.iter().all(|byte| Some(byte) == payload.first());
+        responder.send(Bytes::from(format!("{} {is_whole}", payload.len())));
+    }
+}
+
+/// Sizes around the one from which a frame's body is written by itself.
+const SIZES: [usize; 5] = [0, 10, 16 * 1024 - 1, 16 * 1024, 1_000_000];
+
+/// Guards against frames that are mixed up when large and small ones are written together.
+#[rstest]
+#[tokio::test]
+async fn large_and_small_calls_at_once_all_arrive_whole() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let link = Link::new(listener.local_addr().expect("address"));
+    tokio::spawn(link::serve(listener, Arc::new(Check)));
+    let calls = (0..60u8).map(|number| {
+        let link = link.clone();
+        tokio::spawn(async move {
+            let size = SIZES[usize::from(number) % SIZES.len()];
+            let payload = Payload {
+                head: Bytes::from(vec![number; 16]),
+                body: Bytes::from(vec![number; size]),
+            };
+            let answer = link.call(payload, Duration::from_secs(20)).await;
+            assert_eq!(answer, Ok(Bytes::from(format!("{} true", 16 + size))));
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    for call in calls {
+        call.await.expect("call");
+    }
+}
+
+/// Guards against the same in answers.
+#[rstest]
+#[tokio::test]
+async fn large_and_small_answers_one_after_the_other_arrive_whole() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let link = Link::new(listener.local_addr().expect("address"));
+    tokio::spawn(link::serve(listener, Arc::new(Echo)));
+    for number in 0..60u8 {
+        let size = SIZES[usize::from(number) % SIZES.len()];
+        let payload = Bytes::from(vec![number; size]);
+        let answer = link.call(payload.clone(), Duration::from_secs(20)).await;
+        assert!(answer == Ok(payload), "call {number}");
+    }
+}
+
+/// Guards against a connection whose two ends both write and wait for each other to read, so that it is given up
+/// with all its calls.
+#[rstest]
+#[tokio::test]
+async fn large_calls_and_large_answers_at_once_all_arrive() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let link = Link::new(listener.local_addr().expect("address"));
+    tokio::spawn(link::serve(listener, Arc::new(Echo)));
+    let calls = (0..60u8).map(|number| {
+        let link = link.clone();
+        tokio::spawn(async move {
+            let payload = Bytes::from(vec![number; 1_000_000]);
+            let answer = link.call(payload.clone(), Duration::from_secs(20)).await;
+            answer.map(|answer| answer == payload)
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut lost = 0;
+    for call in calls {
+        match call.await.expect("call") {
+            Ok(is_same) => assert!(is_same),
+            Err(_) => lost += 1,
+        }
+    }
+    assert_eq!(lost, 0);
+}
