--- a/crates/history/src/quorum.rs
+++ b/crates/history/src/quorum.rs
@@ -8,6 +8,7 @@
 use futures::stream::FuturesUnordered;
 use node::link;
 use node::link::Link;
+use node::link::Payload;
 use parking_lot::RwLock;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -193,7 +194,7 @@
             },
         };
         let header = Header { disk, epoch };
-        let frame = message::frame(header, &fanout.body);
+        let frame = message::shared_frame(header, fanout.body.clone());
         Some(call(disk, way, frame, fanout.deadline, delay))
     };
     let order = fanout.order.iter();
@@ -263,7 +264,7 @@
     /// Calls the host; returns `None` as soon as the way to it has changed.
     async fn call(
         &mut self,
-        frame: Bytes,
+        frame: Payload,
         timeout: Duration,
     ) -> Option<Result<Bytes, link::Error>> {
         match self {
@@ -292,7 +293,7 @@
 async fn call(
     disk: Disk,
     mut way: Way,
-    frame: Bytes,
+    frame: Payload,
     deadline: Instant,
     delay: Duration,
 ) -> (Disk, Option<Answer>) {
