Links read answers while they write calls

Found by a test that was to show whole frames (KNOWN-RED, not reported by callers): 60 calls of 1 MB at once whose answers are as large are all lost after 0.7 s. An entry that stores long turns at a host while it reads long chains from it would meet it, as after a restart of many entries; that was not played.

Cause: both ends of a link wrote a whole batch before they read again. Once the answers filled the buffers, the host took no more calls, and the link gave up after 0.7 s for the whole batch, with all pending calls. The same limit also cut batches that a slow connection can't carry within 0.7 s: 2.6 MB at 30 Mbit/s, by calculation.

Fix: the calling end reads while it writes, which suffices for both. A pause of 0.7 s between two writes ends the connection, however long the batch takes. The answering end has no limit, as before.

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -266,11 +266,23 @@
             pending.insert(sequence, call.answer);
         }
         if !frames.is_empty() {
-            let writing = write_frames(&mut writer, &mut output, &mut frames);
-            match tokio::time::timeout(SILENCE_TIMEOUT, writing).await {
-                Ok(Ok(())) => {}
-                Ok(Err(error)) => return error.to_string(),
-                Err(_) => return "peer takes no more bytes".to_owned(),
+            let writing = write_frames(&mut writer, &mut output, &mut frames, SILENCE_TIMEOUT);
+            tokio::pin!(writing);
+            // A peer that writes long answers takes no calls until they are read.
+            loop {
+                input.reserve(READ_SIZE);
+                tokio::select! {
+                    written = &mut writing => match written {
+                        Ok(()) => break,
+                        Err(error) => return error.to_string(),
+                    },
+                    read = reader.read_buf(&mut input) => {
+                        if let Err(cause) = received(read, &mut input, &mut pending) {
+                            return cause;
+                        }
+                        status.record_activity(started);
+                    }
+                }
             }
         }
         input.reserve(READ_SIZE);
@@ -278,47 +290,74 @@
             count = calls.recv_many(&mut batch, BATCH_LIMIT) => if count == 0 {
                 return "link is dropped".to_owned();
             },
-            read = reader.read_buf(&mut input) => match read {
-                Ok(0) => return "closed by peer".to_owned(),
-                Ok(_) => {
-                    status.record_activity(started);
-                    loop {
-                        match decode_frame(&mut input) {
-                            Ok(Some((sequence, payload))) => if let Some(answer) = pending.remove(&sequence) {
-                                // The caller may have stopped waiting.
-                                let _ = answer.send(Ok(payload));
-                            },
-                            Ok(None) => break,
-                            Err(error) => return error.to_string(),
-                        }
-                    }
+            read = reader.read_buf(&mut input) => {
+                if let Err(cause) = received(read, &mut input, &mut pending) {
+                    return cause;
                 }
-                Err(error) => return error.to_string(),
-            },
+                status.record_activity(started);
+            }
             () = status.reset.notified() => return "peer sent nothing while calls were pending".to_owned(),
         }
     }
 }
 
+/// Hands complete answers to their callers after a read.
+///
+/// Errors: the connection has ended or can't be used any more; the cause.
+fn received(
+    read: io::Result<usize>,
+    input: &mut BytesMut,
+    pending: &mut Map<u64, oneshot::Sender<Result<Bytes, Error>>>,
+) -> Result<(), String> {
+    if read.map_err(|error| error.to_string())? == 0 {
+        return Err("closed by peer".to_owned());
+    }
+    while let Some((sequence, payload)) = decode_frame(input).map_err(|error| error.to_string())? {
+        if let Some(answer) = pending.remove(&sequence) {
+            // The caller may have stopped waiting.
+            let _ = answer.send(Ok(payload));
+        }
+    }
+    Ok(())
+}
+
 /// Writes frames, small ones together. `output` stays small: it would keep the memory of the largest batch.
 async fn write_frames(
     writer: &mut OwnedWriteHalf,
     output: &mut BytesMut,
     frames: &mut Vec<(u64, Payload)>,
+    pause: Duration,
 ) -> io::Result<()> {
-    for (sequence, payload) in frames.drain(..) {
+    for (sequence, mut payload) in frames.drain(..) {
         output.put_u32(payload.len() as u32);
         output.put_u64(sequence);
         output.put_slice(&payload.head);
         match payload.body.len() < LARGE_BODY {
             true => output.put_slice(&payload.body),
             false => {
-                writer.write_all_buf(output).await?;
-                writer.write_all(&payload.body).await?;
+                write_all(writer, output, pause).await?;
+                write_all(writer, &mut payload.body, pause).await?;
             }
         }
     }
-    writer.write_all_buf(output).await
+    write_all(writer, output, pause).await
+}
+
+/// Writes all bytes. How long this takes depends on their number and the link, so only a longer pause between two
+/// writes is an error.
+async fn write_all(
+    writer: &mut OwnedWriteHalf,
+    bytes: &mut impl Buf,
+    pause: Duration,
+) -> io::Result<()> {
+    while bytes.has_remaining() {
+        match tokio::time::timeout(pause, writer.write_buf(bytes)).await {
+            Ok(Ok(0)) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => written?,
+            Err(_) => return Err(io::Error::other("peer takes no more bytes")),
+        };
+    }
+    Ok(())
 }
 
 /// Removes the first complete frame from `input`; `None` if more bytes are needed.
@@ -404,7 +443,8 @@
                 }
             }
             _ = answers.recv_many(&mut batch, BATCH_LIMIT) => {
-                write_frames(&mut writer, &mut output, &mut batch).await?;
+                // The other end closes the connection when it gives up.
+                write_frames(&mut writer, &mut output, &mut batch, Duration::MAX).await?;
             }
         }
     }
