--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -97,7 +97,7 @@
                     self.freshness.record_check(kind, asked);
                     position = Some(Position::after(position, &event, revision));
                     if matches!(event, Event::Changed(changes, _) if !changes.is_empty()) {
-                        self.pause(batch_delay(kind)).await;
+                        tokio::time::sleep(batch_delay(kind)).await;
                     }
                 }
                 Err(Error::Expired) => {
@@ -123,12 +123,6 @@
         }
     }
 
-    /// Waits for further changes, unless somebody waits for an answer of the object store.
-    async fn pause(&self, duration: Duration) {
-        let requested = self.freshness.check_requested(self.kind);
-        let _ = tokio::time::timeout(duration, requested).await;
-    }
-
     /// Returns the next answer, its revision, and when the store was asked.
     async fn next_answer(
         &self,
@@ -164,8 +158,7 @@
         let settled = began + SETTLE_TIME;
         loop {
             let check = async {
-                let requested = self.freshness.check_requested(kind);
-                let _ = tokio::time::timeout_at(settled, requested).await;
+                tokio::time::sleep_until(settled).await;
                 self.freshness.overdue(kind, &self.age_limit).await;
                 let asked = Instant::now();
                 let changes = objects.watch(kind, since, CHECK_DURATION).await;
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -157,37 +157,15 @@
             let checked = self.checked.notified();
             tokio::pin!(checked);
             checked.as_mut().enable();
-            if self.request_check(kind, since) {
+            if self.is_checked(kind, since) {
                 return;
             }
-            checked.await;
-        }
-    }
-
-    /// Whether an answer to a question is in force that was asked at `since` or later. Otherwise, the
-    /// store is asked soon.
-    pub fn request_check(&self, kind: Kind, since: Instant) -> bool {
-        let is_checked = self.is_checked(kind, since);
-        if !is_checked {
             self.reported.notify_waiters();
-        }
-        is_checked
-    }
-
-    /// Waits until somebody waits for an answer to a newer question.
-    pub async fn check_requested(&self, kind: Kind) {
-        loop {
-            let reported = self.reported.notified();
-            tokio::pin!(reported);
-            reported.as_mut().enable();
-            if self.checks.lock().get(&kind).is_some_and(Checks::is_due) {
-                return;
-            }
-            reported.await;
+            checked.await;
         }
     }
 
-    /// Whether such an answer is in force; otherwise, records that one is needed.
+    /// Whether such an answer is in force; otherwise, the store is asked.
     fn is_checked(&self, kind: Kind, since: Instant) -> bool {
         let mut checks = self.checks.lock();
         let checks = checks.entry(kind).or_default();
--- a/crates/gateway/src/serve/origin.rs
+++ b/crates/gateway/src/serve/origin.rs
@@ -5,10 +5,6 @@
 //! version, which is stored before the request is sent there. A caller that resumes the stream
 //! names the request that brought the first event, so any entry can read the version. A stream whose
 //! version isn't stored, or is ambiguous, isn't resumed.
-//!
-//! The version is that of the target's registration, which may be outdated. Before the first event is
-//! relayed, the entry must know that the target was registered so after the connection to it was opened;
-//! otherwise the version is stored as ambiguous. Nobody can resume the stream before.
 
 use std::time::Duration;
 
@@ -81,28 +77,6 @@
     }
 }
 
-/// Whether the target that answers on a connection is certainly the registered one. A connection belongs to
-/// one start of a target, so the object store must have been asked after it was opened: the target may
-/// have restarted under its id before, while this entry was out of touch.
-pub async fn is_known(state: &State, target: &Target, opened: Instant, deadline: Instant) -> bool {
-    let checked = state.freshness.checked_since(Kind::Targets, opened);
-    let until = match state.is_object_store_lost() {
-        true => Instant::now(),
-        false => deadline,
-    };
-    let is_checked = tokio::time::timeout_at(until, checked).await.is_ok();
-    let is_superseded = state.is_superseded(target);
-    if is_superseded || !is_checked {
-        log::info!(
-            step = "confirm version", peer = target.id.as_str(),
-            target_version = target.version_text(), restarted = is_superseded,
-            since_connect_ms = opened.elapsed().as_millis() as u64;
-            "version of the target that answers isn't certain"
-        );
-    }
-    is_checked && !is_superseded
-}
-
 /// Checks, before an entry goes on with a stream, that the target that began it was known.
 ///
 /// Errors: it has restarted, maybe before it began the stream, or the object store doesn't answer.
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -70,7 +70,6 @@
         urgency: None,
         last_event: None,
         chosen: Instant::now(),
-        needs_version: false,
     };
     let answer = send::send(state, &choice, &attempt).await?;
     let entry = choice.candidate;
--- a/crates/gateway/src/serve/turn.rs
+++ b/crates/gateway/src/serve/turn.rs
@@ -52,11 +52,6 @@
 /// refused early enough for its caller to retry.
 const HISTORY_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Time for which the first event of a new stream waits until the version of its target is certain, from
-/// the choice of the target or, if that was later, the opening of the connection; half of the shortest objective
-/// for first events. The object store answers in some 5 ms, mostly before the target does.
-const ORIGIN_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// A turn in progress.
 #[derive(Debug)]
 pub struct Running {
@@ -241,12 +236,11 @@
             urgency: running.urgency,
             last_event,
             chosen,
-            needs_version: running.stream.resumable,
         };
         let answer = send::send(state, &choice, &attempt).await;
         let answer = match answer {
             Ok(answer) => match check_stream(running, &answer) {
-                Ok(()) => confirm_version(state, running, target, &answer, chosen)
+                Ok(()) => confirm_version(state, running, target)
                     .await
                     .map(|()| answer),
                 Err(error) => Err(error),
@@ -294,31 +288,19 @@
     }
 }
 
-/// Checks that a target that answers with a stream is the start of it that was chosen: otherwise, which
-/// version began the stream is uncertain.
+/// Checks that a target that answers hasn't restarted since it was chosen: which version began the
+/// stream would be uncertain.
 ///
 /// Errors: the caller has received events of another version, or the uncertainty can't be stored.
 async fn confirm_version(
     state: &State,
     running: &mut Running,
     target: &Target,
-    answer: &Answer,
-    chosen: Instant,
 ) -> Result<(), Error> {
-    if !running.stream.resumable || !answer.parts.status.is_success() {
-        return Ok(());
-    }
-    let opened = answer.lease.opened;
-    let until = match running.retry.versions {
-        Rule::Only(_) => Instant::now() + HISTORY_TIMEOUT,
-        Rule::Any | Rule::Prefer(_) => opened.max(chosen) + ORIGIN_CHECK_TIMEOUT,
-    };
-    let deadline = running.job.deadline.min(until);
-    let is_known = origin::is_known(state, target, opened, deadline).await;
     match (&running.retry.versions, &running.origin) {
-        _ if is_known => Ok(()),
+        _ if !running.stream.resumable || !state.is_superseded(target) => Ok(()),
         (Rule::Only(_), _) => Err(Error::MaybeRun(
-            "target may have restarted before its connection was opened".to_owned(),
+            "target restarted after it was chosen".to_owned(),
         )),
         (_, Some(origin)) => {
             let origin = origin::ambiguous(origin);
--- a/crates/gateway/src/target/pool.rs
+++ b/crates/gateway/src/target/pool.rs
@@ -65,7 +65,6 @@
 struct Connection {
     sender: Sender,
     allowance: Allowance,
-    opened: Instant,
 }
 
 struct Idle {
@@ -101,8 +100,6 @@
     connection: Option<Connection>,
     /// Whether the connection has served a request before.
     pub reused: bool,
-    /// When the connection was open. It belongs to one start of its target, which had begun by then.
-    pub opened: Instant,
 }
 
 impl std::fmt::Debug for Lease {
@@ -130,13 +127,11 @@
             load: Arc::clone(&candidate.load),
             connection: None,
             reused: false,
-            opened: Instant::now(),
         };
         lease.load.running.fetch_add(1, Ordering::Relaxed);
         while let Some(mut connection) = self.take_idle(&lease.key, pick) {
             let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                lease.opened = connection.opened;
                 lease.connection = Some(connection);
                 lease.reused = true;
                 return Ok(lease);
@@ -150,7 +145,6 @@
         let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         match tokio::time::timeout_at(connect_deadline, self.connect(&lease.key)).await {
             Ok(Ok(connection)) => {
-                lease.opened = connection.opened;
                 lease.connection = Some(connection);
                 Ok(lease)
             }
@@ -201,11 +195,7 @@
             }
             drop(open_count);
         });
-        Ok(Connection {
-            sender,
-            allowance,
-            opened: Instant::now(),
-        })
+        Ok(Connection { sender, allowance })
     }
 
     /// Closes expired idle connections and removes targets without connections.
--- a/crates/gateway/src/target/send.rs
+++ b/crates/gateway/src/target/send.rs
@@ -68,8 +68,6 @@
     pub last_event: Option<&'a str>,
     /// When the target was chosen.
     pub chosen: Instant,
-    /// Whether it matters which start of the target answers.
-    pub needs_version: bool,
 }
 
 /// Time until which a target's answer is awaited.
@@ -190,10 +188,6 @@
     state
         .check_target(&candidate.target)
         .map_err(Error::NotSent)?;
-    if attempt.needs_version {
-        // The answer comes while the target works.
-        state.freshness.request_check(Kind::Targets, lease.opened);
-    }
     let request = request(state, candidate, attempt);
     let Some(sender) = lease.sender() else {
         return Err(Error::NotRun("connection was closed".to_owned()));
